--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,44 @@
+//! The peer crate for callers: the HTTP front end.
+//!
+//! Purpose: turn HTTP requests into [`Completion`] and [`ServiceRequest`] values, and answers,
+//! failures and verdicts into HTTP responses.
+//!
+//! Invariants: every response carries a request identifier and a verdict; malformed input is
+//! refused with a sentence that says what is wrong; every part of a request is bounded. This
+//! crate must not know how requests are routed.
+
+mod completions;
+mod front;
+mod headers;
+mod request;
+mod respond;
+
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+use types::Failure;
+
+pub use front::FrontEnd;
+pub use request::{Caller, Completion, ServiceReply, ServiceRequest, Summary, TokenSink};
+
+/// What the front end needs from the rest of a node.
+pub trait Backend {
+    /// Runs a completion and writes its tokens to `sink`.
+    fn complete(
+        self: Rc<Self>,
+        request: Completion,
+        sink: Box<dyn TokenSink>,
+    ) -> LocalBoxFuture<'static, Result<Summary, Failure>>;
+
+    /// Passes a call on to a plain service.
+    fn call_service(
+        self: Rc<Self>,
+        request: ServiceRequest,
+    ) -> LocalBoxFuture<'static, Result<ServiceReply, Failure>>;
+
+    /// Whether the node takes new requests.
+    fn is_accepting(&self) -> bool;
+
+    /// Creates an identifier for a request.
+    fn new_request_id(&self) -> types::RequestId;
+}
--- /dev/null
+++ b/crates/claims/src/claim.rs
@@ -0,0 +1,53 @@
+use std::rc::Rc;
+
+use types::Digest;
+
+use crate::{Answer, ClaimId, ClaimKey, ClaimRecord, ClaimState, Claims, settle};
+
+/// The right to send a non-idempotent request once.
+///
+/// A claim must end in one of its methods. If it is dropped, the record stays as it is, and the
+/// request counts as one that may have run.
+#[must_use]
+pub struct Claim {
+    pub(crate) claims: Rc<Claims>,
+    pub(crate) key: ClaimKey,
+    pub(crate) id: ClaimId,
+    pub(crate) digest: Digest,
+    pub(crate) version: u64,
+}
+
+impl Claim {
+    /// Records that the request ran with this answer.
+    pub async fn finish(self, answer: Answer) {
+        self.conclude(ClaimState::Done(answer.bounded())).await;
+    }
+
+    /// Records that the request was sent and that its outcome is unknown.
+    pub async fn abandon(self) {
+        self.conclude(ClaimState::Unknown).await;
+    }
+
+    /// Gives the claim back. The caller must not have sent any byte of the request.
+    pub async fn release(self) {
+        self.claims.relinquish(&self.id);
+        settle::release(self.claims.clone(), self.key.clone(), self.id.clone()).await;
+    }
+
+    async fn conclude(self, state: ClaimState) {
+        let record = ClaimRecord {
+            id: self.id.clone(),
+            digest: self.digest,
+            at_millis: self.claims.clock.unix_millis(),
+            state,
+        };
+        self.claims.remember(&self.key, &record);
+        settle::write(self.claims.clone(), self.key.clone(), record, self.version).await;
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.claims.working.borrow_mut().remove(&self.id);
+    }
+}
--- /dev/null
+++ b/crates/engines/src/client.rs
@@ -0,0 +1,101 @@
+use std::{net::SocketAddr, rc::Rc};
+
+use clock::Clock;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::{Method, Request, header};
+use transport::{Body, CallError, EventReader, HttpClient, Timeouts};
+
+use crate::{
+    Engine, ReceiptCheck, TokenStream,
+    api::{CacheEvents, Cancel, Generate, KvCache, Load, Order, OrderReply, Session},
+};
+
+/// Largest answer with an error that is read, in bytes.
+const MAX_ERROR_BYTES: usize = 4096;
+
+/// An engine that is reached over HTTP.
+pub struct HttpEngine {
+    client: HttpClient,
+    timeouts: Timeouts,
+}
+
+impl HttpEngine {
+    /// Creates a client of the engine at `addr`.
+    pub fn new(clock: Rc<dyn Clock>, addr: SocketAddr, timeouts: Timeouts) -> HttpEngine {
+        HttpEngine { client: HttpClient::new(clock, addr), timeouts }
+    }
+
+    async fn start(self: Rc<Self>, request: Generate) -> Result<TokenStream, CallError> {
+        let layers = request.route.last().map_or(0, |stage| stage.layers.end);
+        let check = ReceiptCheck::new(
+            request.route.clone(),
+            request.version.clone(),
+            request.attempt,
+            layers,
+            request.given.len() as u32,
+        );
+        // Serialization fails only for maps with keys that are not strings, which it has not.
+        let payload = serde_json::to_vec(&request).expect("request is serializable");
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri("/v1/generate")
+            .header(header::HOST, "gypsumrack")
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Body::from(payload))
+            .expect("request is valid");
+        let response = self.client.send(request, self.timeouts).await?;
+        if !response.status().is_success() {
+            let status = response.status().as_u16();
+            let body = response.collect(MAX_ERROR_BYTES, self.timeouts.progress).await?;
+            return Err(CallError::Status(status, String::from_utf8_lossy(&body).into_owned()));
+        }
+        Ok(TokenStream::new(EventReader::new(response), check))
+    }
+}
+
+impl Engine for HttpEngine {
+    fn generate(
+        self: Rc<Self>,
+        request: Generate,
+    ) -> LocalBoxFuture<'static, Result<TokenStream, CallError>> {
+        self.start(request).boxed_local()
+    }
+
+    fn cancel(&self, cancel: Cancel) -> LocalBoxFuture<'_, Result<(), CallError>> {
+        async move { self.client.post_json("/v1/cancel", &cancel, self.timeouts).await }
+            .boxed_local()
+    }
+
+    fn load(&self) -> LocalBoxFuture<'_, Result<Load, CallError>> {
+        self.client.get_json("/v1/load", self.timeouts).boxed_local()
+    }
+
+    fn cache_events(&self, after: u64) -> LocalBoxFuture<'_, Result<CacheEvents, CallError>> {
+        async move {
+            let path = format!("/v1/cache-events?after={after}");
+            self.client.get_json(&path, self.timeouts).await
+        }
+        .boxed_local()
+    }
+
+    fn export_kv(&self, session: &str) -> LocalBoxFuture<'_, Result<KvCache, CallError>> {
+        let session = Session { session: session.into() };
+        async move { self.client.post_json("/v1/kv/export", &session, self.timeouts).await }
+            .boxed_local()
+    }
+
+    fn import_kv(&self, cache: KvCache) -> LocalBoxFuture<'_, Result<(), CallError>> {
+        async move { self.client.post_json("/v1/kv/import", &cache, self.timeouts).await }
+            .boxed_local()
+    }
+
+    fn order(&self, order: Order) -> LocalBoxFuture<'_, Result<OrderReply, CallError>> {
+        async move {
+            // An order goes over a new connection: bytes of an older one could wait in a
+            // connection that was open before a pause.
+            self.client.close_idle();
+            self.client.post_json("/v1/orders", &order, self.timeouts).await
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/keyvalue/src/client.rs
@@ -0,0 +1,133 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use clock::Clock;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use transport::{CallError, HttpClient, Timeouts};
+use types::Verdict;
+
+use crate::{
+    KeyValue, KvError,
+    api::{Call, Entry, Expected, PATH, PutReply, Reply},
+};
+
+/// Longest wait of one watch call. A connection that fell silent is found this late.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// The key-value service, reached over HTTP.
+pub struct HttpKeyValue {
+    client: HttpClient,
+    watch_client: HttpClient,
+    timeouts: Timeouts,
+}
+
+impl HttpKeyValue {
+    /// Creates a client of the service at `addr`.
+    pub fn new(clock: Rc<dyn Clock>, addr: SocketAddr, timeouts: Timeouts) -> HttpKeyValue {
+        HttpKeyValue {
+            client: HttpClient::new(clock.clone(), addr),
+            watch_client: HttpClient::new(clock, addr),
+            timeouts,
+        }
+    }
+
+    async fn call(&self, call: Call) -> Result<Reply, KvError> {
+        self.client.post_json(PATH, &call, self.timeouts).await.map_err(classify)
+    }
+}
+
+impl KeyValue for HttpKeyValue {
+    fn get(&self, key: &str) -> LocalBoxFuture<'_, Result<Option<Entry>, KvError>> {
+        let call = Call::Get { key: key.into() };
+        async move { expect_entry(self.call(call).await?) }.boxed_local()
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: String,
+        lease: Option<u64>,
+    ) -> LocalBoxFuture<'_, Result<PutReply, KvError>> {
+        let call = Call::Put { key: key.into(), expected, value, lease };
+        async move {
+            match self.call(call).await? {
+                Reply::Put(reply) => Ok(reply),
+                _ => Err(KvError::Unknown),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn delete(&self, key: &str, version: u64) -> LocalBoxFuture<'_, Result<bool, KvError>> {
+        let call = Call::Delete { key: key.into(), version };
+        async move { expect_done(self.call(call).await?) }.boxed_local()
+    }
+
+    fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: u32,
+    ) -> LocalBoxFuture<'_, Result<Vec<Entry>, KvError>> {
+        let call = Call::List { prefix: prefix.into(), after: after.into(), limit };
+        async move {
+            match self.call(call).await? {
+                Reply::Entries(entries) => Ok(entries),
+                _ => Err(KvError::Unknown),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn watch(&self, key: &str, after: u64) -> LocalBoxFuture<'_, Result<Option<Entry>, KvError>> {
+        let wait_millis = WATCH_WAIT.as_millis() as u64;
+        let call = Call::Watch { key: key.into(), after, wait_millis };
+        let progress = WATCH_WAIT + self.timeouts.progress;
+        let timeouts = Timeouts { progress, ..self.timeouts };
+        async move {
+            let reply = self.watch_client.post_json(PATH, &call, timeouts).await;
+            expect_entry(reply.map_err(classify)?)
+        }
+        .boxed_local()
+    }
+
+    fn grant(&self, ttl_millis: u64) -> LocalBoxFuture<'_, Result<u64, KvError>> {
+        async move {
+            match self.call(Call::Grant { ttl_millis }).await? {
+                Reply::Lease(lease) => Ok(lease),
+                _ => Err(KvError::Unknown),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn renew(&self, lease: u64) -> LocalBoxFuture<'_, Result<bool, KvError>> {
+        async move { expect_done(self.call(Call::Renew { lease }).await?) }.boxed_local()
+    }
+
+    fn revoke(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), KvError>> {
+        async move { expect_done(self.call(Call::Revoke { lease }).await?).map(drop) }.boxed_local()
+    }
+}
+
+/// The service refuses a call with an error status before it touches any entry.
+fn classify(error: CallError) -> KvError {
+    match error.verdict() {
+        Verdict::NotRun | Verdict::Ran => KvError::Unavailable,
+        Verdict::MayHaveRun => KvError::Unknown,
+    }
+}
+
+fn expect_entry(reply: Reply) -> Result<Option<Entry>, KvError> {
+    match reply {
+        Reply::Entry(entry) => Ok(entry),
+        _ => Err(KvError::Unknown),
+    }
+}
+
+fn expect_done(reply: Reply) -> Result<bool, KvError> {
+    match reply {
+        Reply::Done(done) => Ok(done),
+        _ => Err(KvError::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/node/src/backend.rs
@@ -0,0 +1,162 @@
+use std::{rc::Rc, time::Duration};
+
+use callers::{Backend, Caller, Completion, ServiceReply, ServiceRequest, Summary, TokenSink};
+use clock::Timestamp;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use operators::api::Decision;
+use settings::Policy;
+use types::{Failure, FailureKind, RequestId, Verdict};
+
+use crate::{completion::CompletionRun, service_call::CallRun, state::Node, trace::TraceWriter};
+
+impl Backend for Node {
+    fn complete(
+        self: Rc<Self>,
+        request: Completion,
+        sink: Box<dyn TokenSink>,
+    ) -> LocalBoxFuture<'static, Result<Summary, Failure>> {
+        async move {
+            let _running = self.count_running();
+            let caller = request.caller.clone();
+            let trace = self.start_trace(&caller, &request.model);
+            let result = self.clone().start_completion(request, sink, trace.clone()).await;
+            let verdict = result.as_ref().map_or_else(|failure| failure.verdict, |_| Verdict::Ran);
+            self.conclude(&caller, &trace, verdict, result.as_ref().err());
+            result
+        }
+        .boxed_local()
+    }
+
+    fn call_service(
+        self: Rc<Self>,
+        request: ServiceRequest,
+    ) -> LocalBoxFuture<'static, Result<ServiceReply, Failure>> {
+        // The call goes on when its caller goes away, so that its claim ends with the outcome.
+        let task = compio::runtime::spawn(async move {
+            let _running = self.count_running();
+            let caller = request.caller.clone();
+            let trace = self.start_trace(&caller, &request.service);
+            let result = self.clone().start_call(request, trace.clone()).await;
+            let verdict = result.as_ref().map_or_else(|failure| failure.verdict, |_| Verdict::Ran);
+            self.conclude(&caller, &trace, verdict, result.as_ref().err());
+            result
+        });
+        DetachOnDrop { task: Some(task) }.join().boxed_local()
+    }
+
+    fn is_accepting(&self) -> bool {
+        !self.stop.is_raised()
+    }
+
+    fn new_request_id(&self) -> RequestId {
+        self.next_request_id()
+    }
+}
+
+impl Node {
+    fn start_trace(&self, caller: &Caller, target: &str) -> TraceWriter {
+        let clock = self.clock.clone();
+        self.traces.borrow_mut().start(clock, &self.settings.name, caller, target)
+    }
+
+    async fn start_completion(
+        self: Rc<Self>,
+        request: Completion,
+        sink: Box<dyn TokenSink>,
+        trace: TraceWriter,
+    ) -> Result<Summary, Failure> {
+        let config = self.config()?;
+        let model = config.models.get(&request.model).cloned().ok_or_else(|| {
+            let message = format!("there is no model {}", request.model);
+            Failure::not_run(FailureKind::NotFound, message)
+        })?;
+        let policy = config.policy(&request.caller.organisation, &request.model);
+        let arrived = self.clock.now();
+        let run = CompletionRun {
+            deadline: deadline(arrived, &request.caller, &policy),
+            node: self,
+            request,
+            model,
+            policy,
+            trace,
+            arrived,
+            given: Vec::new(),
+            attempt: 0,
+            avoid: Vec::new(),
+            last_token: arrived,
+        };
+        run.run(sink).await
+    }
+
+    async fn start_call(
+        self: Rc<Self>,
+        request: ServiceRequest,
+        trace: TraceWriter,
+    ) -> Result<ServiceReply, Failure> {
+        let config = self.config()?;
+        let service = config.services.get(&request.service).cloned().ok_or_else(|| {
+            let message = format!("there is no service {}", request.service);
+            Failure::not_run(FailureKind::NotFound, message)
+        })?;
+        let policy = config.policy(&request.caller.organisation, &request.service);
+        let arrived = self.clock.now();
+        let limit = arrived + Duration::from_millis(policy.service_ms);
+        let deadline = deadline(arrived, &request.caller, &policy).min(limit);
+        let run = CallRun { node: self, request, service, policy, trace, deadline };
+        run.run().await
+    }
+
+    fn conclude(
+        &self,
+        caller: &Caller,
+        trace: &TraceWriter,
+        verdict: Verdict,
+        failure: Option<&Failure>,
+    ) {
+        let labels = [caller.class.into(), verdict.into()];
+        self.metrics.requests.with_label_values::<&str>(&labels).inc();
+        let Some(failure) = failure else {
+            trace.record(Decision::Answered { verdict });
+            return;
+        };
+        tracing::info!(
+            request = %caller.id,
+            organisation = %caller.organisation,
+            kind = %failure.kind,
+            %verdict,
+            message = failure.message,
+            "request failed"
+        );
+        let (kind, message) = (failure.kind, failure.message.clone());
+        trace.record(Decision::Failed { kind, verdict, message });
+    }
+}
+
+fn deadline(arrived: Timestamp, caller: &Caller, policy: &Policy) -> Timestamp {
+    arrived + caller.deadline.unwrap_or(Duration::from_millis(policy.deadline_ms))
+}
+
+/// Joins a task, or lets it go on by itself when the join is dropped.
+struct DetachOnDrop<T> {
+    task: Option<compio::runtime::JoinHandle<Result<T, Failure>>>,
+}
+
+impl<T> DetachOnDrop<T> {
+    async fn join(mut self) -> Result<T, Failure> {
+        let lost = || {
+            Failure::new(FailureKind::Upstream, Verdict::MayHaveRun, "the call ended unexpectedly")
+        };
+        let Some(task) = &mut self.task else { return Err(lost()) };
+        let outcome = task.await;
+        self.task = None;
+        outcome.unwrap_or_else(|_| Err(lost()))
+    }
+}
+
+impl<T> Drop for DetachOnDrop<T> {
+    fn drop(&mut self) {
+        if let Some(task) = self.task.take() {
+            task.detach();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/console.rs
@@ -0,0 +1,61 @@
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use operators::{
+    Console,
+    api::{EngineStatus, NodeStatus, Readiness, Trace},
+};
+use routing::EngineState;
+use types::UpstreamName;
+
+use crate::state::Node;
+
+impl Console for Node {
+    fn readiness(&self) -> Readiness {
+        if self.stop.is_raised() {
+            return Readiness::Draining;
+        }
+        if self.config.borrow().current().is_none() {
+            return Readiness::NoConfiguration;
+        }
+        Readiness::Ready
+    }
+
+    fn status(&self) -> NodeStatus {
+        let view = self.view.borrow();
+        NodeStatus {
+            node: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            readiness: self.readiness(),
+            revision: self.config.borrow().revision(),
+            running: self.running.get(),
+            engines: view.engines.iter().map(|(name, e)| self.engine_status(name, e)).collect(),
+        }
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.encode()
+    }
+
+    fn explain(&self, request: &str) -> LocalBoxFuture<'_, Vec<Trace>> {
+        let own = self.traces.borrow().find(request);
+        std::future::ready(own).boxed_local()
+    }
+
+    fn drain(&self) {
+        self.stop.raise();
+    }
+}
+
+impl Node {
+    fn engine_status(&self, name: &UpstreamName, engine: &EngineState) -> EngineStatus {
+        let loaded = engine.report.as_ref().map_or_else(String::new, |report| {
+            format!("{} {} version {}", report.model, report.layers, report.version)
+        });
+        EngineStatus {
+            engine: name.clone(),
+            loaded,
+            available: engine.is_available(self.clock.now()),
+            leaving: engine.leaving || engine.report.as_ref().is_some_and(|r| r.leaving),
+            outstanding: engine.outstanding,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,22 @@
+//! The library that assembles a node of the router.
+//!
+//! Purpose: connect the peers (callers, engines, services, the platform, operators) with the
+//! decisions (routing, claims, fleet state), with one task for each connection and peer.
+//!
+//! Invariants: a token reaches the caller once, in order, after its receipts were checked; a
+//! non-idempotent call is sent only under a claim, or once if it has no key; state is borrowed
+//! only between awaits. This crate must not know the encoding of any message.
+
+mod backend;
+mod completion;
+mod console;
+mod metrics;
+mod replicas;
+mod run;
+mod service_call;
+mod state;
+mod tasks;
+mod trace;
+
+pub use run::run;
+pub use state::Node;
--- /dev/null
+++ b/crates/node/src/replicas.rs
@@ -0,0 +1,56 @@
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use clock::Timestamp;
+use services::Service;
+use types::{ServiceName, UpstreamName};
+
+/// Time for which a replica that could not be reached gets no new calls, while others can.
+const SUSPECT_TIME: Duration = Duration::from_secs(1);
+
+/// The replicas of the plain services.
+#[derive(Default)]
+pub(crate) struct Replicas {
+    pub(crate) by_service: BTreeMap<ServiceName, BTreeMap<UpstreamName, Replica>>,
+    turn: usize,
+}
+
+/// One replica of a plain service.
+pub(crate) struct Replica {
+    pub(crate) client: Rc<dyn Service>,
+    pub(crate) addr: std::net::SocketAddr,
+    pub(crate) leaving: bool,
+    pub(crate) suspect_until: Option<Timestamp>,
+}
+
+impl Replicas {
+    /// Chooses the next replica in turn that was not tried yet; suspect ones come last.
+    pub(crate) fn choose(
+        &mut self,
+        service: &ServiceName,
+        tried: &[UpstreamName],
+        now: Timestamp,
+    ) -> Option<(UpstreamName, Rc<dyn Service>)> {
+        let replicas = self.by_service.get(service)?;
+        let open: Vec<_> = replicas
+            .iter()
+            .filter(|(name, replica)| !replica.leaving && !tried.contains(name))
+            .collect();
+        let healthy: Vec<_> =
+            open.iter().filter(|(_, r)| r.suspect_until.is_none_or(|u| now >= u)).collect();
+        self.turn = self.turn.wrapping_add(1);
+        let (name, replica) = if healthy.is_empty() {
+            open.get(self.turn % open.len().max(1))?
+        } else {
+            healthy[self.turn % healthy.len()]
+        };
+        Some(((*name).clone(), replica.client.clone()))
+    }
+
+    /// Keeps new calls from a replica for a while.
+    pub(crate) fn suspect(&mut self, service: &ServiceName, name: &UpstreamName, now: Timestamp) {
+        let replica = self.by_service.get_mut(service).and_then(|all| all.get_mut(name));
+        if let Some(replica) = replica {
+            replica.suspect_until = Some(now + SUSPECT_TIME);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/service_call.rs
@@ -0,0 +1,206 @@
+//! Runs a call to a plain service. Idempotent calls are retried; others are sent at most once.
+
+use std::rc::Rc;
+
+use callers::{ServiceReply, ServiceRequest};
+use claims::{Admission, Answer, Claim, ClaimKey, ClaimRequest};
+use clock::{Timestamp, timeout};
+use operators::api::Decision;
+use services::{ServiceAnswer, ServiceCall};
+use settings::{Policy, ServiceConfig};
+use types::{Digest, Failure, FailureKind, UpstreamName, Verdict};
+
+use crate::{state::Node, trace::TraceWriter};
+
+/// A call on its way to a replica.
+pub(crate) struct CallRun {
+    pub(crate) node: Rc<Node>,
+    pub(crate) request: ServiceRequest,
+    pub(crate) service: ServiceConfig,
+    pub(crate) policy: Policy,
+    pub(crate) trace: TraceWriter,
+    pub(crate) deadline: Timestamp,
+}
+
+impl CallRun {
+    /// Runs the call.
+    pub(crate) async fn run(self) -> Result<ServiceReply, Failure> {
+        let method = self.request.method.as_str();
+        if self.service.idempotent.iter().any(|idempotent| idempotent == method) {
+            return self.run_idempotent().await;
+        }
+        let Some(key) = self.request.key.clone() else {
+            let answer = self.send_once().await?;
+            return Ok(reply(answer));
+        };
+        let organisation = self.request.caller.organisation.clone();
+        self.run_claimed(ClaimKey { organisation, key }).await
+    }
+
+    async fn run_idempotent(&self) -> Result<ServiceReply, Failure> {
+        let mut last = None;
+        for _ in 0..self.policy.attempt_limit {
+            match self.send_once().await {
+                Ok(answer) => return Ok(reply(answer)),
+                Err(failure) if failure.kind == FailureKind::Upstream => last = Some(failure),
+                Err(failure) => return Err(failure),
+            }
+        }
+        Err(last.unwrap_or_else(|| no_replica(&self.request)))
+    }
+
+    async fn run_claimed(&self, key: ClaimKey) -> Result<ServiceReply, Failure> {
+        let request = &self.request;
+        let digest = Digest::of(&[
+            request.service.as_bytes(),
+            request.method.as_str().as_bytes(),
+            request.path.as_bytes(),
+            &request.body,
+        ]);
+        let wanted =
+            ClaimRequest { key, digest, deadline: self.deadline, first_send: request.first_send };
+        match self.node.claims.admit(&wanted).await {
+            Ok(Admission::Replay(answer)) => {
+                self.trace.record(Decision::Replayed);
+                Ok(replayed(answer))
+            }
+            Ok(Admission::Run(claim)) => {
+                self.trace.record(Decision::Claimed);
+                self.run_with(claim, &wanted.key).await
+            }
+            Err(failure) if failure.kind == FailureKind::OutcomeUnknown => {
+                let settled = self.look_up(&wanted.key).await;
+                settled
+                    .map(|answer| ServiceReply { replayed: true, ..reply(answer) })
+                    .ok_or(failure)
+            }
+            Err(failure) => Err(failure),
+        }
+    }
+
+    /// Sends the call under a claim and records the outcome.
+    async fn run_with(&self, claim: Claim, key: &ClaimKey) -> Result<ServiceReply, Failure> {
+        if self.node.clock.now() >= self.deadline {
+            claim.release().await;
+            return Err(Failure::not_run(FailureKind::Deadline, "the deadline has passed"));
+        }
+        match self.send_once().await {
+            Ok(answer) => {
+                claim.finish(stored(&answer)).await;
+                Ok(reply(answer))
+            }
+            Err(failure) if failure.verdict == Verdict::NotRun => {
+                claim.release().await;
+                Err(failure)
+            }
+            Err(failure) => match self.look_up(key).await {
+                Some(answer) => {
+                    claim.finish(stored(&answer)).await;
+                    Ok(reply(answer))
+                }
+                None => {
+                    claim.abandon().await;
+                    Err(failure)
+                }
+            },
+        }
+    }
+
+    /// Sends the call to replicas until one takes it. It is sent to another one only if it did
+    /// not run on the one before.
+    async fn send_once(&self) -> Result<ServiceAnswer, Failure> {
+        let mut tried: Vec<UpstreamName> = Vec::new();
+        let clock = &self.node.clock;
+        loop {
+            let left = self.deadline.since(clock.now());
+            if left.is_zero() {
+                return Err(Failure::not_run(FailureKind::Deadline, "the deadline has passed"));
+            }
+            let chosen =
+                self.node.replicas.borrow_mut().choose(&self.request.service, &tried, clock.now());
+            let Some((name, client)) = chosen else { return Err(no_replica(&self.request)) };
+            self.trace.record(Decision::Sent { upstream: name.clone() });
+            let sent = timeout(&**clock, left, client.call(self.call())).await;
+            let (cause, verdict) = match sent {
+                Ok(Ok(answer)) if self.service.refusals.contains(&answer.status.as_u16()) => {
+                    (format!("refused with status {}", answer.status), Verdict::NotRun)
+                }
+                Ok(Ok(answer)) => return Ok(answer),
+                Ok(Err(error)) => {
+                    let now = clock.now();
+                    if error.is_unreachable() {
+                        self.node.replicas.borrow_mut().suspect(&self.request.service, &name, now);
+                    }
+                    // Only whole answers are returned, so a status is never an error here.
+                    (error.to_string(), error.verdict())
+                }
+                Err(_) => ("the deadline passed".to_owned(), Verdict::MayHaveRun),
+            };
+            let failed = Decision::CallFailed { upstream: name.clone(), cause: cause.clone() };
+            self.trace.record(failed);
+            tracing::info!(request = %self.request.caller.id, upstream = %name, cause, "call failed");
+            if verdict != Verdict::NotRun {
+                let message = format!("the call was sent, but it was not answered: {cause}");
+                return Err(Failure::new(FailureKind::Upstream, verdict, message));
+            }
+            tried.push(name);
+        }
+    }
+
+    /// Asks the service for the outcome of a key. Only a positive answer settles anything: a key
+    /// that is not there now may still arrive.
+    async fn look_up(&self, key: &ClaimKey) -> Option<ServiceAnswer> {
+        let path = self.service.lookup.as_ref()?.replace("{key}", &key.key);
+        let now = self.node.clock.now();
+        let (_, client) =
+            self.node.replicas.borrow_mut().choose(&self.request.service, &[], now)?;
+        let call = ServiceCall {
+            method: http::Method::GET,
+            path,
+            headers: http::HeaderMap::new(),
+            body: bytes::Bytes::new(),
+        };
+        let answer = client.call(call).await.ok()?;
+        answer.status.is_success().then_some(answer)
+    }
+
+    fn call(&self) -> ServiceCall {
+        ServiceCall {
+            method: self.request.method.clone(),
+            path: self.request.path.clone(),
+            headers: self.request.headers.clone(),
+            body: self.request.body.clone(),
+        }
+    }
+}
+
+fn no_replica(request: &ServiceRequest) -> Failure {
+    let message = format!("no replica of service {} can be reached", request.service);
+    Failure::not_run(FailureKind::Unavailable, message)
+}
+
+fn reply(answer: ServiceAnswer) -> ServiceReply {
+    ServiceReply {
+        status: answer.status.as_u16(),
+        content_type: answer.content_type,
+        body: answer.body,
+        replayed: false,
+    }
+}
+
+fn replayed(answer: Answer) -> ServiceReply {
+    ServiceReply {
+        status: answer.status,
+        content_type: answer.content_type,
+        body: answer.body.unwrap_or_default().into(),
+        replayed: true,
+    }
+}
+
+fn stored(answer: &ServiceAnswer) -> Answer {
+    Answer {
+        status: answer.status.as_u16(),
+        content_type: answer.content_type.clone(),
+        body: Some(answer.body.to_vec()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,96 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use claims::Claims;
+use clock::Clock;
+use engines::Engine;
+use fleet::ConfigState;
+use keyvalue::KeyValue;
+use routing::{Estimate, LeastOutstanding, LoadView, RoundRobin, RoutePolicy};
+use settings::{FleetConfig, NodeSettings, RouteKind};
+use transport::Stop;
+use types::{Failure, FailureKind, RequestId, UpstreamName};
+use vms::VmList;
+
+use crate::{metrics::Metrics, replicas::Replicas, trace::Traces};
+
+/// One node of the router. All its tasks share it; they run on one thread.
+pub struct Node {
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) settings: NodeSettings,
+    /// Differs from that of every earlier process with this node's name.
+    pub(crate) incarnation: u64,
+    pub(crate) store: Rc<dyn KeyValue>,
+    pub(crate) vm_list: Rc<dyn VmList>,
+    pub(crate) claims: Rc<Claims>,
+    pub(crate) config: RefCell<ConfigState>,
+    pub(crate) view: RefCell<LoadView>,
+    pub(crate) engines: RefCell<BTreeMap<UpstreamName, Rc<dyn Engine>>>,
+    pub(crate) replicas: RefCell<Replicas>,
+    pub(crate) policy: RefCell<(RouteKind, Box<dyn RoutePolicy>)>,
+    pub(crate) traces: RefCell<Traces>,
+    pub(crate) metrics: Metrics,
+    pub(crate) running: Cell<u32>,
+    pub(crate) next_request: Cell<u64>,
+    pub(crate) stop: Stop,
+}
+
+impl Node {
+    /// The configuration in force, or the failure of a request that came before there was one.
+    pub(crate) fn config(&self) -> Result<Rc<FleetConfig>, Failure> {
+        self.config.borrow().current().ok_or_else(|| {
+            Failure::not_run(FailureKind::Unavailable, "the node has no configuration yet")
+        })
+    }
+
+    pub(crate) fn engine(&self, name: &UpstreamName) -> Option<Rc<dyn Engine>> {
+        self.engines.borrow().get(name).cloned()
+    }
+
+    pub(crate) fn next_request_id(&self) -> RequestId {
+        let number = self.next_request.get() + 1;
+        self.next_request.set(number);
+        format!("{}-{:x}-{number}", self.settings.name, self.incarnation).into()
+    }
+
+    /// Runs `choose` with the route policy that the configuration asks for.
+    pub(crate) fn with_policy<T>(
+        &self,
+        kind: RouteKind,
+        choose: impl FnOnce(&mut dyn RoutePolicy) -> T,
+    ) -> T {
+        let mut policy = self.policy.borrow_mut();
+        if policy.0 != kind {
+            *policy = (kind, new_policy(kind, self.incarnation));
+        }
+        choose(&mut *policy.1)
+    }
+
+    /// Counts a running request until the guard is dropped.
+    pub(crate) fn count_running(self: &Rc<Self>) -> RunningGuard {
+        self.running.set(self.running.get() + 1);
+        RunningGuard { node: self.clone() }
+    }
+}
+
+/// Counts one running request.
+pub(crate) struct RunningGuard {
+    node: Rc<Node>,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.node.running.set(self.node.running.get() - 1);
+    }
+}
+
+pub(crate) fn new_policy(kind: RouteKind, seed: u64) -> Box<dyn RoutePolicy> {
+    match kind {
+        RouteKind::Estimate => Box::new(Estimate::new(seed)),
+        RouteKind::RoundRobin => Box::new(RoundRobin::default()),
+        RouteKind::LeastOutstanding => Box::new(LeastOutstanding),
+    }
+}
--- /dev/null
+++ b/crates/node/src/tasks/vms.rs
@@ -0,0 +1,95 @@
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+
+use engines::{Engine, HttpEngine};
+use routing::EngineState;
+use services::HttpService;
+use transport::Timeouts;
+use types::{ServiceName, UpstreamName};
+use vms::api::{Vm, VmRole, VmSnapshot};
+
+use super::engine::poll_engine;
+use crate::{replicas::Replica, state::Node};
+
+/// Interval at which the list of VMs is read. With the list's lag it bounds how long a leaving
+/// upstream gets new work.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Deadlines of a call to an engine.
+const ENGINE_TIMEOUTS: Timeouts = Timeouts::from_millis(200, 1000);
+/// Deadlines of a call to a plain service. The whole call also has the request's deadline.
+const SERVICE_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 600_000);
+
+/// Reads the list of VMs and follows its changes.
+pub(crate) async fn poll_vms(node: Rc<Node>) {
+    while !node.stop.is_raised() {
+        match node.vm_list.list().await {
+            Ok(snapshot) => node.apply_vms(&snapshot),
+            Err(error) => {
+                tracing::warn!(%error, "list of VMs cannot be read; the last one is kept")
+            }
+        }
+        node.clock.sleep(POLL_INTERVAL).await;
+    }
+}
+
+impl Node {
+    fn apply_vms(self: &Rc<Self>, snapshot: &VmSnapshot) {
+        let mut engines = BTreeSet::new();
+        let mut replicas = BTreeSet::new();
+        for vm in &snapshot.vms {
+            let name = UpstreamName::from(vm.name.as_str());
+            match &vm.role {
+                VmRole::Engine => {
+                    self.apply_engine(&name, vm);
+                    engines.insert(name);
+                }
+                VmRole::Service(service) => {
+                    self.apply_replica(service, &name, vm);
+                    replicas.insert(name);
+                }
+                VmRole::Node => {}
+            }
+        }
+        self.engines.borrow_mut().retain(|name, _| engines.contains(name));
+        self.view.borrow_mut().engines.retain(|name, _| engines.contains(name));
+        for known in self.replicas.borrow_mut().by_service.values_mut() {
+            known.retain(|name, _| replicas.contains(name));
+        }
+    }
+
+    fn apply_engine(self: &Rc<Self>, name: &UpstreamName, vm: &Vm) {
+        let leaving = vm.leaving || self.is_leaving(name);
+        let known = self.view.borrow().engines.get(name).map(|state| state.addr);
+        if known != Some(vm.addr) {
+            tracing::info!(engine = %name, addr = %vm.addr, "engine joined");
+            let client: Rc<dyn Engine> =
+                Rc::new(HttpEngine::new(self.clock.clone(), vm.addr, ENGINE_TIMEOUTS));
+            let state = EngineState::new(vm.addr, vm.domain.clone());
+            self.view.borrow_mut().engines.insert(name.clone(), state);
+            self.engines.borrow_mut().insert(name.clone(), client.clone());
+            compio::runtime::spawn(poll_engine(self.clone(), name.clone(), client)).detach();
+        }
+        if let Some(state) = self.view.borrow_mut().engines.get_mut(name) {
+            state.leaving = leaving;
+        }
+    }
+
+    fn apply_replica(&self, service: &ServiceName, name: &UpstreamName, vm: &Vm) {
+        let leaving = vm.leaving || self.is_leaving(name);
+        let mut replicas = self.replicas.borrow_mut();
+        let known = replicas.by_service.entry(service.clone()).or_default();
+        match known.get_mut(name) {
+            Some(replica) if replica.addr == vm.addr => replica.leaving = leaving,
+            _ => {
+                tracing::info!(%service, replica = %name, addr = %vm.addr, "replica joined");
+                let client =
+                    Rc::new(HttpService::new(self.clock.clone(), vm.addr, SERVICE_TIMEOUTS));
+                let replica = Replica { client, addr: vm.addr, leaving, suspect_until: None };
+                known.insert(name.clone(), replica);
+            }
+        }
+    }
+
+    fn is_leaving(&self, name: &UpstreamName) -> bool {
+        self.config.borrow().current().is_some_and(|config| config.is_leaving(name))
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,52 @@
+//! Routing decisions: which engines run a request, and when a request has to wait or is refused.
+//!
+//! Purpose: plain functions over plain structs, so that any front end and any encoding of messages
+//! can use them.
+//!
+//! Invariants: a chosen route covers every layer of the model exactly once, in order; no engine
+//! that is leaving is chosen; every structure is bounded. This crate must not know about sockets,
+//! encodings or the key-value service.
+
+mod baseline;
+mod estimate;
+mod path;
+mod view;
+
+pub use baseline::{LeastOutstanding, RoundRobin};
+pub use estimate::Estimate;
+pub use view::{EngineState, LoadView, Report};
+
+use std::sync::Arc;
+
+use clock::Timestamp;
+use types::{Domain, ModelName, Stage, UpstreamName};
+
+/// What a route is needed for.
+#[derive(Clone, Debug)]
+pub struct RouteRequest {
+    /// Model to run.
+    pub model: ModelName,
+    /// Version of the model.
+    pub version: Arc<str>,
+    /// Number of layers of the model.
+    pub layers: u32,
+    /// Approximate number of tokens to prefill.
+    pub prompt_tokens: u32,
+    /// Number of tokens to generate.
+    pub output_tokens: u32,
+    /// Failure domain of the node.
+    pub home: Domain,
+    /// Engines that have failed this request and are used only if there is no other.
+    pub avoid: Vec<UpstreamName>,
+}
+
+/// Chooses routes.
+pub trait RoutePolicy {
+    /// Chooses the stages of a route, or `None` if the available engines do not cover the model.
+    fn choose(
+        &mut self,
+        view: &LoadView,
+        request: &RouteRequest,
+        now: Timestamp,
+    ) -> Option<Vec<Stage>>;
+}
--- /dev/null
+++ b/crates/routing/src/path.rs
@@ -0,0 +1,62 @@
+use std::collections::BTreeMap;
+
+use clock::Timestamp;
+use types::{LayerRange, Stage, UpstreamName};
+
+use crate::{EngineState, LoadView, RouteRequest};
+
+/// An engine that may run a stage.
+pub(crate) struct Candidate<'a> {
+    pub(crate) name: &'a UpstreamName,
+    pub(crate) state: &'a EngineState,
+    pub(crate) layers: LayerRange,
+}
+
+impl Candidate<'_> {
+    pub(crate) fn stage(&self) -> Stage {
+        Stage { engine: self.name.clone(), addr: self.state.addr, layers: self.layers }
+    }
+}
+
+/// The engines that may run a request, grouped by layer range. Engines that have failed the
+/// request are left out of a range while it has others.
+pub(crate) fn candidates<'a>(
+    view: &'a LoadView,
+    request: &RouteRequest,
+    now: Timestamp,
+) -> BTreeMap<LayerRange, Vec<Candidate<'a>>> {
+    let mut ranges: BTreeMap<LayerRange, Vec<Candidate<'a>>> = BTreeMap::new();
+    for (name, state) in &view.engines {
+        let Some(report) = &state.report else { continue };
+        if state.is_available(now) && state.serves(request) {
+            let layers = report.layers;
+            ranges.entry(layers).or_default().push(Candidate { name, state, layers });
+        }
+    }
+    for range in ranges.values_mut() {
+        if range.iter().any(|candidate| !request.avoid.contains(candidate.name)) {
+            range.retain(|candidate| !request.avoid.contains(candidate.name));
+        }
+    }
+    ranges
+}
+
+/// The chain of layer ranges from layer 0 to the last one with the smallest total cost, where a
+/// range costs what `cost` says.
+pub(crate) fn cheapest_chain(ranges: &[(LayerRange, u64)], layers: u32) -> Option<Vec<LayerRange>> {
+    // Ranges are sorted by their start, so each layer's best cost is final when it is extended.
+    let mut best: BTreeMap<u32, (u64, Vec<LayerRange>)> = BTreeMap::new();
+    best.insert(0, (0, Vec::new()));
+    let mut sorted = ranges.to_vec();
+    sorted.sort();
+    for (range, cost) in sorted {
+        let Some((base, chain)) = best.get(&range.start).cloned() else { continue };
+        let total = base + cost;
+        if best.get(&range.end).is_none_or(|(known, _)| total < *known) {
+            let mut chain = chain;
+            chain.push(range);
+            best.insert(range.end, (total, chain));
+        }
+    }
+    best.remove(&layers).map(|(_, chain)| chain)
+}
--- /dev/null
+++ b/crates/services/src/client.rs
@@ -0,0 +1,62 @@
+use std::{net::SocketAddr, rc::Rc};
+
+use clock::Clock;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::{HeaderValue, Request, header};
+use transport::{Body, CallError, HttpClient, Timeouts};
+use types::MAX_BODY_BYTES;
+
+use crate::{Service, ServiceAnswer, ServiceCall};
+
+/// A replica of a plain service that is reached over HTTP.
+pub struct HttpService {
+    client: HttpClient,
+    timeouts: Timeouts,
+}
+
+impl HttpService {
+    /// Creates a client of the replica at `addr`.
+    pub fn new(clock: Rc<dyn Clock>, addr: SocketAddr, timeouts: Timeouts) -> HttpService {
+        HttpService { client: HttpClient::new(clock, addr), timeouts }
+    }
+
+    async fn exchange(&self, call: ServiceCall) -> Result<ServiceAnswer, CallError> {
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .body(Body::from(call.body))
+            .map_err(|error| CallError::Connect(format!("call is not valid: {error}")))?;
+        *request.headers_mut() = call.headers;
+        let host = HeaderValue::from_static("gypsumrack");
+        request.headers_mut().insert(header::HOST, host);
+        let response = self.client.send_fresh(request, self.timeouts).await?;
+        let status = response.status();
+        let content_type = response.headers().get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok()).map(String::from);
+        let body = response.collect(MAX_BODY_BYTES, self.timeouts.progress).await?;
+        Ok(ServiceAnswer { status, content_type, body })
+    }
+}
+
+impl Service for HttpService {
+    fn call(&self, call: ServiceCall) -> LocalBoxFuture<'_, Result<ServiceAnswer, CallError>> {
+        self.exchange(call).boxed_local()
+    }
+
+    fn ping(&self) -> LocalBoxFuture<'_, Result<(), CallError>> {
+        async move {
+            let call = ServiceCall {
+                method: http::Method::GET,
+                path: "/healthz".into(),
+                headers: http::HeaderMap::new(),
+                body: bytes::Bytes::new(),
+            };
+            let answer = self.exchange(call).await?;
+            if answer.status.is_success() {
+                return Ok(());
+            }
+            Err(CallError::Status(answer.status.as_u16(), String::new()))
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/fault.rs
@@ -0,0 +1,61 @@
+use std::{error::Error, fmt};
+
+/// A setting that failed its check.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Path of the key, such as `defaults.crash_limit`.
+    pub key: String,
+    /// The value as written.
+    pub value: String,
+    /// What is wrong with it, with unit and bound.
+    pub problem: String,
+}
+
+/// All faults of one file or configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl Faults {
+    /// Adds a fault.
+    pub(crate) fn add(
+        &mut self,
+        key: impl Into<String>,
+        value: impl fmt::Display,
+        problem: impl Into<String>,
+    ) {
+        let (key, problem) = (key.into(), problem.into());
+        self.0.push(Fault { key, value: value.to_string(), problem });
+    }
+
+    /// Adds a fault if `value` is outside `low..=high`.
+    pub(crate) fn check_range(
+        &mut self,
+        key: impl Into<String>,
+        value: u64,
+        unit: &str,
+        (low, high): (u64, u64),
+    ) {
+        if !(low..=high).contains(&value) {
+            self.add(key, value, format!("must be from {low} to {high} {unit}"));
+        }
+    }
+
+    /// Turns the faults into a result.
+    pub(crate) fn into_result<T>(self, value: T) -> Result<T, Faults> {
+        if self.0.is_empty() { Ok(value) } else { Err(self) }
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.0.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{} = {}: {}", fault.key, fault.value, fault.problem)?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Faults {}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,18 @@
+//! Settings: what a node is told by its TOML file, and what operators configure for the fleet.
+//!
+//! Purpose: [`NodeSettings`] name a node, its addresses and its platform; [`FleetConfig`] holds
+//! the operators' defaults and exceptions, which the key-value service keeps.
+//!
+//! Invariants: a value that leaves this crate has passed its checks; a fault names the key, the
+//! value, the unit and the bound, and all faults are reported at once. This crate must not know
+//! how settings are distributed.
+
+mod fault;
+mod fleet;
+mod node;
+mod policy;
+
+pub use fault::{Fault, Faults};
+pub use fleet::{Exception, FleetConfig, ModelConfig, Scope, ServiceConfig};
+pub use node::{Listen, NodeSettings, Platform};
+pub use policy::{Policy, PolicyChange, RouteKind};
--- /dev/null
+++ b/crates/settings/src/policy.rs
@@ -0,0 +1,157 @@
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString, VariantNames};
+
+use crate::Faults;
+
+/// How routes are chosen.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    VariantNames,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum RouteKind {
+    /// Smallest estimated time over the whole pipeline.
+    #[default]
+    Estimate,
+    /// Each replica in turn; a baseline for measurements.
+    RoundRobin,
+    /// Fewest of the node's own outstanding requests; a baseline for measurements.
+    LeastOutstanding,
+}
+
+/// Defaults of the fleet. Every value may be changed by an exception.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// How routes are chosen.
+    pub route: RouteKind,
+    /// Deadline of a request that names none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Longest wait for the first token of an attempt, in milliseconds.
+    pub first_token_ms: u64,
+    /// Longest wait for each further token, in milliseconds.
+    pub progress_ms: u64,
+    /// Longest wait for the answer of a plain service, in milliseconds.
+    pub service_ms: u64,
+    /// Attempts for one request.
+    pub attempt_limit: u64,
+    /// Crashes after which a request is refused.
+    pub crash_limit: u64,
+    /// Retries allowed, as a percentage of requests.
+    pub retry_percent: u64,
+    /// Requests that wait for one model on one node.
+    pub queue_depth: u64,
+    /// Share of an organisation relative to others.
+    pub weight: u64,
+    /// Time for which finished idempotency keys are kept, in hours.
+    pub retention_hours: u64,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            route: RouteKind::Estimate,
+            deadline_ms: 30_000,
+            first_token_ms: 2_000,
+            progress_ms: 400,
+            service_ms: 5_000,
+            attempt_limit: 8,
+            crash_limit: 2,
+            retry_percent: 10,
+            queue_depth: 256,
+            weight: 1,
+            retention_hours: 24,
+        }
+    }
+}
+
+/// Changes that an exception makes to the defaults.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PolicyChange {
+    /// See [`Policy::route`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub route: Option<RouteKind>,
+    /// See [`Policy::deadline_ms`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    /// See [`Policy::first_token_ms`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub first_token_ms: Option<u64>,
+    /// See [`Policy::progress_ms`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub progress_ms: Option<u64>,
+    /// See [`Policy::service_ms`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub service_ms: Option<u64>,
+    /// See [`Policy::attempt_limit`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub attempt_limit: Option<u64>,
+    /// See [`Policy::crash_limit`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub crash_limit: Option<u64>,
+    /// See [`Policy::retry_percent`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_percent: Option<u64>,
+    /// See [`Policy::queue_depth`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub queue_depth: Option<u64>,
+    /// See [`Policy::weight`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub weight: Option<u64>,
+    /// See [`Policy::retention_hours`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retention_hours: Option<u64>,
+}
+
+impl Policy {
+    /// Applies the changes of an exception.
+    pub fn apply(&mut self, change: &PolicyChange) {
+        fn set<T: Copy>(value: &mut T, change: Option<T>) {
+            if let Some(change) = change {
+                *value = change;
+            }
+        }
+        set(&mut self.route, change.route);
+        set(&mut self.deadline_ms, change.deadline_ms);
+        set(&mut self.first_token_ms, change.first_token_ms);
+        set(&mut self.progress_ms, change.progress_ms);
+        set(&mut self.service_ms, change.service_ms);
+        set(&mut self.attempt_limit, change.attempt_limit);
+        set(&mut self.crash_limit, change.crash_limit);
+        set(&mut self.retry_percent, change.retry_percent);
+        set(&mut self.queue_depth, change.queue_depth);
+        set(&mut self.weight, change.weight);
+        set(&mut self.retention_hours, change.retention_hours);
+    }
+
+    /// Checks all bounds. `prefix` names the table that the values stand in.
+    pub(crate) fn check(&self, prefix: &str, faults: &mut Faults) {
+        let millis = "milliseconds";
+        let rows = [
+            ("deadline_ms", self.deadline_ms, millis, (1, 600_000)),
+            ("first_token_ms", self.first_token_ms, millis, (10, 600_000)),
+            ("progress_ms", self.progress_ms, millis, (10, 600_000)),
+            ("service_ms", self.service_ms, millis, (10, 600_000)),
+            ("attempt_limit", self.attempt_limit, "attempts", (1, 64)),
+            ("crash_limit", self.crash_limit, "crashes", (1, 16)),
+            ("retry_percent", self.retry_percent, "percent", (0, 100)),
+            ("queue_depth", self.queue_depth, "requests", (0, 10_000)),
+            ("weight", self.weight, "shares", (1, 1000)),
+            ("retention_hours", self.retention_hours, "hours", (1, 8760)),
+        ];
+        for (key, value, unit, bounds) in rows {
+            faults.check_range(format!("{prefix}.{key}"), value, unit, bounds);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/keyvalue/store.rs
@@ -0,0 +1,132 @@
+use std::{collections::BTreeMap, ops::Bound, time::Duration};
+
+use clock::Timestamp;
+use keyvalue::api::{Call, Entry, Expected, PutReply, Reply};
+
+/// Largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// The entries and leases of the service.
+#[derive(Default)]
+pub(super) struct Store {
+    version: u64,
+    entries: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Lease>,
+}
+
+struct Stored {
+    entry: Entry,
+    previous: Option<Entry>,
+    lease: Option<u64>,
+}
+
+struct Lease {
+    ttl: Duration,
+    deadline: Timestamp,
+}
+
+impl Store {
+    /// Applies a call other than a watch.
+    pub(super) fn apply(
+        &mut self,
+        call: Call,
+        now: Timestamp,
+        stale: bool,
+    ) -> Result<Reply, String> {
+        self.expire(now);
+        match call {
+            Call::Get { key } if stale => Ok(Reply::Entry(self.previous(&key))),
+            Call::Get { key } => Ok(Reply::Entry(self.get(&key, now))),
+            Call::Put { key, expected, value, lease } => self.put(key, expected, value, lease),
+            Call::Delete { key, version } => {
+                let matches = self.entries.get(&key).is_some_and(|s| s.entry.version == version);
+                if matches {
+                    self.version += 1;
+                    self.entries.remove(&key);
+                }
+                Ok(Reply::Done(matches))
+            }
+            Call::List { prefix, after, limit } => {
+                let start = if after.is_empty() {
+                    Bound::Included(prefix.clone())
+                } else {
+                    Bound::Excluded(after)
+                };
+                let entries = self
+                    .entries
+                    .range((start, Bound::Unbounded))
+                    .take_while(|(key, _)| key.starts_with(&prefix))
+                    .take(limit as usize)
+                    .map(|(_, stored)| stored.entry.clone())
+                    .collect();
+                Ok(Reply::Entries(entries))
+            }
+            Call::Grant { ttl_millis } => {
+                self.version += 1;
+                let ttl = Duration::from_millis(ttl_millis);
+                self.leases.insert(self.version, Lease { ttl, deadline: now + ttl });
+                Ok(Reply::Lease(self.version))
+            }
+            Call::Renew { lease } => {
+                let found = self.leases.get_mut(&lease);
+                let renewed = found.map(|lease| lease.deadline = now + lease.ttl).is_some();
+                Ok(Reply::Done(renewed))
+            }
+            Call::Revoke { lease } => {
+                let existed = self.leases.remove(&lease).is_some();
+                self.entries.retain(|_, stored| stored.lease != Some(lease));
+                Ok(Reply::Done(existed))
+            }
+            Call::Watch { .. } => Err("a watch is not applied to the store".into()),
+        }
+    }
+
+    /// Reads an entry.
+    pub(super) fn get(&mut self, key: &str, now: Timestamp) -> Option<Entry> {
+        self.expire(now);
+        self.entries.get(key).map(|stored| stored.entry.clone())
+    }
+
+    fn previous(&self, key: &str) -> Option<Entry> {
+        let stored = self.entries.get(key)?;
+        Some(stored.previous.clone().unwrap_or_else(|| stored.entry.clone()))
+    }
+
+    fn put(
+        &mut self,
+        key: String,
+        expected: Expected,
+        value: String,
+        lease: Option<u64>,
+    ) -> Result<Reply, String> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err("value is larger than 1 MB".into());
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err("no such lease".into());
+        }
+        let current = self.entries.get(&key).map(|stored| stored.entry.clone());
+        let holds = match expected {
+            Expected::Absent => current.is_none(),
+            Expected::Version(version) => current.as_ref().is_some_and(|e| e.version == version),
+        };
+        if !holds {
+            return Ok(Reply::Put(PutReply::Conflict(current)));
+        }
+        self.version += 1;
+        let version = self.version;
+        let created = current.as_ref().map_or(version, |entry| entry.created);
+        let entry = Entry { key: key.clone(), value, version, created };
+        self.entries.insert(key, Stored { entry, previous: current, lease });
+        Ok(Reply::Put(PutReply::Stored(version)))
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let expired = self.leases.iter().filter(|(_, lease)| lease.deadline <= now);
+        let expired: Vec<u64> = expired.map(|(id, _)| *id).collect();
+        for lease in expired {
+            self.leases.remove(&lease);
+            self.entries.retain(|_, stored| stored.lease != Some(lease));
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,44 @@
+//! Starts one test double as a process.
+
+use std::rc::Rc;
+
+use clap::{Parser, Subcommand};
+use clock::RuntimeClock;
+use standins::{engine, keyvalue, service, vms, weights};
+
+/// Test doubles of the systems around the router.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a model engine.
+    Engine(engine::EngineArgs),
+    /// Runs a plain service.
+    Service(service::ServiceArgs),
+    /// Runs the key-value service.
+    Keyvalue(keyvalue::KeyValueArgs),
+    /// Runs the list of VMs.
+    Vms(vms::VmsArgs),
+    /// Runs the weight store.
+    Weights(weights::WeightsArgs),
+}
+
+fn main() -> std::io::Result<()> {
+    let filter = tracing_subscriber::EnvFilter::from_default_env();
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+    let command = Cli::parse().command;
+    let clock = Rc::new(RuntimeClock::new());
+    compio::runtime::Runtime::new()?.block_on(async move {
+        match command {
+            Command::Engine(args) => engine::run(clock, args).await,
+            Command::Service(args) => service::run(clock, args).await,
+            Command::Keyvalue(args) => keyvalue::run(clock, args).await,
+            Command::Vms(args) => vms::run(clock, args).await,
+            Command::Weights(args) => weights::run(clock, args).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,180 @@
+//! A plain service that stores filings and counts how often each key ran.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::Clock;
+use futures_util::{
+    FutureExt,
+    future::{LocalBoxFuture, pending},
+};
+use http::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use transport::{Body, ConnectionId, Handler, RequestBody, json_response};
+
+use crate::server::{self, bad_request, reply};
+
+/// Settings of a service.
+#[derive(Clone, Debug, clap::Args)]
+pub struct ServiceArgs {
+    /// Address to listen on.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Time that a filing takes, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    pub work_millis: u64,
+}
+
+/// Faults of a service, set as a whole by `POST /control`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceFaults {
+    /// Additional time before a call runs, in milliseconds.
+    pub delay_millis: u64,
+    /// This many further calls run, but their answers are lost.
+    pub lose_answers: u32,
+    /// Never runs or answers a call; connections stay open.
+    pub hang: bool,
+    /// Ends the process after this many further calls have run, before they are answered.
+    pub crash_after: Option<u32>,
+    /// Refuses calls with status 503 without running them.
+    pub refuse: bool,
+    /// Never answers on connections that are open now.
+    pub silence_open: bool,
+}
+
+struct Service {
+    args: ServiceArgs,
+    clock: Rc<dyn Clock>,
+    faults: RefCell<ServiceFaults>,
+    runs: RefCell<BTreeMap<String, u32>>,
+    filings: RefCell<BTreeMap<u64, Filing>>,
+    silent_until: Cell<u64>,
+    last_connection: Cell<u64>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Filing {
+    id: u64,
+    key: String,
+    text: String,
+}
+
+/// Runs a service until the process ends.
+pub async fn run(clock: Rc<dyn Clock>, args: ServiceArgs) -> std::io::Result<()> {
+    let service = Rc::new(Service {
+        clock: clock.clone(),
+        faults: RefCell::default(),
+        runs: RefCell::default(),
+        filings: RefCell::default(),
+        silent_until: Cell::new(0),
+        last_connection: Cell::new(0),
+        args,
+    });
+    let addr = service.args.listen;
+    server::serve(clock, addr, service).await
+}
+
+impl Handler for Service {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<RequestBody>,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        self.answer(request).boxed_local()
+    }
+}
+
+impl Service {
+    async fn answer(self: Rc<Self>, request: Request<RequestBody>) -> Response<Body> {
+        let connection = request.extensions().get::<ConnectionId>().map_or(0, |id| id.0);
+        self.last_connection.set(self.last_connection.get().max(connection));
+        if connection <= self.silent_until.get() {
+            pending::<()>().await;
+        }
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        match (&head.method, path) {
+            (&Method::POST, "/control") => return reply(self.control(body).await),
+            (&Method::GET, "/control/runs") => return reply(Ok(self.runs.borrow().clone())),
+            _ => {}
+        }
+        if self.faults.borrow().hang {
+            return pending().await;
+        }
+        match (&head.method, path) {
+            (&Method::GET, "/healthz") => reply(Ok("ok")),
+            (&Method::POST, "/filings") => {
+                let key = head.headers.get("idempotency-key");
+                let key = key.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+                // A call that has arrived runs, even when its caller goes away.
+                let run = compio::runtime::spawn(self.file(key, body));
+                run.await.unwrap_or_else(|_| reply::<()>(Err(internal())))
+            }
+            (&Method::GET, path) => reply(self.lookup(path)),
+            _ => reply::<()>(Err((StatusCode::NOT_FOUND, "no such path".into()))),
+        }
+    }
+
+    async fn control(&self, body: RequestBody) -> Result<(), (StatusCode, String)> {
+        let faults: ServiceFaults = body.json().await.map_err(bad_request)?;
+        if faults.silence_open {
+            self.silent_until.set(self.last_connection.get());
+        }
+        *self.faults.borrow_mut() = faults;
+        Ok(())
+    }
+
+    async fn file(self: Rc<Self>, key: String, body: RequestBody) -> Response<Body> {
+        if self.faults.borrow().refuse {
+            return reply::<()>(Err((StatusCode::SERVICE_UNAVAILABLE, "refused".into())));
+        }
+        let text = match body.collect().await {
+            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(message) => return reply::<()>(Err(bad_request(message))),
+        };
+        let delay = self.args.work_millis + self.faults.borrow().delay_millis;
+        self.clock.sleep(Duration::from_millis(delay)).await;
+        *self.runs.borrow_mut().entry(key.clone()).or_default() += 1;
+        let id = self.filings.borrow().len() as u64 + 1;
+        self.filings.borrow_mut().insert(id, Filing { id, key: key.clone(), text });
+        if self.loses_answer() {
+            return pending().await;
+        }
+        json_response(StatusCode::CREATED, &json!({ "id": id, "key": key }))
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        if let Some(left) = &mut faults.crash_after {
+            *left = left.saturating_sub(1);
+            if *left == 0 {
+                std::process::abort();
+            }
+        }
+        let loses = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        loses
+    }
+
+    fn lookup(&self, path: &str) -> Result<Filing, (StatusCode, String)> {
+        let filings = self.filings.borrow();
+        let found = match path.strip_prefix("/filings/by-key/") {
+            Some(key) => filings.values().find(|filing| filing.key == key),
+            None => path
+                .strip_prefix("/filings/")
+                .and_then(|id| id.parse::<u64>().ok())
+                .and_then(|id| filings.get(&id)),
+        };
+        found.cloned().ok_or_else(|| (StatusCode::NOT_FOUND, "no such filing".into()))
+    }
+}
+
+fn internal() -> (StatusCode, String) {
+    (StatusCode::INTERNAL_SERVER_ERROR, "call failed".into())
+}
--- /dev/null
+++ b/crates/standins/src/vms.rs
@@ -0,0 +1,114 @@
+//! The platform's list of VMs. Changes become visible after a delay.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use clock::{Clock, Timestamp};
+use futures_util::{
+    FutureExt,
+    future::{LocalBoxFuture, pending},
+};
+use http::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use transport::{Body, Handler, RequestBody};
+use vms::api::{Vm, VmSnapshot};
+
+use crate::server::{self, bad_request, reply};
+
+/// Settings of the list.
+#[derive(Clone, Debug, clap::Args)]
+pub struct VmsArgs {
+    /// Address to listen on.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Delay until a change is visible, in milliseconds.
+    #[arg(long, default_value_t = 500)]
+    pub lag_millis: u64,
+}
+
+/// A change of the list or its faults, by `POST /control`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmsControl {
+    /// Adds or replaces a VM.
+    Put(Vm),
+    /// Removes a VM.
+    Remove(String),
+    /// Marks a VM as leaving or staying.
+    Leaving(String, bool),
+    /// Stops or resumes answering.
+    Hang(bool),
+}
+
+struct List {
+    args: VmsArgs,
+    clock: Rc<dyn Clock>,
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    current: VmSnapshot,
+    history: Vec<(Timestamp, VmSnapshot)>,
+    hang: bool,
+}
+
+/// Runs the list until the process ends.
+pub async fn run(clock: Rc<dyn Clock>, args: VmsArgs) -> std::io::Result<()> {
+    let addr = args.listen;
+    let list = Rc::new(List { args, clock: clock.clone(), state: RefCell::default() });
+    server::serve(clock, addr, list).await
+}
+
+impl Handler for List {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<RequestBody>,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        self.answer(request).boxed_local()
+    }
+}
+
+impl List {
+    async fn answer(self: Rc<Self>, request: Request<RequestBody>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        match (&head.method, head.uri.path()) {
+            (&Method::POST, "/control") => match body.json().await {
+                Ok(change) => {
+                    self.apply(change);
+                    reply(Ok(()))
+                }
+                Err(message) => reply::<()>(Err(bad_request(message))),
+            },
+            _ if self.state.borrow().hang => pending().await,
+            (&Method::GET, "/v1/vms") => reply(Ok(self.visible())),
+            _ => reply::<()>(Err((StatusCode::NOT_FOUND, "no such path".into()))),
+        }
+    }
+
+    fn apply(&self, change: VmsControl) {
+        let mut state = self.state.borrow_mut();
+        match change {
+            VmsControl::Put(vm) => {
+                state.current.vms.retain(|other| other.name != vm.name);
+                state.current.vms.push(vm);
+            }
+            VmsControl::Remove(name) => state.current.vms.retain(|vm| vm.name != name),
+            VmsControl::Leaving(name, leaving) => {
+                let vms = state.current.vms.iter_mut();
+                vms.filter(|vm| vm.name == name).for_each(|vm| vm.leaving = leaving);
+            }
+            VmsControl::Hang(hang) => state.hang = hang,
+        }
+        state.current.version += 1;
+        let snapshot = state.current.clone();
+        state.history.push((self.clock.now(), snapshot));
+    }
+
+    fn visible(&self) -> VmSnapshot {
+        let limit = self.clock.now() - Duration::from_millis(self.args.lag_millis);
+        let state = self.state.borrow();
+        let visible = state.history.iter().rev().find(|(time, _)| *time <= limit);
+        // Before the first change is visible the list is empty.
+        visible.map(|(_, snapshot)| snapshot.clone()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/transport/src/body.rs
@@ -0,0 +1,99 @@
+use std::{
+    convert::Infallible,
+    future::Future,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use futures_channel::mpsc;
+use futures_util::{FutureExt, SinkExt, StreamExt, future::LocalBoxFuture};
+use hyper::body::{Frame, SizeHint};
+
+/// Chunks that a writer may be ahead of the reader. It bounds the memory of a slow reader.
+const WRITE_AHEAD: usize = 16;
+
+/// Body of a request or response.
+pub enum Body {
+    /// The whole body at once.
+    Full(Option<Bytes>),
+    /// A body that is produced while it is sent.
+    Streamed {
+        /// Writes the body. It is polled by the connection's task and dropped with the body, so
+        /// that a reader that went away ends the work.
+        producer: Option<LocalBoxFuture<'static, ()>>,
+        /// Chunks that the producer has written.
+        chunks: mpsc::Receiver<Bytes>,
+    },
+}
+
+impl Body {
+    /// Creates an empty body.
+    pub fn empty() -> Body {
+        Body::Full(None)
+    }
+
+    /// Creates a body that the future returned by `produce` writes.
+    pub fn streamed<F>(produce: impl FnOnce(BodyWriter) -> F) -> Body
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let (sender, chunks) = mpsc::channel(WRITE_AHEAD);
+        let producer = produce(BodyWriter { sender }).boxed_local();
+        Body::Streamed { producer: Some(producer), chunks }
+    }
+}
+
+impl<T: Into<Bytes>> From<T> for Body {
+    fn from(bytes: T) -> Body {
+        let bytes = bytes.into();
+        Body::Full((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            Body::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Body::Streamed { producer, chunks } => {
+                if let Some(future) = producer
+                    && future.poll_unpin(context).is_ready()
+                {
+                    *producer = None;
+                }
+                chunks.poll_next_unpin(context).map(|chunk| chunk.map(|c| Ok(Frame::data(c))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Body::Streamed { .. } => SizeHint::default(),
+        }
+    }
+}
+
+/// Writes the chunks of a streamed body.
+#[derive(Clone)]
+pub struct BodyWriter {
+    sender: mpsc::Sender<Bytes>,
+}
+
+impl BodyWriter {
+    /// Writes one chunk and waits while the reader is behind. Returns whether the reader is still
+    /// there.
+    pub async fn write(&mut self, chunk: impl Into<Bytes>) -> bool {
+        self.sender.send(chunk.into()).await.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/transport/src/client.rs
@@ -0,0 +1,295 @@
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use clock::{Clock, Timestamp, timeout};
+use cyper_core::HyperStream;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{Body, CallError, connect};
+
+/// Connections kept open to one peer while they are not in use.
+const MAX_IDLE: usize = 32;
+/// Age at which an unused connection is dropped. Something between the two ends may have lost
+/// track of it.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Deadlines of one call.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Time to open a connection.
+    pub connect: Duration,
+    /// Time from the request to the head of the response, and between parts of its body.
+    pub progress: Duration,
+}
+
+impl Timeouts {
+    /// Creates deadlines from milliseconds.
+    pub const fn from_millis(connect: u64, progress: u64) -> Timeouts {
+        Timeouts {
+            connect: Duration::from_millis(connect),
+            progress: Duration::from_millis(progress),
+        }
+    }
+}
+
+/// HTTP/1.1 client for one peer. It keeps idle connections and replaces all of them when one of
+/// them falls silent.
+pub struct HttpClient {
+    clock: Rc<dyn Clock>,
+    addr: SocketAddr,
+    pool: Rc<Pool>,
+}
+
+#[derive(Default)]
+struct Pool {
+    idle: RefCell<Vec<Idle>>,
+}
+
+struct Idle {
+    sender: SendRequest<Body>,
+    since: Timestamp,
+}
+
+impl HttpClient {
+    /// Creates a client of the peer at `addr`.
+    pub fn new(clock: Rc<dyn Clock>, addr: SocketAddr) -> HttpClient {
+        HttpClient { clock, addr, pool: Rc::default() }
+    }
+
+    /// Address of the peer.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sends a request over an idle or a new connection. A request that an idle connection gave
+    /// back unsent goes out on a new one.
+    pub async fn send(
+        &self,
+        request: Request<Body>,
+        timeouts: Timeouts,
+    ) -> Result<ResponseStream, CallError> {
+        let mut request = request;
+        while let Some(sender) = self.take_idle() {
+            match self.dispatch(sender, request, timeouts).await {
+                Ok(response) => return Ok(response),
+                Err(Dispatch::Unsent(unsent)) => request = *unsent,
+                Err(Dispatch::Failed(error)) => return Err(error),
+            }
+        }
+        self.send_fresh(request, timeouts).await
+    }
+
+    /// Sends a request over a new connection, so that a failure to connect proves that the
+    /// request was not sent.
+    pub async fn send_fresh(
+        &self,
+        request: Request<Body>,
+        timeouts: Timeouts,
+    ) -> Result<ResponseStream, CallError> {
+        let sender = self.open(timeouts.connect).await?;
+        match self.dispatch(sender, request, timeouts).await {
+            Ok(response) => Ok(response),
+            Err(Dispatch::Unsent(_)) => Err(CallError::Connect("closed before use".into())),
+            Err(Dispatch::Failed(error)) => Err(error),
+        }
+    }
+
+    /// Sends `payload` as JSON and decodes the JSON answer if the status is a success.
+    pub async fn post_json<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        payload: &Q,
+        timeouts: Timeouts,
+    ) -> Result<A, CallError> {
+        self.call_json(Method::POST, path, Some(payload), timeouts).await
+    }
+
+    /// Fetches `path` and decodes the JSON answer if the status is a success.
+    pub async fn get_json<A: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeouts: Timeouts,
+    ) -> Result<A, CallError> {
+        self.call_json(Method::GET, path, None::<&()>, timeouts).await
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        self.pool.idle.borrow_mut().clear();
+    }
+
+    async fn call_json<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        payload: Option<&Q>,
+        timeouts: Timeouts,
+    ) -> Result<A, CallError> {
+        let request = json_request(method, path, payload);
+        let response = self.send(request, timeouts).await?;
+        let status = response.status();
+        let body = response.collect(types::MAX_BODY_BYTES * 4, timeouts.progress).await?;
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&body).into_owned();
+            return Err(CallError::Status(status.as_u16(), text));
+        }
+        serde_json::from_slice(&body).map_err(|error| CallError::Malformed(error.to_string()))
+    }
+
+    async fn open(&self, limit: Duration) -> Result<SendRequest<Body>, CallError> {
+        let stream = connect(&*self.clock, self.addr, limit).await?;
+        let handshake = http1::handshake(HyperStream::new_plain(stream));
+        let (sender, connection) = timeout(&*self.clock, limit, handshake)
+            .await
+            .map_err(|_| CallError::ConnectTimeout)?
+            .map_err(|error| CallError::Connect(error.to_string()))?;
+        compio::runtime::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "connection ended with an error");
+            }
+        })
+        .detach();
+        Ok(sender)
+    }
+
+    async fn dispatch(
+        &self,
+        mut sender: SendRequest<Body>,
+        request: Request<Body>,
+        timeouts: Timeouts,
+    ) -> Result<ResponseStream, Dispatch> {
+        let head = timeout(&*self.clock, timeouts.progress, sender.try_send_request(request)).await;
+        match head {
+            Ok(Ok(response)) => {
+                let (head, body) = response.into_parts();
+                Ok(ResponseStream {
+                    status: head.status,
+                    headers: head.headers,
+                    body,
+                    sender: Some(sender),
+                    clock: self.clock.clone(),
+                    pool: self.pool.clone(),
+                })
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(unsent) => Err(Dispatch::Unsent(Box::new(unsent))),
+                None => Err(Dispatch::Failed(CallError::Broken(describe(&error.into_error())))),
+            },
+            Err(_) => {
+                self.close_idle();
+                Err(Dispatch::Failed(CallError::Timeout))
+            }
+        }
+    }
+
+    fn take_idle(&self) -> Option<SendRequest<Body>> {
+        let now = self.clock.now();
+        let mut idle = self.pool.idle.borrow_mut();
+        while let Some(candidate) = idle.pop() {
+            let fresh = now.since(candidate.since) < IDLE_LIMIT;
+            if fresh && candidate.sender.is_ready() {
+                return Some(candidate.sender);
+            }
+        }
+        None
+    }
+}
+
+enum Dispatch {
+    Unsent(Box<Request<Body>>),
+    Failed(CallError),
+}
+
+/// A response whose body is read in parts.
+pub struct ResponseStream {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Incoming,
+    sender: Option<SendRequest<Body>>,
+    clock: Rc<dyn Clock>,
+    pool: Rc<Pool>,
+}
+
+impl ResponseStream {
+    /// Status of the response.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Headers of the response.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// Waits at most `limit` for the next part of the body; `None` is its end.
+    pub async fn chunk(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
+        loop {
+            let frame = match timeout(&*self.clock, limit, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Err(CallError::Broken(describe(&error))),
+                Ok(None) => {
+                    self.release();
+                    return Ok(None);
+                }
+                Err(_) => {
+                    self.sender = None;
+                    self.pool.idle.borrow_mut().clear();
+                    return Err(CallError::Timeout);
+                }
+            };
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Reads the whole body, at most `bound` bytes.
+    pub async fn collect(mut self, bound: usize, limit: Duration) -> Result<Bytes, CallError> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.chunk(limit).await? {
+            whole.extend_from_slice(&chunk);
+            if whole.len() > bound {
+                return Err(CallError::Malformed("body exceeds its bound".into()));
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    fn release(&mut self) {
+        let Some(sender) = self.sender.take() else { return };
+        let since = self.clock.now();
+        let mut idle = self.pool.idle.borrow_mut();
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle { sender, since });
+        }
+    }
+}
+
+fn json_request(method: Method, path: &str, payload: Option<&impl Serialize>) -> Request<Body> {
+    let body = match payload {
+        // Serialization fails only for maps with keys that are not strings, which no message has.
+        Some(payload) => Body::from(serde_json::to_vec(payload).expect("message is serializable")),
+        None => Body::empty(),
+    };
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, "gypsumrack")
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(body)
+        .expect("paths of our own messages are valid")
+}
+
+fn describe(error: &hyper::Error) -> String {
+    use std::error::Error;
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/transport/src/error.rs
@@ -0,0 +1,53 @@
+use std::{error::Error, fmt};
+
+use types::Verdict;
+
+/// Why a call to a peer failed.
+#[derive(Debug)]
+pub enum CallError {
+    /// The connection could not be opened.
+    Connect(String),
+    /// The connection was not opened in time.
+    ConnectTimeout,
+    /// The connection broke after the request was handed to it.
+    Broken(String),
+    /// The peer made no progress in time.
+    Timeout,
+    /// The peer answered with an unexpected status.
+    Status(u16, String),
+    /// The answer could not be decoded or exceeds its bound.
+    Malformed(String),
+}
+
+impl CallError {
+    /// Whether the request may have reached the peer.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            CallError::Connect(_) | CallError::ConnectTimeout => Verdict::NotRun,
+            CallError::Status(..) => Verdict::Ran,
+            CallError::Broken(_) | CallError::Timeout | CallError::Malformed(_) => {
+                Verdict::MayHaveRun
+            }
+        }
+    }
+
+    /// Whether the peer could not be reached or fell silent, so that it is suspect.
+    pub fn is_unreachable(&self) -> bool {
+        !matches!(self, CallError::Status(..) | CallError::Malformed(_))
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::Connect(cause) => write!(f, "connection failed: {cause}"),
+            CallError::ConnectTimeout => f.write_str("connection timed out"),
+            CallError::Broken(cause) => write!(f, "connection broke: {cause}"),
+            CallError::Timeout => f.write_str("peer made no progress in time"),
+            CallError::Status(status, body) => write!(f, "peer answered {status}: {body}"),
+            CallError::Malformed(cause) => write!(f, "malformed answer: {cause}"),
+        }
+    }
+}
+
+impl Error for CallError {}
--- /dev/null
+++ b/crates/transport/src/server.rs
@@ -0,0 +1,202 @@
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use clock::{Clock, timeout};
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, LocalBoxFuture, select};
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use serde::{Serialize, de::DeserializeOwned};
+use types::{MAX_BODY_BYTES, MAX_HEADERS};
+
+use crate::{Body, Stop};
+
+/// Time a client has for the head of a request. It bounds what an idle connection costs.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time a client has for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which a stopping server looks whether its connections have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Pause after a failed `accept`, for example when the process has no free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers the requests of a server's connections.
+pub trait Handler {
+    /// Answers one request. The future runs in the task of the connection and is dropped when
+    /// the client goes away.
+    fn handle(
+        self: Rc<Self>,
+        request: Request<RequestBody>,
+    ) -> LocalBoxFuture<'static, Response<Body>>;
+}
+
+/// Number of the connection that a request came over, found in the request's extensions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
+/// The body of a received request, read on demand and within bounds.
+pub struct RequestBody {
+    incoming: Incoming,
+    clock: Rc<dyn Clock>,
+}
+
+impl RequestBody {
+    /// Reads the whole body. The error is a sentence for the caller.
+    pub async fn collect(self) -> Result<Bytes, String> {
+        let limited = Limited::new(self.incoming, MAX_BODY_BYTES);
+        match timeout(&*self.clock, BODY_TIMEOUT, limited.collect()).await {
+            Ok(Ok(whole)) => Ok(whole.to_bytes()),
+            Ok(Err(error)) => Err(format!("request body cannot be read: {error}")),
+            Err(_) => Err("request body did not arrive in time".into()),
+        }
+    }
+
+    /// Reads the whole body and decodes it as JSON. The error is a sentence for the caller.
+    pub async fn json<T: DeserializeOwned>(self) -> Result<T, String> {
+        let bytes = self.collect().await?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| format!("request body is not valid: {error}"))
+    }
+}
+
+/// An HTTP/1.1 server.
+pub struct Server {
+    clock: Rc<dyn Clock>,
+    listener: TcpListener,
+    stop: Stop,
+    drain: Duration,
+}
+
+impl Server {
+    /// Binds a server to `addr`. It serves until `stop` is raised.
+    pub async fn bind(
+        clock: Rc<dyn Clock>,
+        addr: SocketAddr,
+        stop: Stop,
+    ) -> std::io::Result<Server> {
+        let listener = TcpListener::bind(addr).await?;
+        Ok(Server { clock, listener, stop, drain: Duration::ZERO })
+    }
+
+    /// Sets how long connections may go on after the stop signal.
+    pub fn drain(mut self, limit: Duration) -> Server {
+        self.drain = limit;
+        self
+    }
+
+    /// The address that the server is bound to.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Accepts connections until the stop signal, then waits for the open ones to end. A stopping
+    /// server closes each connection after the answer it is sending.
+    pub async fn run<H: Handler + 'static>(self, handler: Rc<H>) {
+        let open = Rc::new(Cell::new(0_usize));
+        let closing = Stop::new();
+        let mut accepted_count = 0;
+        loop {
+            let accept = std::pin::pin!(self.listener.accept());
+            let stopped = std::pin::pin!(self.stop.raised());
+            let accepted = match select(accept, stopped).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => break,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let guard = OpenGuard::new(open.clone());
+                    accepted_count += 1;
+                    let id = ConnectionId(accepted_count);
+                    let (clock, handler) = (self.clock.clone(), handler.clone());
+                    let (stop, closing) = (self.stop.clone(), closing.clone());
+                    compio::runtime::spawn(async move {
+                        let _guard = guard;
+                        let serving = serve_connection(clock, stream, id, handler, stop);
+                        let cut = closing.raised();
+                        select(std::pin::pin!(serving), std::pin::pin!(cut)).await;
+                    })
+                    .detach();
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "accepting a connection failed");
+                    self.clock.sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        let deadline = self.clock.now() + self.drain;
+        while open.get() > 0 && self.clock.now() < deadline {
+            self.clock.sleep(DRAIN_POLL).await;
+        }
+        closing.raise();
+    }
+}
+
+async fn serve_connection<H: Handler + 'static>(
+    clock: Rc<dyn Clock>,
+    stream: TcpStream,
+    id: ConnectionId,
+    handler: Rc<H>,
+    stop: Stop,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "connection closed before it was served");
+        return;
+    }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (clock, handler) = (clock.clone(), handler.clone());
+        async move {
+            let mut request = request.map(|incoming| RequestBody { incoming, clock });
+            request.extensions_mut().insert(id);
+            Ok::<_, Infallible>(handler.handle(request).await)
+        }
+    });
+    let mut connection = std::pin::pin!(
+        http1::Builder::new()
+            .timer(CompioTimer)
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(HyperStream::new_plain(stream), service)
+    );
+    let stopped = std::pin::pin!(stop.raised());
+    let result = match select(connection.as_mut(), stopped).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        tracing::debug!(%error, "connection ended with an error");
+    }
+}
+
+struct OpenGuard {
+    open: Rc<Cell<usize>>,
+}
+
+impl OpenGuard {
+    fn new(open: Rc<Cell<usize>>) -> OpenGuard {
+        open.set(open.get() + 1);
+        OpenGuard { open }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+/// Encodes `payload` as a JSON response with `status`.
+pub fn json_response(status: http::StatusCode, payload: &impl Serialize) -> Response<Body> {
+    // Serialization fails only for maps with keys that are not strings, which no message has.
+    let body = serde_json::to_vec(payload).expect("message is serializable");
+    let mut headers = HeaderMap::new();
+    headers.insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/transport/src/stop.rs
@@ -0,0 +1,47 @@
+use std::{cell::RefCell, future::Future, rc::Rc};
+
+use futures_channel::oneshot;
+use futures_util::{FutureExt, future::Shared};
+
+/// A signal that is raised once and that many tasks can wait for.
+#[derive(Clone)]
+pub struct Stop {
+    sender: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+    receiver: Shared<oneshot::Receiver<()>>,
+}
+
+impl Stop {
+    /// Creates a signal that is not raised.
+    pub fn new() -> Stop {
+        let (sender, receiver) = oneshot::channel();
+        Stop { sender: Rc::new(RefCell::new(Some(sender))), receiver: receiver.shared() }
+    }
+
+    /// Raises the signal and wakes all waiting tasks.
+    pub fn raise(&self) {
+        if let Some(sender) = self.sender.borrow_mut().take() {
+            // Sending fails only when nobody can wait any more.
+            let _ = sender.send(());
+        }
+    }
+
+    /// Whether the signal is raised.
+    pub fn is_raised(&self) -> bool {
+        self.sender.borrow().is_none()
+    }
+
+    /// Completes when the signal is raised.
+    pub fn raised(&self) -> impl Future<Output = ()> + 'static {
+        let stop = self.clone();
+        async move {
+            // The sender is kept alive by `stop`, so the receiver completes only when it is used.
+            let _ = stop.receiver.clone().await;
+        }
+    }
+}
+
+impl Default for Stop {
+    fn default() -> Stop {
+        Stop::new()
+    }
+}
--- /dev/null
+++ b/crates/types/src/verdict.rs
@@ -0,0 +1,35 @@
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString, IntoStaticStr, VariantNames};
+
+/// Says whether a request may have run on an upstream.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantNames,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Verdict {
+    /// No byte of the request reached an upstream, and none will.
+    NotRun,
+    /// The request reached an upstream or may still reach it, and its outcome is unknown.
+    MayHaveRun,
+    /// The request ran and its answer is known.
+    Ran,
+}
+
+impl Verdict {
+    /// Whether sending the request again cannot make it run twice.
+    pub fn allows_resend(self) -> bool {
+        self == Verdict::NotRun
+    }
+}
--- /dev/null
+++ b/crates/vms/src/lib.rs
@@ -0,0 +1,37 @@
+//! The peer crate for the platform's list of VMs, which lags behind the actual state.
+//!
+//! Invariant: an answer is passed on as the platform gave it. This crate must not know what is
+//! concluded from the list.
+
+pub mod api;
+
+use std::{net::SocketAddr, rc::Rc};
+
+use clock::Clock;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use transport::{CallError, HttpClient, Timeouts};
+
+/// The platform's list of VMs.
+pub trait VmList {
+    /// Reads the list.
+    fn list(&self) -> LocalBoxFuture<'_, Result<api::VmSnapshot, CallError>>;
+}
+
+/// The list of VMs, reached over HTTP.
+pub struct HttpVmList {
+    client: HttpClient,
+    timeouts: Timeouts,
+}
+
+impl HttpVmList {
+    /// Creates a client of the list at `addr`.
+    pub fn new(clock: Rc<dyn Clock>, addr: SocketAddr, timeouts: Timeouts) -> HttpVmList {
+        HttpVmList { client: HttpClient::new(clock, addr), timeouts }
+    }
+}
+
+impl VmList for HttpVmList {
+    fn list(&self) -> LocalBoxFuture<'_, Result<api::VmSnapshot, CallError>> {
+        self.client.get_json("/v1/vms", self.timeouts).boxed_local()
+    }
+}
--- /dev/null
+++ b/xtask/src/ci.rs
@@ -0,0 +1,45 @@
+//! The checks that every change has to pass.
+
+use std::process::{Command, Stdio};
+
+use crate::cluster::workspace_root;
+
+/// One check.
+struct Check {
+    name: &'static str,
+    args: &'static [&'static str],
+}
+
+const CHECKS: &[Check] = &[
+    Check { name: "formatter", args: &["fmt", "--all", "--check"] },
+    Check {
+        name: "linter",
+        args: &["clippy", "--workspace", "--all-targets", "--", "--deny", "warnings"],
+    },
+    Check { name: "documentation", args: &["doc", "--workspace", "--no-deps", "--quiet"] },
+    Check { name: "build", args: &["build", "--workspace", "--bins"] },
+    Check { name: "tests", args: &["test", "--workspace", "--quiet"] },
+    Check { name: "demo", args: &["run", "--quiet", "--package", "xtask", "--", "demo"] },
+];
+
+/// Runs all checks. Returns whether they passed.
+pub(crate) fn run() -> bool {
+    let mut passed = 0;
+    let mut failed = 0;
+    for check in CHECKS {
+        println!("== {}", check.name);
+        let status = Command::new(env!("CARGO"))
+            .args(check.args)
+            .current_dir(workspace_root())
+            .stdin(Stdio::null())
+            .status();
+        if status.is_ok_and(|status| status.success()) {
+            passed += 1;
+        } else {
+            println!("== {} FAILED", check.name);
+            failed += 1;
+        }
+    }
+    println!("{passed} passed, {failed} failed");
+    failed == 0
+}
--- /dev/null
+++ b/xtask/src/cluster/mod.rs
@@ -0,0 +1,182 @@
+//! A router with its test doubles as separate processes on loopback.
+
+mod process;
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::{Clock, RuntimeClock};
+use keyvalue::{
+    HttpKeyValue, KeyValue,
+    api::{Expected, PutReply},
+};
+use serde::Serialize;
+use settings::{FleetConfig, Listen, NodeSettings, Platform};
+use standins::vms::VmsControl;
+use transport::{CallError, HttpClient, Timeouts};
+use vms::api::{Vm, VmRole};
+
+pub(crate) use process::Process;
+
+/// Deadlines of calls that control a test double.
+pub(crate) const CONTROL_TIMEOUTS: Timeouts = Timeouts::from_millis(1000, 5000);
+/// Key of the configuration in the key-value service.
+const CONFIG_KEY: &str = "config/current";
+/// Time that a cluster has to become ready.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// An engine to start.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineSpec {
+    pub(crate) name: String,
+    pub(crate) domain: String,
+    pub(crate) args: Vec<String>,
+}
+
+/// All processes of a cluster. They end when it is dropped.
+pub(crate) struct Cluster {
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) directory: PathBuf,
+    pub(crate) keyvalue: Process,
+    pub(crate) vms: Process,
+    pub(crate) weights: Process,
+    pub(crate) services: Vec<Process>,
+    pub(crate) engines: Vec<Process>,
+    pub(crate) nodes: Vec<Process>,
+}
+
+impl Cluster {
+    /// Starts the platform's test doubles.
+    pub(crate) fn start(name: &str) -> Cluster {
+        let directory = workspace_root().join("target/xtask").join(name);
+        std::fs::create_dir_all(&directory).expect("run directory can be created");
+        let standin = |name: &str, args: &[&str]| {
+            Process::spawn(&binary("standins"), name, args.iter().copied(), &directory)
+        };
+        let keyvalue = standin("keyvalue", &["keyvalue"]);
+        let vms = standin("vms", &["vms"]);
+        let weights = standin("weights", &["weights"]);
+        let clock = Rc::new(RuntimeClock::new());
+        Cluster {
+            clock,
+            keyvalue,
+            vms,
+            weights,
+            services: Vec::new(),
+            engines: Vec::new(),
+            nodes: Vec::new(),
+            directory,
+        }
+    }
+
+    /// Starts an engine and puts it on the list of VMs.
+    pub(crate) async fn add_engine(&mut self, spec: &EngineSpec) {
+        let mut args = vec!["engine".to_owned(), "--name".into(), spec.name.clone()];
+        args.extend(spec.args.iter().cloned());
+        let process = Process::spawn(&binary("standins"), &spec.name, args, &self.directory);
+        self.list(&spec.name, process.addr(), &spec.domain, VmRole::Engine).await;
+        self.engines.push(process);
+    }
+
+    /// Starts a replica of the service `registry` and puts it on the list of VMs.
+    pub(crate) async fn add_service(&mut self, name: &str, domain: &str) {
+        let process = Process::spawn(&binary("standins"), name, ["service"], &self.directory);
+        let role = VmRole::Service("registry".into());
+        self.list(name, process.addr(), domain, role).await;
+        self.services.push(process);
+    }
+
+    /// Starts a node and puts it on the list of VMs.
+    pub(crate) async fn add_node(&mut self, name: &str, domain: &str) {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = NodeSettings {
+            name: name.into(),
+            domain: domain.into(),
+            region: "demo".into(),
+            drain_ms: 10_000,
+            listen: Listen { callers: any, operators: any, peers: any },
+            platform: Platform {
+                keyvalue: self.keyvalue.addr(),
+                vms: self.vms.addr(),
+                weights: self.weights.addr(),
+            },
+        };
+        let file = self.directory.join(format!("{name}.toml"));
+        let text = toml::to_string(&settings).expect("settings are serializable");
+        std::fs::write(&file, text).expect("settings file can be written");
+        let file = file.to_string_lossy().into_owned();
+        let args = ["serve".into(), "--settings".into(), file];
+        let process = Process::spawn(&binary("gypsumrack"), name, args, &self.directory);
+        self.nodes.push(process);
+    }
+
+    /// Writes the first configuration.
+    pub(crate) async fn configure(&self, config: &FleetConfig) {
+        let store = self.store();
+        let put = store.put(CONFIG_KEY, Expected::Absent, config.to_toml(), None).await;
+        assert!(matches!(put, Ok(PutReply::Stored(_))), "configuration was written: {put:?}");
+    }
+
+    /// A client of the key-value service.
+    pub(crate) fn store(&self) -> HttpKeyValue {
+        HttpKeyValue::new(self.clock.clone(), self.keyvalue.addr(), CONTROL_TIMEOUTS)
+    }
+
+    /// Waits until every node is ready and knows `engines` engines as available.
+    pub(crate) async fn wait_ready(&self, engines: usize) -> bool {
+        let deadline = self.clock.now() + START_LIMIT;
+        for node in &self.nodes {
+            while self.available_engines(node).await < engines {
+                if self.clock.now() > deadline {
+                    return false;
+                }
+                self.clock.sleep(Duration::from_millis(50)).await;
+            }
+        }
+        true
+    }
+
+    /// Sends a control message to a test double.
+    pub(crate) async fn control<T: Serialize>(
+        &self,
+        process: &Process,
+        message: &T,
+    ) -> Result<(), CallError> {
+        let client = HttpClient::new(self.clock.clone(), process.addr());
+        client.post_json("/control", message, CONTROL_TIMEOUTS).await
+    }
+
+    async fn available_engines(&self, node: &Process) -> usize {
+        let client = HttpClient::new(self.clock.clone(), node.port("operators"));
+        let status: Result<serde_json::Value, _> =
+            client.get_json("/status", CONTROL_TIMEOUTS).await;
+        let Ok(status) = status else { return 0 };
+        if status["readiness"] != "ready" {
+            return 0;
+        }
+        let engines = status["engines"].as_array().map_or(&[][..], Vec::as_slice);
+        engines.iter().filter(|engine| engine["available"] == true).count()
+    }
+
+    async fn list(&self, name: &str, addr: SocketAddr, domain: &str, role: VmRole) {
+        let vm = Vm { name: name.into(), addr, domain: domain.into(), role, leaving: false };
+        let listed = self.control(&self.vms, &VmsControl::Put(vm)).await;
+        assert!(listed.is_ok(), "VM was listed: {listed:?}");
+    }
+}
+
+/// Root of the workspace.
+pub(crate) fn workspace_root() -> PathBuf {
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR"));
+    manifest.parent().unwrap_or(manifest).to_path_buf()
+}
+
+/// Path of a binary of the workspace, which is built beside this one.
+fn binary(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("own path is known");
+    own.with_file_name(name)
+}
