Assemble nodes through a builder with replaceable peers

Cause: tests of ordering and timing need a node with fakes for its peers and a clock that they advance; `run` built everything itself.

Change: `NodeBuilder` takes the key-value service, the list of VMs, the connector for upstreams and the holder query as trait objects.

--- /dev/null
+++ b/crates/node/src/builder.rs
@@ -0,0 +1,138 @@
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use claims::{Claims, HolderQuery};
+use clock::Clock;
+use engines::{Engine, HttpEngine};
+use keyvalue::{HttpKeyValue, KeyValue};
+use services::{HttpService, Service};
+use settings::{NodeSettings, RouteKind};
+use transport::{Stop, Timeouts};
+use vms::{HttpVmList, VmList};
+
+use crate::{
+    metrics::Metrics,
+    peering::NoPeers,
+    state::{Node, new_policy},
+    trace::Traces,
+};
+
+/// Deadlines of a call to the key-value service, which answers in milliseconds.
+const STORE_TIMEOUTS: Timeouts = Timeouts::from_millis(200, 500);
+/// Deadlines of a call to the list of VMs.
+const VM_LIST_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 1000);
+/// Deadlines of a call to an engine.
+const ENGINE_TIMEOUTS: Timeouts = Timeouts::from_millis(200, 1000);
+/// Deadlines of a call to a plain service. The whole call also has the request's deadline.
+const SERVICE_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 600_000);
+/// Longest wait for another node to finish a request with the same idempotency key.
+const CLAIM_WAIT: Duration = Duration::from_secs(5);
+
+/// Opens clients of the upstreams that the list of VMs names.
+pub trait Connector {
+    /// Opens a client of the engine at `addr`.
+    fn engine(&self, addr: SocketAddr) -> Rc<dyn Engine>;
+
+    /// Opens a client of the replica of a plain service at `addr`.
+    fn service(&self, addr: SocketAddr) -> Rc<dyn Service>;
+}
+
+/// Assembles a node. Every peer can be replaced, for example by a fake in a test.
+pub struct NodeBuilder {
+    clock: Rc<dyn Clock>,
+    settings: NodeSettings,
+    store: Rc<dyn KeyValue>,
+    vm_list: Rc<dyn VmList>,
+    connector: Rc<dyn Connector>,
+    holders: Rc<dyn HolderQuery>,
+    stop: Stop,
+}
+
+impl NodeBuilder {
+    /// Starts with the peers that the settings name.
+    pub fn new(clock: Rc<dyn Clock>, settings: NodeSettings) -> NodeBuilder {
+        let platform = &settings.platform;
+        let store = HttpKeyValue::new(clock.clone(), platform.keyvalue, STORE_TIMEOUTS);
+        let vm_list = HttpVmList::new(clock.clone(), platform.vms, VM_LIST_TIMEOUTS);
+        NodeBuilder {
+            store: Rc::new(store),
+            vm_list: Rc::new(vm_list),
+            connector: Rc::new(HttpConnector { clock: clock.clone() }),
+            holders: Rc::new(NoPeers),
+            stop: Stop::new(),
+            clock,
+            settings,
+        }
+    }
+
+    /// Sets the key-value service.
+    pub fn store(mut self, store: Rc<dyn KeyValue>) -> NodeBuilder {
+        self.store = store;
+        self
+    }
+
+    /// Sets the list of VMs.
+    pub fn vm_list(mut self, vm_list: Rc<dyn VmList>) -> NodeBuilder {
+        self.vm_list = vm_list;
+        self
+    }
+
+    /// Sets how clients of upstreams are opened.
+    pub fn connector(mut self, connector: Rc<dyn Connector>) -> NodeBuilder {
+        self.connector = connector;
+        self
+    }
+
+    /// Sets how other nodes are asked about their claims.
+    pub fn holders(mut self, holders: Rc<dyn HolderQuery>) -> NodeBuilder {
+        self.holders = holders;
+        self
+    }
+
+    /// Sets the signal that starts a graceful shutdown.
+    pub fn stop(mut self, stop: Stop) -> NodeBuilder {
+        self.stop = stop;
+        self
+    }
+
+    /// Assembles the node. Its tasks are started by [`run`](crate::run).
+    pub fn build(self) -> Rc<Node> {
+        let incarnation = self.clock.unix_millis();
+        let holder = (self.settings.name.clone(), incarnation);
+        let claims =
+            Claims::new(self.store.clone(), self.clock.clone(), self.holders, holder, CLAIM_WAIT);
+        let kind = RouteKind::default();
+        Rc::new(Node {
+            clock: self.clock,
+            settings: self.settings,
+            incarnation,
+            store: self.store,
+            vm_list: self.vm_list,
+            connector: self.connector,
+            claims: Rc::new(claims),
+            config: RefCell::default(),
+            view: RefCell::default(),
+            engines: RefCell::default(),
+            replicas: RefCell::default(),
+            policy: RefCell::new((kind, new_policy(kind, incarnation))),
+            traces: RefCell::new(Traces::default()),
+            metrics: Metrics::new(),
+            running: Default::default(),
+            next_request: Default::default(),
+            stop: self.stop,
+        })
+    }
+}
+
+struct HttpConnector {
+    clock: Rc<dyn Clock>,
+}
+
+impl Connector for HttpConnector {
+    fn engine(&self, addr: SocketAddr) -> Rc<dyn Engine> {
+        Rc::new(HttpEngine::new(self.clock.clone(), addr, ENGINE_TIMEOUTS))
+    }
+
+    fn service(&self, addr: SocketAddr) -> Rc<dyn Service> {
+        Rc::new(HttpService::new(self.clock.clone(), addr, SERVICE_TIMEOUTS))
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,9 +8,11 @@
 //! only between awaits. This crate must not know the encoding of any message.
 
 mod backend;
+mod builder;
 mod completion;
 mod console;
 mod metrics;
+mod peering;
 mod replicas;
 mod run;
 mod service_call;
@@ -18,5 +20,6 @@
 mod tasks;
 mod trace;
 
+pub use builder::{Connector, NodeBuilder};
 pub use run::run;
 pub use state::Node;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -15,7 +15,7 @@
 use types::{Failure, FailureKind, RequestId, UpstreamName};
 use vms::VmList;
 
-use crate::{metrics::Metrics, replicas::Replicas, trace::Traces};
+use crate::{builder::Connector, metrics::Metrics, replicas::Replicas, trace::Traces};
 
 /// One node of the router. All its tasks share it; they run on one thread.
 pub struct Node {
@@ -25,6 +25,7 @@
     pub(crate) incarnation: u64,
     pub(crate) store: Rc<dyn KeyValue>,
     pub(crate) vm_list: Rc<dyn VmList>,
+    pub(crate) connector: Rc<dyn Connector>,
     pub(crate) claims: Rc<Claims>,
     pub(crate) config: RefCell<ConfigState>,
     pub(crate) view: RefCell<LoadView>,
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -4,5 +4,14 @@
 mod engine;
 mod vms;
 
-pub(crate) use config::watch_config;
-pub(crate) use vms::poll_vms;
+use std::rc::Rc;
+
+use crate::Node;
+
+impl Node {
+    /// Starts the tasks that follow the platform and the upstreams.
+    pub fn start_tasks(self: Rc<Self>) {
+        compio::runtime::spawn(config::watch_config(self.clone())).detach();
+        compio::runtime::spawn(vms::poll_vms(self)).detach();
+    }
+}
--- a/crates/node/src/tasks/vms.rs
+++ b/crates/node/src/tasks/vms.rs
@@ -1,9 +1,6 @@
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use engines::{Engine, HttpEngine};
 use routing::EngineState;
-use services::HttpService;
-use transport::Timeouts;
 use types::{ServiceName, UpstreamName};
 use vms::api::{Vm, VmRole, VmSnapshot};
 
@@ -13,11 +10,6 @@
 /// Interval at which the list of VMs is read. With the list's lag it bounds how long a leaving
 /// upstream gets new work.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
-/// Deadlines of a call to an engine.
-const ENGINE_TIMEOUTS: Timeouts = Timeouts::from_millis(200, 1000);
-/// Deadlines of a call to a plain service. The whole call also has the request's deadline.
-const SERVICE_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 600_000);
-
 /// Reads the list of VMs and follows its changes.
 pub(crate) async fn poll_vms(node: Rc<Node>) {
     while !node.stop.is_raised() {
@@ -61,8 +53,7 @@
         let known = self.view.borrow().engines.get(name).map(|state| state.addr);
         if known != Some(vm.addr) {
             tracing::info!(engine = %name, addr = %vm.addr, "engine joined");
-            let client: Rc<dyn Engine> =
-                Rc::new(HttpEngine::new(self.clock.clone(), vm.addr, ENGINE_TIMEOUTS));
+            let client = self.connector.engine(vm.addr);
             let state = EngineState::new(vm.addr, vm.domain.clone());
             self.view.borrow_mut().engines.insert(name.clone(), state);
             self.engines.borrow_mut().insert(name.clone(), client.clone());
@@ -81,8 +72,7 @@
             Some(replica) if replica.addr == vm.addr => replica.leaving = leaving,
             _ => {
                 tracing::info!(%service, replica = %name, addr = %vm.addr, "replica joined");
-                let client =
-                    Rc::new(HttpService::new(self.clock.clone(), vm.addr, SERVICE_TIMEOUTS));
+                let client = self.connector.service(vm.addr);
                 let replica = Replica { client, addr: vm.addr, leaving, suspect_until: None };
                 known.insert(name.clone(), replica);
             }
