Replace lost replicas by orders under one lease

Cause: an engine that dies left its layer range with fewer replicas for good.

Ruled out: a lease per model, as the design page had it. Two holders can order the same spare engine, and the larger fencing token of one then shuts out the orders of the other there. One lease for the fleet orders all tokens and costs 0.3 writes/s.

Change: `fleet::plan_orders` compares the engines with the configuration; the lease holder gives the orders, with a fresh read of the engine, a permit of the weight store, and a check of the lease after the connection is open. All attempts of a request run on one version, and a version is served once it is covered.

Conclusion: the fleet repairs a lost replica while it has a spare. Not shown yet: a paused holder, and an engine that ignores fencing tokens.

--- a/crates/engines/src/client.rs
+++ b/crates/engines/src/client.rs
@@ -89,12 +89,15 @@
             .boxed_local()
     }
 
-    fn order(&self, order: Order) -> LocalBoxFuture<'_, Result<OrderReply, CallError>> {
+    fn order<'a>(
+        &'a self,
+        order: Order,
+        guard: &'a dyn Fn() -> bool,
+    ) -> LocalBoxFuture<'a, Result<OrderReply, CallError>> {
         async move {
             // An order goes over a new connection: bytes of an older one could wait in a
             // connection that was open before a pause.
-            self.client.close_idle();
-            self.client.post_json("/v1/orders", &order, self.timeouts).await
+            self.client.post_json_guarded("/v1/orders", &order, self.timeouts, guard).await
         }
         .boxed_local()
     }
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -44,6 +44,11 @@
     /// Imports the KV cache of a session.
     fn import_kv(&self, cache: api::KvCache) -> LocalBoxFuture<'_, Result<(), CallError>>;
 
-    /// Gives an order.
-    fn order(&self, order: api::Order) -> LocalBoxFuture<'_, Result<api::OrderReply, CallError>>;
+    /// Gives an order. `guard` is asked once the connection is open, just before the order is
+    /// written, whether its sender may still give it.
+    fn order<'a>(
+        &'a self,
+        order: api::Order,
+        guard: &'a dyn Fn() -> bool,
+    ) -> LocalBoxFuture<'a, Result<api::OrderReply, CallError>>;
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,5 +7,7 @@
 //! request is served.
 
 mod config;
+mod orders;
 
 pub use config::{Adoption, CONFIG_KEY, ConfigState};
+pub use orders::{EngineFacts, Loaded, ORDER_LEASE_KEY, PlannedOrder, plan_orders};
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -66,10 +66,14 @@
         trace: TraceWriter,
     ) -> Result<Summary, Failure> {
         let config = self.config()?;
-        let model = config.models.get(&request.model).cloned().ok_or_else(|| {
+        let mut model = config.models.get(&request.model).cloned().ok_or_else(|| {
             let message = format!("there is no model {}", request.model);
             Failure::not_run(FailureKind::NotFound, message)
         })?;
+        // All attempts of a request run on one version, so that its tokens fit together.
+        let now = self.clock.now();
+        model.version =
+            self.view.borrow().served_version(&request.model, &model.version, model.layers, now);
         let policy = config.policy(&request.caller.organisation, &request.model);
         let arrived = self.clock.now();
         let run = CompletionRun {
--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -8,6 +8,7 @@
 use settings::{NodeSettings, RouteKind};
 use transport::{Stop, Timeouts};
 use vms::{HttpVmList, VmList};
+use weights::{HttpWeightStore, WeightStore};
 
 use crate::{
     metrics::Metrics,
@@ -20,6 +21,8 @@
 const STORE_TIMEOUTS: Timeouts = Timeouts::from_millis(200, 500);
 /// Deadlines of a call to the list of VMs.
 const VM_LIST_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 1000);
+/// Deadlines of a call to the weight store.
+const WEIGHT_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 1000);
 /// Deadlines of a call to an engine.
 const ENGINE_TIMEOUTS: Timeouts = Timeouts::from_millis(200, 1000);
 /// Deadlines of a call to a plain service. The whole call also has the request's deadline.
@@ -42,6 +45,7 @@
     settings: NodeSettings,
     store: Rc<dyn KeyValue>,
     vm_list: Rc<dyn VmList>,
+    weights: Rc<dyn WeightStore>,
     connector: Rc<dyn Connector>,
     holders: Rc<dyn HolderQuery>,
     stop: Stop,
@@ -53,9 +57,11 @@
         let platform = &settings.platform;
         let store = HttpKeyValue::new(clock.clone(), platform.keyvalue, STORE_TIMEOUTS);
         let vm_list = HttpVmList::new(clock.clone(), platform.vms, VM_LIST_TIMEOUTS);
+        let weights = HttpWeightStore::new(clock.clone(), platform.weights, WEIGHT_TIMEOUTS);
         NodeBuilder {
             store: Rc::new(store),
             vm_list: Rc::new(vm_list),
+            weights: Rc::new(weights),
             connector: Rc::new(HttpConnector { clock: clock.clone() }),
             holders: Rc::new(NoPeers),
             stop: Stop::new(),
@@ -76,6 +82,12 @@
         self
     }
 
+    /// Sets the weight store.
+    pub fn weights(mut self, weights: Rc<dyn WeightStore>) -> NodeBuilder {
+        self.weights = weights;
+        self
+    }
+
     /// Sets how clients of upstreams are opened.
     pub fn connector(mut self, connector: Rc<dyn Connector>) -> NodeBuilder {
         self.connector = connector;
@@ -107,6 +119,7 @@
             incarnation,
             store: self.store,
             vm_list: self.vm_list,
+            weights: self.weights,
             connector: self.connector,
             claims: Rc::new(claims),
             config: RefCell::default(),
--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -47,7 +47,8 @@
 
 impl Node {
     fn engine_status(&self, name: &UpstreamName, engine: &EngineState) -> EngineStatus {
-        let loaded = engine.report.as_ref().map_or_else(String::new, |report| {
+        let report = engine.report.as_ref().filter(|report| !report.model.is_empty());
+        let loaded = report.map_or_else(String::new, |report| {
             format!("{} {} version {}", report.model, report.layers, report.version)
         });
         EngineStatus {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,6 +14,7 @@
 use transport::Stop;
 use types::{Failure, FailureKind, RequestId, UpstreamName};
 use vms::VmList;
+use weights::WeightStore;
 
 use crate::{builder::Connector, metrics::Metrics, replicas::Replicas, trace::Traces};
 
@@ -25,6 +26,7 @@
     pub(crate) incarnation: u64,
     pub(crate) store: Rc<dyn KeyValue>,
     pub(crate) vm_list: Rc<dyn VmList>,
+    pub(crate) weights: Rc<dyn WeightStore>,
     pub(crate) connector: Rc<dyn Connector>,
     pub(crate) claims: Rc<Claims>,
     pub(crate) config: RefCell<ConfigState>,
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod engine;
+mod orders;
 mod vms;
 
 use std::rc::Rc;
@@ -12,6 +13,7 @@
     /// Starts the tasks that follow the platform and the upstreams.
     pub fn start_tasks(self: Rc<Self>) {
         compio::runtime::spawn(config::watch_config(self.clone())).detach();
-        compio::runtime::spawn(vms::poll_vms(self)).detach();
+        compio::runtime::spawn(vms::poll_vms(self.clone())).detach();
+        compio::runtime::spawn(orders::give_orders(self)).detach();
     }
 }
--- /dev/null
+++ b/crates/node/src/tasks/orders.rs
@@ -0,0 +1,187 @@
+//! Gives orders to engines while this node holds the lease for it.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use clock::Timestamp;
+use engines::api::{Order, OrderReply};
+use fleet::{EngineFacts, Loaded, ORDER_LEASE_KEY, PlannedOrder, plan_orders};
+use keyvalue::Lease;
+use routing::{EngineState, Report};
+use types::UpstreamName;
+use weights::api::{Permit, Weights};
+
+use crate::state::Node;
+
+/// Life of the lease.
+const LEASE_TTL: Duration = Duration::from_secs(9);
+/// Interval at which the lease is renewed or tried for.
+const LEASE_INTERVAL: Duration = Duration::from_secs(3);
+/// Time that must be left of the lease when an order is written. It covers the flight of the
+/// order; a new holder waits as long before its first order.
+const LEASE_MARGIN: Duration = Duration::from_secs(1);
+/// Interval at which the engines are compared with the configuration.
+const RECONCILE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which an order that shows no effect is given again.
+const ORDER_LIMIT: Duration = Duration::from_secs(30);
+
+/// The orders that this node has given and that have not shown their effect yet.
+type Pending = BTreeMap<UpstreamName, (Loaded, Timestamp)>;
+
+/// Competes for the lease and gives orders while it is held.
+pub(crate) async fn give_orders(node: Rc<Node>) {
+    while !node.stop.is_raised() {
+        let holder = node.settings.name.as_str();
+        let lease = Lease::acquire(
+            node.store.clone(),
+            node.clock.clone(),
+            ORDER_LEASE_KEY,
+            holder,
+            LEASE_TTL,
+        );
+        match lease.await {
+            Ok(Some(lease)) => {
+                tracing::info!(token = lease.token(), "lease for orders acquired");
+                hold(&node, lease).await;
+            }
+            Ok(None) => {}
+            Err(error) => tracing::debug!(%error, "lease for orders cannot be acquired"),
+        }
+        node.clock.sleep(LEASE_INTERVAL).await;
+    }
+}
+
+/// Reconciles until the lease is lost or the node stops.
+async fn hold(node: &Rc<Node>, mut lease: Lease) {
+    node.clock.sleep(LEASE_MARGIN).await;
+    let mut pending = Pending::new();
+    let mut renewed = node.clock.now();
+    while !node.stop.is_raised() {
+        if node.clock.now().since(renewed) >= LEASE_INTERVAL {
+            match lease.renew().await {
+                Ok(true) => renewed = node.clock.now(),
+                Ok(false) => {
+                    tracing::warn!("lease for orders was lost");
+                    return;
+                }
+                Err(error) => tracing::warn!(%error, "lease for orders cannot be renewed"),
+            }
+        }
+        if !lease.is_valid(Duration::ZERO) {
+            tracing::warn!("lease for orders has lapsed");
+            return;
+        }
+        for order in node.plan(&mut pending) {
+            if !node.give(&lease, &order).await {
+                continue;
+            }
+            let now = node.clock.now();
+            pending.insert(order.engine, (order.load, now));
+        }
+        node.clock.sleep(RECONCILE_INTERVAL).await;
+    }
+    // The lease ends by itself if the service cannot be reached.
+    let _ = lease.release().await;
+}
+
+impl Node {
+    /// The orders that engines need now.
+    fn plan(&self, pending: &mut Pending) -> Vec<PlannedOrder> {
+        let Some(config) = self.config.borrow().current() else { return Vec::new() };
+        let now = self.clock.now();
+        let view = self.view.borrow();
+        pending.retain(|name, (load, since)| {
+            let report = view.engines.get(name).and_then(|engine| engine.report.as_ref());
+            let done = report.and_then(loaded).as_ref() == Some(load);
+            !done && now.since(*since) < ORDER_LIMIT
+        });
+        let facts = |(name, engine): (&UpstreamName, &EngineState)| {
+            if !engine.is_available(now) {
+                return None;
+            }
+            let ordered = pending.get(name).map(|(load, _)| load.clone());
+            Some(EngineFacts {
+                name: name.clone(),
+                domain: engine.domain.clone(),
+                pending: ordered.is_some(),
+                loaded: ordered.or_else(|| engine.report.as_ref().and_then(loaded)),
+            })
+        };
+        let engines: Vec<_> = view.engines.iter().filter_map(facts).collect();
+        plan_orders(&config, &engines)
+    }
+
+    /// Gives one order. Returns whether the engine took it.
+    async fn give(&self, lease: &Lease, planned: &PlannedOrder) -> bool {
+        let Some(engine) = self.engine(&planned.engine) else { return false };
+        let load = &planned.load;
+        if !self.has_permit(load).await {
+            return false;
+        }
+        // The plan rests on old reports. The engine must still be as it was planned for.
+        let known = self.view.borrow().engines.get(&planned.engine).and_then(|e| e.report.clone());
+        let fresh = engine.load().await;
+        let unchanged = matches!((&fresh, &known), (Ok(fresh), Some(known))
+            if fresh.model == known.model
+                && fresh.version == known.version
+                && fresh.incarnation == known.incarnation);
+        let busy = fresh.is_ok_and(|fresh| fresh.running > 0);
+        if !unchanged || planned.when_idle && busy {
+            return false;
+        }
+        let order = Order {
+            token: lease.token(),
+            model: load.model.clone(),
+            version: load.version.clone(),
+            layers: load.layers,
+        };
+        let may_give = || lease.is_valid(LEASE_MARGIN);
+        match engine.order(order, &may_give).await {
+            Ok(OrderReply::Accepted) => {
+                tracing::info!(
+                    upstream = %planned.engine,
+                    model = %load.model,
+                    version = %load.version,
+                    layers = %load.layers,
+                    "engine was ordered to load"
+                );
+                true
+            }
+            Ok(OrderReply::Stale) => {
+                tracing::warn!(upstream = %planned.engine, "engine refused an outdated order");
+                false
+            }
+            Err(error) => {
+                tracing::warn!(upstream = %planned.engine, %error, "order failed");
+                // It may have arrived, so the engine counts as busy until it reports.
+                error.verdict() != types::Verdict::NotRun
+            }
+        }
+    }
+
+    async fn has_permit(&self, load: &Loaded) -> bool {
+        let wanted = Weights {
+            model: load.model.clone(),
+            version: load.version.clone(),
+            layers: load.layers,
+        };
+        match self.weights.permit(wanted).await {
+            Ok(Permit::Granted) => true,
+            Ok(Permit::RetryAfterMillis(_)) => false,
+            Err(error) => {
+                tracing::warn!(%error, "weight store cannot be reached");
+                false
+            }
+        }
+    }
+}
+
+fn loaded(report: &Report) -> Option<Loaded> {
+    if report.model.is_empty() {
+        return None;
+    }
+    Some(Loaded {
+        model: report.model.clone(),
+        version: report.version.clone(),
+        layers: report.layers,
+    })
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod baseline;
 mod estimate;
 mod path;
+mod version;
 mod view;
 
 pub use baseline::{LeastOutstanding, RoundRobin};
--- /dev/null
+++ b/crates/routing/src/version.rs
@@ -0,0 +1,40 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use clock::Timestamp;
+use types::{LayerRange, ModelName};
+
+use crate::{LoadView, path::cheapest_chain};
+
+impl LoadView {
+    /// The version of a model that new requests run on: the wanted one if available engines cover
+    /// it, otherwise another one that they cover. While engines change from one version to the
+    /// next, the old one is served until the new one is complete.
+    pub fn served_version(
+        &self,
+        model: &ModelName,
+        wanted: &Arc<str>,
+        layers: u32,
+        now: Timestamp,
+    ) -> Arc<str> {
+        let mut versions: BTreeMap<&Arc<str>, BTreeSet<LayerRange>> = BTreeMap::new();
+        for engine in self.engines.values().filter(|engine| engine.is_available(now)) {
+            let Some(report) = &engine.report else { continue };
+            if report.model == *model {
+                versions.entry(&report.version).or_default().insert(report.layers);
+            }
+        }
+        let covered = |ranges: &BTreeSet<LayerRange>| {
+            let ranges: Vec<_> = ranges.iter().map(|range| (*range, 1)).collect();
+            cheapest_chain(&ranges, layers).is_some()
+        };
+        if versions.get(wanted).is_some_and(covered) {
+            return wanted.clone();
+        }
+        // The newest name first: of two covered versions the later one is the better guess.
+        let other = versions.iter().rev().find(|(_, ranges)| covered(ranges));
+        other.map_or_else(|| wanted.clone(), |(version, _)| (*version).clone())
+    }
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -40,6 +40,9 @@
     /// Replicas of each layer range that the router keeps loaded.
     #[serde(default = "default_replicas")]
     pub replicas: u32,
+    /// Number of equal layer ranges; without it, the ranges that engines hold are kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stages: Option<u32>,
 }
 
 /// A plain service.
@@ -122,7 +125,11 @@
             let layers = u64::from(model.layers);
             faults.check_range(format!("models.{name}.layers"), layers, "layers", (1, 10_000));
             let replicas = u64::from(model.replicas);
-            faults.check_range(format!("models.{name}.replicas"), replicas, "", (1, 1000));
+            faults.check_range(format!("models.{name}.replicas"), replicas, "engines", (1, 1000));
+            if let Some(stages) = model.stages {
+                let key = format!("models.{name}.stages");
+                faults.check_range(key, u64::from(stages), "stages", (1, layers.max(1)));
+            }
         }
         for (name, service) in &self.services {
             if let Some(lookup) = &service.lookup
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -19,6 +19,9 @@
 /// track of it.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Largest JSON answer of a peer, in bytes.
+const MAX_JSON_BYTES: usize = 4 << 20;
+
 /// Deadlines of one call.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -100,6 +103,27 @@
         }
     }
 
+    /// Sends `payload` as JSON over a new connection if `guard` still allows it once the connection
+    /// is open, and decodes the JSON answer.
+    pub async fn post_json_guarded<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        payload: &Q,
+        timeouts: Timeouts,
+        guard: &dyn Fn() -> bool,
+    ) -> Result<A, CallError> {
+        let sender = self.open(timeouts.connect).await?;
+        if !guard() {
+            return Err(CallError::Connect("the sender lost its authority".into()));
+        }
+        let request = json_request(Method::POST, path, Some(payload));
+        match self.dispatch(sender, request, timeouts).await {
+            Ok(response) => decode(response, timeouts).await,
+            Err(Dispatch::Unsent(_)) => Err(CallError::Connect("closed before use".into())),
+            Err(Dispatch::Failed(error)) => Err(error),
+        }
+    }
+
     /// Sends `payload` as JSON and decodes the JSON answer if the status is a success.
     pub async fn post_json<Q: Serialize, A: DeserializeOwned>(
         &self,
@@ -133,13 +157,7 @@
     ) -> Result<A, CallError> {
         let request = json_request(method, path, payload);
         let response = self.send(request, timeouts).await?;
-        let status = response.status();
-        let body = response.collect(types::MAX_BODY_BYTES * 4, timeouts.progress).await?;
-        if !status.is_success() {
-            let text = String::from_utf8_lossy(&body).into_owned();
-            return Err(CallError::Status(status.as_u16(), text));
-        }
-        serde_json::from_slice(&body).map_err(|error| CallError::Malformed(error.to_string()))
+        decode(response, timeouts).await
     }
 
     async fn open(&self, limit: Duration) -> Result<SendRequest<Body>, CallError> {
@@ -271,6 +289,20 @@
     }
 }
 
+/// Decodes a JSON answer if the status is a success.
+async fn decode<A: DeserializeOwned>(
+    response: ResponseStream,
+    timeouts: Timeouts,
+) -> Result<A, CallError> {
+    let status = response.status();
+    let body = response.collect(MAX_JSON_BYTES, timeouts.progress).await?;
+    if !status.is_success() {
+        let text = String::from_utf8_lossy(&body).into_owned();
+        return Err(CallError::Status(status.as_u16(), text));
+    }
+    serde_json::from_slice(&body).map_err(|error| CallError::Malformed(error.to_string()))
+}
+
 fn json_request(method: Method, path: &str, payload: Option<&impl Serialize>) -> Request<Body> {
     let body = match payload {
         // Serialization fails only for maps with keys that are not strings, which no message has.
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -14,6 +14,7 @@
     HttpKeyValue, KeyValue,
     api::{Expected, PutReply},
 };
+use operators::api::{NodeStatus, Readiness};
 use serde::Serialize;
 use settings::{FleetConfig, Listen, NodeSettings, Platform};
 use standins::vms::VmsControl;
@@ -150,16 +151,18 @@
         client.post_json("/control", message, CONTROL_TIMEOUTS).await
     }
 
-    async fn available_engines(&self, node: &Process) -> usize {
+    /// The state of a node, if it answers.
+    pub(crate) async fn status(&self, node: &Process) -> Option<NodeStatus> {
         let client = HttpClient::new(self.clock.clone(), node.port("operators"));
-        let status: Result<serde_json::Value, _> =
-            client.get_json("/status", CONTROL_TIMEOUTS).await;
-        let Ok(status) = status else { return 0 };
-        if status["readiness"] != "ready" {
+        client.get_json("/status", CONTROL_TIMEOUTS).await.ok()
+    }
+
+    async fn available_engines(&self, node: &Process) -> usize {
+        let Some(status) = self.status(node).await else { return 0 };
+        if status.readiness != Readiness::Ready {
             return 0;
         }
-        let engines = status["engines"].as_array().map_or(&[][..], Vec::as_slice);
-        engines.iter().filter(|engine| engine["available"] == true).count()
+        status.engines.iter().filter(|engine| engine.available).count()
     }
 
     async fn list(&self, name: &str, addr: SocketAddr, domain: &str, role: VmRole) {
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -8,7 +8,7 @@
 use transport::HttpClient;
 
 use crate::{
-    cluster::{CONTROL_TIMEOUTS, Cluster, Process},
+    cluster::{CONTROL_TIMEOUTS, Cluster, EngineSpec, Process},
     workload::{DOMAINS, draft, engine_specs, expected_text, filing, fleet_config},
 };
 
@@ -21,6 +21,12 @@
 const CONCURRENT_FILINGS: usize = 8;
 /// Time after the start of the load at which an engine is killed.
 const KILL_AFTER: Duration = Duration::from_millis(600);
+/// Name of the engine that starts without a model.
+const SPARE: &str = "spare-0";
+/// What the engine that is killed has loaded.
+const LOST_LAYERS: &str = "permits 0..8 version 1";
+/// Time after which the spare engine must have replaced the lost one.
+const REPAIR_LIMIT: Duration = Duration::from_secs(20);
 /// Time that the nodes have to shut down.
 const STOP_LIMIT: Duration = Duration::from_secs(15);
 
@@ -36,16 +42,17 @@
     for spec in &specs {
         cluster.add_engine(spec).await;
     }
+    cluster.add_engine(&spare_engine()).await;
     cluster.add_service("registry-0", DOMAINS[0]).await;
     cluster.configure(&fleet_config()).await;
     for (index, domain) in DOMAINS.iter().enumerate() {
         cluster.add_node(&format!("node-{index}"), domain).await;
     }
-    let ready = cluster.wait_ready(specs.len()).await;
+    let ready = cluster.wait_ready(specs.len() + 1).await;
     let mut checks = Checks::default();
     checks.check(
         ready,
-        format!("{NODES} nodes are ready and know {} engines and 1 plain service", specs.len()),
+        format!("{NODES} nodes are ready and know {} engines and 1 plain service", specs.len() + 1),
     );
     if !ready {
         return checks.finish();
@@ -71,11 +78,37 @@
     let runs = service.get_json("/control/runs", CONTROL_TIMEOUTS).await.unwrap_or_default();
     check_filings(&mut checks, &filings, &runs);
     println!("     load ran for {seconds:.1} s; engine {} was killed during it", victim.name);
+    let repaired = wait_repaired(&cluster).await;
+    checks.check(repaired.is_some(), "the spare engine was ordered to replace the lost one".into());
+    if let Some(time) = repaired {
+        println!("     it was loaded {:.1} s after the load ended", time.as_secs_f64());
+    }
     let stopped = stop_nodes(&mut cluster).await;
     checks.check(stopped, format!("{NODES} nodes shut down gracefully when asked to"));
     checks.finish()
 }
 
+/// Waits until the spare engine holds the layers of the engine that was killed. Returns how long it
+/// took.
+async fn wait_repaired(cluster: &Cluster) -> Option<Duration> {
+    let started = cluster.clock.now();
+    loop {
+        let waited = cluster.clock.now().since(started);
+        let status = cluster.status(&cluster.nodes[0]).await;
+        let engines = status.map(|status| status.engines).unwrap_or_default();
+        if engines
+            .iter()
+            .any(|engine| engine.engine.as_str() == SPARE && engine.loaded == LOST_LAYERS)
+        {
+            return Some(waited);
+        }
+        if waited > REPAIR_LIMIT {
+            return None;
+        }
+        cluster.clock.sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Asks the nodes to stop. Returns whether all of them end with success in time.
 async fn stop_nodes(cluster: &mut Cluster) -> bool {
     cluster.nodes.iter().for_each(Process::terminate);
@@ -90,6 +123,10 @@
     false
 }
 
+fn spare_engine() -> EngineSpec {
+    EngineSpec { name: SPARE.into(), domain: DOMAINS[0].into(), args: Vec::new() }
+}
+
 async fn run_drafts(clients: &Rc<Vec<CallerClient>>) -> Vec<DraftOutcome> {
     stream::iter(0..DRAFTS)
         .map(|number| async move {
--- a/xtask/src/workload.rs
+++ b/xtask/src/workload.rs
@@ -19,7 +19,10 @@
 /// The configuration of the cluster.
 pub(crate) fn fleet_config() -> FleetConfig {
     let models = MODELS.map(|(name, layers)| {
-        (name.into(), ModelConfig { version: "1".into(), layers, replicas: 2 })
+        (
+            name.into(),
+            ModelConfig { version: "1".into(), layers, replicas: 2, stages: Some(RANGES) },
+        )
     });
     let registry =
         ServiceConfig { lookup: Some("/filings/by-key/{key}".into()), ..ServiceConfig::default() };
