Report all faults of a settings file at once

Cause: a type error or an unknown key stopped the check at the first fault with the parser's text.

Change: one schema names every key with kind, unit, bounds and default. The check walks the parsed table against it, so unknown keys, wrong types, missing keys and values out of range are reported together, with the nearest known key as a hint. Node settings get [log] with level and format. The fleet configuration gets a change identifier and a history of at most 20 changes.

Conclusion: bounds have one source, which the operators' page can be checked against.

--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -26,24 +26,6 @@
         let (key, problem) = (key.into(), problem.into());
         self.0.push(Fault { key, value: value.to_string(), problem });
     }
-
-    /// Adds a fault if `value` is outside `low..=high`.
-    pub(crate) fn check_range(
-        &mut self,
-        key: impl Into<String>,
-        value: u64,
-        unit: &str,
-        (low, high): (u64, u64),
-    ) {
-        if !(low..=high).contains(&value) {
-            self.add(key, value, format!("must be from {low} to {high} {unit}"));
-        }
-    }
-
-    /// Turns the faults into a result.
-    pub(crate) fn into_result<T>(self, value: T) -> Result<T, Faults> {
-        if self.0.is_empty() { Ok(value) } else { Err(self) }
-    }
 }
 
 impl fmt::Display for Faults {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -1,15 +1,11 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
-use strum::Display;
-use types::{MAX_NAME_BYTES, ModelName, Organisation, ServiceName};
+use strum::{Display, EnumString, VariantNames};
+use toml::{Table, Value};
+use types::{ModelName, Organisation, ServiceName};
 
-use crate::{Faults, Policy, PolicyChange};
-
-/// Exceptions that a configuration may hold. The list is meant to stay short.
-const MAX_EXCEPTIONS: usize = 200;
-/// Longest reason of an exception, in bytes.
-const MAX_REASON_BYTES: usize = 500;
+use crate::{Faults, Policy, PolicyChange, schema, walk};
 
 /// What operators configure for the whole fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +15,8 @@
     pub revision: u64,
     /// Who made the last change.
     pub author: String,
+    /// Identifier of the last change, unique over all changes.
+    pub change: String,
     /// Defaults for the fleet.
     pub defaults: Policy,
     /// Models that are served.
@@ -27,6 +25,24 @@
     pub services: BTreeMap<ServiceName, ServiceConfig>,
     /// Exceptions from the defaults.
     pub exceptions: Vec<Exception>,
+    /// The last changes, oldest first.
+    pub history: Vec<Change>,
+}
+
+/// An accepted change of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// Identifier of the change, unique over all changes.
+    pub id: String,
+    /// Revision that the change made.
+    pub revision: u64,
+    /// Who made the change.
+    pub author: String,
+    /// When the change was made, in milliseconds since the Unix epoch.
+    pub time_ms: u64,
+    /// What was changed.
+    pub summary: String,
 }
 
 /// A model that is served.
@@ -83,7 +99,9 @@
 }
 
 /// What an exception applies to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumString, VariantNames,
+)]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum Scope {
@@ -100,12 +118,7 @@
 impl FleetConfig {
     /// Parses and checks a configuration in TOML.
     pub fn parse(text: &str) -> Result<FleetConfig, Faults> {
-        let config: FleetConfig = toml::from_str(text).map_err(|error| {
-            let mut faults = Faults::default();
-            faults.add("(file)", "", error.to_string().trim().to_owned());
-            faults
-        })?;
-        config.check()
+        walk::parse(text, schema::FLEET)
     }
 
     /// Writes the configuration as TOML.
@@ -116,30 +129,28 @@
 
     /// Checks every value.
     pub fn check(self) -> Result<FleetConfig, Faults> {
-        let mut faults = Faults::default();
-        self.defaults.check("defaults", &mut faults);
-        for (name, model) in &self.models {
-            let layers = u64::from(model.layers);
-            faults.check_range(format!("models.{name}.layers"), layers, "layers", (1, 10_000));
-            let replicas = u64::from(model.replicas);
-            faults.check_range(format!("models.{name}.replicas"), replicas, "", (1, 1000));
-        }
-        for (name, service) in &self.services {
-            if let Some(lookup) = &service.lookup
-                && !(lookup.starts_with('/') && lookup.contains("{key}"))
-            {
-                let key = format!("services.{name}.lookup");
-                faults.add(key, lookup, "must be a path that contains {key}");
-            }
-        }
-        if self.exceptions.len() > MAX_EXCEPTIONS {
-            let problem = format!("must hold at most {MAX_EXCEPTIONS} exceptions");
-            faults.add("exceptions", self.exceptions.len(), problem);
-        }
-        for (index, exception) in self.exceptions.iter().enumerate() {
-            exception.check(index, &self.defaults, &mut faults);
+        walk::decode(self.to_table()?, schema::FLEET)
+    }
+
+    /// The configuration with another value of a default, which is written as in TOML. Quotes
+    /// around a text may be left out.
+    pub fn with_default(&self, key: &str, value: &str) -> Result<FleetConfig, Faults> {
+        let mut table = self.to_table()?;
+        let key = key.strip_prefix("defaults.").unwrap_or(key);
+        let defaults = table.entry("defaults").or_insert_with(|| Value::Table(Table::new()));
+        if let Value::Table(defaults) = defaults {
+            defaults.insert(key.to_owned(), parse_value(value));
         }
-        faults.into_result(self)
+        walk::decode(table, schema::FLEET)
+    }
+
+    /// The configuration as a table.
+    pub fn to_table(&self) -> Result<Table, Faults> {
+        Table::try_from(self).map_err(|error| {
+            let mut faults = Faults::default();
+            faults.add("(configuration)", "", error.to_string());
+            faults
+        })
     }
 
     /// The policy for requests of an organisation to a model or service.
@@ -166,23 +177,32 @@
     }
 }
 
-impl Exception {
-    fn check(&self, index: usize, defaults: &Policy, faults: &mut Faults) {
-        let key = format!("exceptions[{index}]");
-        if self.name.is_empty() || self.name.len() > MAX_NAME_BYTES {
-            let problem = format!("must have 1 to {MAX_NAME_BYTES} bytes");
-            faults.add(format!("{key}.name"), &self.name, problem);
+impl PolicyChange {
+    /// Reads changed values, each written as `KEY=VALUE`.
+    pub fn parse(pairs: &[String]) -> Result<PolicyChange, Faults> {
+        let mut table = Table::new();
+        let mut faults = Faults::default();
+        for pair in pairs {
+            match pair.split_once('=') {
+                Some((key, value)) => {
+                    table.insert(key.trim().into(), parse_value(value.trim()));
+                }
+                None => faults.add("set", pair, "must be written as KEY=VALUE"),
+            }
         }
-        if self.reason.trim().is_empty() || self.reason.len() > MAX_REASON_BYTES {
-            let problem = format!("must give a reason of 1 to {MAX_REASON_BYTES} bytes");
-            faults.add(format!("{key}.reason"), &self.reason, problem);
+        let mut change = walk::decode(table, schema::POLICY);
+        if let Err(other) = &mut change {
+            faults.0.append(&mut other.0);
         }
-        let mut policy = defaults.clone();
-        policy.apply(&self.set);
-        policy.check(&format!("{key}.set"), faults);
+        if faults.0.is_empty() { change } else { Err(faults) }
     }
 }
 
+fn parse_value(text: &str) -> Value {
+    // A text that is no TOML value is a word without quotes.
+    text.parse().unwrap_or_else(|_| Value::String(text.to_owned()))
+}
+
 fn default_replicas() -> u32 {
     1
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,8 +11,10 @@
 mod fleet;
 mod node;
 mod policy;
+pub mod schema;
+mod walk;
 
 pub use fault::{Fault, Faults};
-pub use fleet::{Exception, FleetConfig, ModelConfig, Scope, ServiceConfig};
-pub use node::{Listen, NodeSettings, Platform};
+pub use fleet::{Change, Exception, FleetConfig, ModelConfig, Scope, ServiceConfig};
+pub use node::{Listen, Log, LogFormat, LogLevel, NodeSettings, Platform};
 pub use policy::{Policy, PolicyChange, RouteKind};
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use types::{Domain, MAX_NAME_BYTES, NodeName};
+use strum::{Display, VariantNames};
+use types::{Domain, NodeName};
 
-use crate::Faults;
+use crate::{Faults, schema, walk};
 
 /// Settings of one node, from its TOML file.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +23,53 @@
     pub listen: Listen,
     /// Addresses of the platform's services.
     pub platform: Platform,
+    /// Logging.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// How a node writes its log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Least important level that is written.
+    pub level: LogLevel,
+    /// Form of the lines.
+    pub format: LogFormat,
+}
+
+/// Importance of a log line.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Display, VariantNames,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum LogLevel {
+    /// Needs an operator.
+    Error,
+    /// May need an operator if it goes on.
+    Warn,
+    /// Part of normal operation.
+    #[default]
+    Info,
+    /// For the analysis of a fault.
+    Debug,
+    /// Every step.
+    Trace,
+}
+
+/// Form of log lines.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Display, VariantNames,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Plain text.
+    Text,
 }
 
 /// Addresses that a node listens on.
@@ -51,23 +99,7 @@
 impl NodeSettings {
     /// Parses and checks the text of a settings file.
     pub fn parse(text: &str) -> Result<NodeSettings, Faults> {
-        let settings: NodeSettings = toml::from_str(text).map_err(|error| {
-            let mut faults = Faults::default();
-            faults.add("(file)", "", error.to_string().trim().to_owned());
-            faults
-        })?;
-        let mut faults = Faults::default();
-        for (key, value) in [
-            ("name", settings.name.as_str()),
-            ("domain", settings.domain.as_str()),
-            ("region", settings.region.as_str()),
-        ] {
-            if value.is_empty() || value.len() > MAX_NAME_BYTES {
-                faults.add(key, value, format!("must have 1 to {MAX_NAME_BYTES} bytes"));
-            }
-        }
-        faults.check_range("drain_ms", settings.drain_ms, "milliseconds", (0, 600_000));
-        faults.into_result(settings)
+        walk::parse(text, schema::NODE)
     }
 }
 
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -1,8 +1,6 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, VariantNames};
 
-use crate::Faults;
-
 /// How routes are chosen.
 #[derive(
     Clone,
@@ -134,24 +132,4 @@
         set(&mut self.weight, change.weight);
         set(&mut self.retention_hours, change.retention_hours);
     }
-
-    /// Checks all bounds. `prefix` names the table that the values stand in.
-    pub(crate) fn check(&self, prefix: &str, faults: &mut Faults) {
-        let millis = "milliseconds";
-        let rows = [
-            ("deadline_ms", self.deadline_ms, millis, (1, 600_000)),
-            ("first_token_ms", self.first_token_ms, millis, (10, 600_000)),
-            ("progress_ms", self.progress_ms, millis, (10, 600_000)),
-            ("service_ms", self.service_ms, millis, (10, 600_000)),
-            ("attempt_limit", self.attempt_limit, "attempts", (1, 64)),
-            ("crash_limit", self.crash_limit, "crashes", (1, 16)),
-            ("retry_percent", self.retry_percent, "percent", (0, 100)),
-            ("queue_depth", self.queue_depth, "requests", (0, 10_000)),
-            ("weight", self.weight, "shares", (1, 1000)),
-            ("retention_hours", self.retention_hours, "hours", (1, 8760)),
-        ];
-        for (key, value, unit, bounds) in rows {
-            faults.check_range(format!("{prefix}.{key}"), value, unit, bounds);
-        }
-    }
 }
--- /dev/null
+++ b/crates/settings/src/schema.rs
@@ -0,0 +1,197 @@
+//! The form of both files: every key with its unit, bounds and default. The check of a file, the
+//! hints for unknown keys and the operators' page are based on it.
+
+use strum::VariantNames;
+use types::MAX_NAME_BYTES;
+
+use crate::{LogFormat, LogLevel, RouteKind, Scope};
+
+/// Exceptions that a configuration may hold. The list is meant to stay short.
+const MAX_EXCEPTIONS: usize = 200;
+/// Longest reason of an exception, in bytes.
+const MAX_REASON_BYTES: usize = 500;
+/// Longest other text, in bytes.
+const MAX_TEXT_BYTES: usize = 1000;
+/// Changes that the history keeps.
+pub const MAX_HISTORY: usize = 20;
+
+/// One key of a settings file.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Name of the key, with its unit.
+    pub key: &'static str,
+    /// What the key may hold.
+    pub kind: Kind,
+    /// What holds if the key is absent.
+    pub absent: Absent,
+}
+
+/// What a key may hold.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// A whole number.
+    Integer {
+        /// Unit of the number.
+        unit: &'static str,
+        /// Smallest and largest value.
+        bounds: (i64, i64),
+    },
+    /// A text that is not empty, with its largest length in bytes.
+    Text(usize),
+    /// A text that may be empty, with its largest length in bytes.
+    Note(usize),
+    /// One of the words.
+    Choice(&'static [&'static str]),
+    /// An IP address with port.
+    Address,
+    /// `true` or `false`.
+    Flag,
+    /// A list of texts.
+    Texts,
+    /// A list of HTTP status codes.
+    Statuses,
+    /// A path that contains `{key}`.
+    KeyPath,
+    /// A table.
+    Table(&'static [Setting]),
+    /// Tables by name.
+    Named(&'static [Setting]),
+    /// A list of tables, with its largest length.
+    List(&'static [Setting], usize),
+}
+
+/// What holds if a key is absent.
+#[derive(Clone, Copy, Debug)]
+pub enum Absent {
+    /// The file is not valid.
+    Required,
+    /// Nothing is set.
+    Empty,
+    /// This value, as written in TOML.
+    Default(&'static str),
+}
+
+const fn setting(key: &'static str, kind: Kind, absent: Absent) -> Setting {
+    Setting { key, kind, absent }
+}
+
+const fn required(key: &'static str, kind: Kind) -> Setting {
+    setting(key, kind, Absent::Required)
+}
+
+const fn optional(key: &'static str, kind: Kind) -> Setting {
+    setting(key, kind, Absent::Empty)
+}
+
+const fn integer(
+    key: &'static str,
+    unit: &'static str,
+    bounds: (i64, i64),
+    value: &'static str,
+) -> Setting {
+    setting(key, Kind::Integer { unit, bounds }, Absent::Default(value))
+}
+
+/// The keys of a node's settings file.
+pub const NODE: &[Setting] = &[
+    required("name", Kind::Text(MAX_NAME_BYTES)),
+    required("domain", Kind::Text(MAX_NAME_BYTES)),
+    required("region", Kind::Text(MAX_NAME_BYTES)),
+    integer("drain_ms", "milliseconds", (0, 600_000), "20000"),
+    required(
+        "listen",
+        Kind::Table(&[
+            required("callers", Kind::Address),
+            required("operators", Kind::Address),
+            required("peers", Kind::Address),
+        ]),
+    ),
+    required(
+        "platform",
+        Kind::Table(&[
+            required("keyvalue", Kind::Address),
+            required("vms", Kind::Address),
+            required("weights", Kind::Address),
+        ]),
+    ),
+    optional(
+        "log",
+        Kind::Table(&[
+            setting("level", Kind::Choice(LogLevel::VARIANTS), Absent::Default("\"info\"")),
+            setting("format", Kind::Choice(LogFormat::VARIANTS), Absent::Default("\"json\"")),
+        ]),
+    ),
+];
+
+/// The defaults of the fleet, which an exception may change.
+pub(crate) const POLICY: &[Setting] = &[
+    setting("route", Kind::Choice(RouteKind::VARIANTS), Absent::Default("\"estimate\"")),
+    integer("deadline_ms", "milliseconds", (1, 600_000), "30000"),
+    integer("first_token_ms", "milliseconds", (10, 600_000), "2000"),
+    integer("progress_ms", "milliseconds", (10, 600_000), "400"),
+    integer("service_ms", "milliseconds", (10, 600_000), "5000"),
+    integer("attempt_limit", "attempts", (1, 64), "8"),
+    integer("crash_limit", "crashes", (1, 16), "2"),
+    integer("retry_percent", "percent", (0, 100), "10"),
+    integer("queue_depth", "requests", (0, 10_000), "256"),
+    integer("weight", "shares", (1, 1000), "1"),
+    integer("retention_hours", "hours", (1, 8760), "24"),
+];
+
+/// The keys of the fleet configuration.
+pub const FLEET: &[Setting] = &[
+    integer("revision", "changes", (0, i64::MAX), "0"),
+    optional("author", Kind::Note(MAX_NAME_BYTES)),
+    optional("change", Kind::Note(MAX_NAME_BYTES)),
+    optional("defaults", Kind::Table(POLICY)),
+    optional(
+        "models",
+        Kind::Named(&[
+            required("version", Kind::Text(MAX_NAME_BYTES)),
+            required("layers", Kind::Integer { unit: "layers", bounds: (1, 10_000) }),
+            integer("replicas", "replicas", (1, 1000), "1"),
+        ]),
+    ),
+    optional(
+        "services",
+        Kind::Named(&[
+            setting("idempotent", Kind::Texts, Absent::Default("[\"GET\", \"HEAD\"]")),
+            optional("refusals", Kind::Statuses),
+            optional("lookup", Kind::KeyPath),
+        ]),
+    ),
+    optional(
+        "exceptions",
+        Kind::List(
+            &[
+                required("scope", Kind::Choice(Scope::VARIANTS)),
+                required("name", Kind::Text(MAX_NAME_BYTES)),
+                required("reason", Kind::Text(MAX_REASON_BYTES)),
+                setting("leaving", Kind::Flag, Absent::Default("false")),
+                optional("set", Kind::Table(POLICY)),
+            ],
+            MAX_EXCEPTIONS,
+        ),
+    ),
+    optional(
+        "history",
+        Kind::List(
+            &[
+                required("id", Kind::Text(MAX_NAME_BYTES)),
+                required("revision", Kind::Integer { unit: "changes", bounds: (1, i64::MAX) }),
+                required("author", Kind::Text(MAX_NAME_BYTES)),
+                required("time_ms", Kind::Integer { unit: "milliseconds", bounds: (0, i64::MAX) }),
+                required("summary", Kind::Note(MAX_TEXT_BYTES)),
+            ],
+            MAX_HISTORY,
+        ),
+    ),
+];
+
+/// The keys of the fleet's defaults with their values, as written in TOML.
+pub fn policy_defaults() -> impl Iterator<Item = (&'static str, &'static str)> {
+    POLICY.iter().filter_map(|setting| match setting.absent {
+        Absent::Default(value) => Some((setting.key, value)),
+        Absent::Required | Absent::Empty => None,
+    })
+}
--- /dev/null
+++ b/crates/settings/src/walk.rs
@@ -0,0 +1,157 @@
+//! Compares a parsed file with its schema and collects every fault.
+
+use std::net::SocketAddr;
+
+use serde::de::DeserializeOwned;
+use toml::{Table, Value};
+use types::MAX_NAME_BYTES;
+
+use crate::{
+    Faults,
+    schema::{Absent, Kind, Setting},
+};
+
+/// Edits that a known key may be away from an unknown one to be named as a hint.
+const MAX_HINT_DISTANCE: usize = 4;
+/// Characters of a faulty value that are shown.
+const MAX_SHOWN_CHARS: usize = 200;
+
+/// Parses `text` and checks it against `settings`.
+pub(crate) fn parse<T: DeserializeOwned>(text: &str, settings: &[Setting]) -> Result<T, Faults> {
+    match text.parse::<Table>() {
+        Ok(table) => decode(table, settings),
+        Err(error) => Err(syntax_fault(error.to_string())),
+    }
+}
+
+/// Checks a table against `settings` and decodes it.
+pub(crate) fn decode<T: DeserializeOwned>(table: Table, settings: &[Setting]) -> Result<T, Faults> {
+    let mut faults = Faults::default();
+    walk_table(&table, settings, "", &mut faults);
+    if !faults.0.is_empty() {
+        return Err(faults);
+    }
+    table.try_into().map_err(|error: toml::de::Error| syntax_fault(error.to_string()))
+}
+
+fn syntax_fault(message: String) -> Faults {
+    let mut faults = Faults::default();
+    faults.add("(file)", "", message.trim().to_owned());
+    faults
+}
+
+fn walk_table(table: &Table, settings: &[Setting], prefix: &str, faults: &mut Faults) {
+    for (key, value) in table {
+        let path = join(prefix, key);
+        match settings.iter().find(|setting| setting.key == key) {
+            Some(setting) => walk_value(value, &setting.kind, &path, faults),
+            None => faults.add(path, shown(value), unknown_key(key, settings)),
+        }
+    }
+    for setting in settings {
+        if matches!(setting.absent, Absent::Required) && !table.contains_key(setting.key) {
+            let problem = format!("is missing; must be {}", setting.kind.expectation());
+            faults.add(join(prefix, setting.key), "(nothing)", problem);
+        }
+    }
+}
+
+fn walk_value(value: &Value, kind: &Kind, path: &str, faults: &mut Faults) {
+    match (kind, value) {
+        (Kind::Table(settings), Value::Table(table)) => walk_table(table, settings, path, faults),
+        (Kind::Named(settings), Value::Table(table)) => {
+            for (name, value) in table {
+                walk_named(name, value, settings, &join(path, name), faults);
+            }
+        }
+        (Kind::List(settings, max), Value::Array(values)) => {
+            if values.len() > *max {
+                let count = format!("{} entries", values.len());
+                faults.add(path, count, format!("must hold at most {max} entries"));
+            }
+            for (index, value) in values.iter().enumerate() {
+                walk_value(value, &Kind::Table(settings), &format!("{path}[{index}]"), faults);
+            }
+        }
+        _ if kind.accepts(value) => {}
+        _ => faults.add(path, shown(value), format!("must be {}", kind.expectation())),
+    }
+}
+
+fn walk_named(name: &str, value: &Value, settings: &[Setting], path: &str, faults: &mut Faults) {
+    if name.is_empty() || name.len() > MAX_NAME_BYTES {
+        faults.add(path, name, format!("must have a name of 1 to {MAX_NAME_BYTES} bytes"));
+    }
+    match value {
+        Value::Table(table) => walk_table(table, settings, path, faults),
+        _ => faults.add(path, shown(value), "must be a table"),
+    }
+}
+
+impl Kind {
+    /// What a value has to be, with unit and bounds.
+    pub fn expectation(&self) -> String {
+        match self {
+            Kind::Integer { unit, bounds: (low, i64::MAX) } => {
+                format!("a whole number of {unit}, at least {low}")
+            }
+            Kind::Integer { unit, bounds: (low, high) } => {
+                format!("a whole number from {low} to {high} {unit}")
+            }
+            Kind::Text(max) => format!("a text of 1 to {max} bytes"),
+            Kind::Note(max) => format!("a text of at most {max} bytes"),
+            Kind::Choice(words) => format!("one of {}", words.join(", ")),
+            Kind::Address => "an IP address with port, such as 127.0.0.1:7000".into(),
+            Kind::Flag => "true or false".into(),
+            Kind::Texts => "a list of texts".into(),
+            Kind::Statuses => "a list of HTTP status codes from 100 to 599".into(),
+            Kind::KeyPath => "a path that starts with / and contains {key}".into(),
+            Kind::Table(_) => "a table".into(),
+            Kind::Named(_) => "a table of tables, one for each name".into(),
+            Kind::List(_, max) => format!("a list of at most {max} tables"),
+        }
+    }
+
+    fn accepts(&self, value: &Value) -> bool {
+        match (self, value) {
+            (Kind::Integer { bounds: (low, high), .. }, Value::Integer(number)) => {
+                (low..=high).contains(&number)
+            }
+            (Kind::Text(max), Value::String(text)) => !text.trim().is_empty() && text.len() <= *max,
+            (Kind::Note(max), Value::String(text)) => text.len() <= *max,
+            (Kind::Choice(words), Value::String(text)) => words.contains(&text.as_str()),
+            (Kind::Address, Value::String(text)) => text.parse::<SocketAddr>().is_ok(),
+            (Kind::Flag, Value::Boolean(_)) => true,
+            (Kind::Texts, Value::Array(values)) => values.iter().all(Value::is_str),
+            (Kind::Statuses, Value::Array(values)) => values
+                .iter()
+                .all(|value| value.as_integer().is_some_and(|code| (100..600).contains(&code))),
+            (Kind::KeyPath, Value::String(text)) => text.starts_with('/') && text.contains("{key}"),
+            _ => false,
+        }
+    }
+}
+
+fn unknown_key(key: &str, settings: &[Setting]) -> String {
+    let distance = |setting: &Setting| strsim::damerau_levenshtein(key, setting.key);
+    let nearest = settings.iter().min_by_key(|setting| distance(setting));
+    match nearest.filter(|setting| distance(setting) <= MAX_HINT_DISTANCE) {
+        Some(setting) => format!("unknown key; did you mean {}?", setting.key),
+        None => {
+            let known: Vec<_> = settings.iter().map(|setting| setting.key).collect();
+            format!("unknown key; known are {}", known.join(", "))
+        }
+    }
+}
+
+fn join(prefix: &str, key: &str) -> String {
+    if prefix.is_empty() { key.to_owned() } else { format!("{prefix}.{key}") }
+}
+
+fn shown(value: &Value) -> String {
+    let text = match value {
+        Value::Table(_) => "(a table)".into(),
+        value => value.to_string(),
+    };
+    text.chars().take(MAX_SHOWN_CHARS).collect()
+}
--- /dev/null
+++ b/crates/settings/tests/check.rs
@@ -0,0 +1,111 @@
+//! Checks of settings files.
+
+use settings::{FleetConfig, LogFormat, LogLevel, NodeSettings};
+
+const NODE: &str = r#"
+name = "node-0"
+domain = "north"
+region = "centro-sur"
+[listen]
+callers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+[platform]
+keyvalue = "127.0.0.1:1"
+vms = "127.0.0.1:2"
+weights = "127.0.0.1:3"
+"#;
+
+/// Guards against a check that stops at the first fault: a type error or an unknown key used to
+/// hide all others.
+#[test]
+fn all_faults_of_a_node_are_reported_at_once() {
+    let text = r#"
+        name = 7
+        domain = ""
+        drain_millis = 5
+        drain_ms = 700000
+        [listen]
+        callers = "localhost"
+        operators = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        [platform]
+        keyvalue = "127.0.0.1:1"
+        vms = "127.0.0.1:2"
+        weight = "127.0.0.1:3"
+        [log]
+        level = "loud"
+    "#;
+    let faults = NodeSettings::parse(text).unwrap_err();
+    let mut lines: Vec<_> = faults.to_string().lines().map(str::to_owned).collect();
+    lines.sort();
+    let expected = [
+        "domain = \"\": must be a text of 1 to 64 bytes",
+        "drain_millis = 5: unknown key; did you mean drain_ms?",
+        "drain_ms = 700000: must be a whole number from 0 to 600000 milliseconds",
+        "listen.callers = \"localhost\": must be an IP address with port, such as 127.0.0.1:7000",
+        "log.level = \"loud\": must be one of error, warn, info, debug, trace",
+        "name = 7: must be a text of 1 to 64 bytes",
+        "platform.weight = \"127.0.0.1:3\": unknown key; did you mean weights?",
+        "platform.weights = (nothing): is missing; must be an IP address with port, such as \
+         127.0.0.1:7000",
+        "region = (nothing): is missing; must be a text of 1 to 64 bytes",
+    ];
+    assert_eq!(lines, expected);
+}
+
+/// Guards against a fleet configuration whose nested faults are reported one at a time, and
+/// against an exception without a written reason.
+#[test]
+fn all_faults_of_a_fleet_configuration_are_reported_at_once() {
+    let text = r#"
+        [defaults]
+        crash_limit = "two"
+        queue_dept = 5
+        [models.permits]
+        version = "1"
+        layers = 0
+        [services.registry]
+        refusals = [503, 1000]
+        lookup = "no-key"
+        [[exceptions]]
+        scope = "upstream"
+        name = "permits-0-0"
+        reason = " "
+        [[exceptions]]
+        scope = "country"
+        name = "x"
+        set = { weight = 0 }
+    "#;
+    let faults = FleetConfig::parse(text).unwrap_err();
+    let mut keys: Vec<_> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
+    keys.sort();
+    let expected = [
+        "defaults.crash_limit",
+        "defaults.queue_dept",
+        "exceptions[0].reason",
+        "exceptions[1].reason",
+        "exceptions[1].scope",
+        "exceptions[1].set.weight",
+        "models.permits.layers",
+        "services.registry.lookup",
+        "services.registry.refusals",
+    ];
+    assert_eq!(keys, expected);
+}
+
+/// Guards against a schema that has drifted from the types: the defaults that the schema names
+/// have to be those that a file without the keys gets.
+#[test]
+fn defaults_of_the_schema_are_those_of_the_types() {
+    let settings = NodeSettings::parse(NODE).unwrap();
+    assert_eq!(settings.drain_ms, 20_000);
+    assert_eq!((settings.log.level, settings.log.format), (LogLevel::Info, LogFormat::Json));
+    let mut config = FleetConfig::default();
+    for (key, value) in settings::schema::policy_defaults() {
+        config = config.with_default(key, value).unwrap();
+    }
+    assert_eq!(config, FleetConfig::default());
+    assert_eq!(settings::schema::policy_defaults().count(), 11);
+    assert_eq!(FleetConfig::parse(&config.to_toml()).unwrap(), config);
+}
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -15,7 +15,7 @@
     api::{Expected, PutReply},
 };
 use serde::Serialize;
-use settings::{FleetConfig, Listen, NodeSettings, Platform};
+use settings::{FleetConfig, Listen, Log, NodeSettings, Platform};
 use standins::vms::VmsControl;
 use transport::{CallError, HttpClient, Timeouts};
 use vms::api::{Vm, VmRole};
@@ -104,6 +104,7 @@
                 vms: self.vms.addr(),
                 weights: self.weights.addr(),
             },
+            log: Log::default(),
         };
         let file = self.directory.join(format!("{name}.toml"));
         let text = toml::to_string(&settings).expect("settings are serializable");
