Change the fleet configuration by compare-and-swap

Cause: operators had no way to change the stored configuration.

Change: ConfigStore reads the configuration and writes a change on the version that was read. A write without an answer is resolved by reading back; while the entry is unchanged the same write is repeated, because only then a late copy could still take effect. The history is in the same record: it is written atomically with the change, so it proves that a change took effect even if another one followed.

Conclusion: accepted and not accepted are reported only if they are certain; otherwise the outcome is unknown.

--- /dev/null
+++ b/crates/fleet/src/change.rs
@@ -0,0 +1,226 @@
+//! Changes the configuration in the key-value service by compare-and-swap.
+
+use std::{rc::Rc, time::Duration};
+
+use clock::Clock;
+use keyvalue::{
+    KeyValue, KvError,
+    api::{Entry, Expected, PutReply},
+};
+use settings::{Change, Faults, FleetConfig, schema::MAX_HISTORY};
+
+use crate::{CONFIG_KEY, Difference, diff};
+
+/// Tries to find out what became of a write whose answer was lost.
+const MAX_TRIES: u32 = 8;
+/// Pause between these tries.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Longest summary of a change, in characters.
+const MAX_SUMMARY_CHARS: usize = 200;
+
+/// Reads and changes the configuration.
+pub struct ConfigStore {
+    store: Rc<dyn KeyValue>,
+    clock: Rc<dyn Clock>,
+}
+
+/// The configuration as it was read.
+#[derive(Clone, Debug)]
+pub struct ReadConfig {
+    /// The configuration; the default one if there was none.
+    pub config: FleetConfig,
+    expected: Expected,
+}
+
+/// Who makes a change.
+#[derive(Clone, Debug)]
+pub struct Author {
+    /// Name of the operator.
+    pub name: String,
+    /// Identifier of the change, unique over all changes.
+    pub change: String,
+}
+
+/// What became of a change.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// The change is accepted.
+    Accepted {
+        /// Revision that the change made.
+        revision: u64,
+        /// What it changed.
+        differences: Vec<Difference>,
+    },
+    /// The configuration already is as asked for; nothing was written.
+    Unchanged {
+        /// Revision of the configuration.
+        revision: u64,
+    },
+    /// Another change came first; this one has no effect.
+    Lost {
+        /// Revision that was found.
+        revision: u64,
+        /// Who made it.
+        author: String,
+        /// What changed since the configuration was read.
+        differences: Vec<Difference>,
+    },
+    /// The changed configuration is not valid; nothing was written.
+    Invalid(Faults),
+    /// The key-value service could not be reached; the change has no effect.
+    Unavailable,
+    /// The change may be in effect, or may come into effect later.
+    Unknown,
+}
+
+/// Why the configuration could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadError {
+    /// The key-value service failed.
+    Store(KvError),
+    /// The record is not a valid configuration.
+    Invalid(Faults),
+}
+
+impl ConfigStore {
+    /// Creates a reader and writer of the configuration in `store`.
+    pub fn new(store: Rc<dyn KeyValue>, clock: Rc<dyn Clock>) -> ConfigStore {
+        ConfigStore { store, clock }
+    }
+
+    /// Reads the configuration.
+    pub async fn read(&self) -> Result<ReadConfig, ReadError> {
+        let Some(entry) = self.store.get(CONFIG_KEY).await.map_err(ReadError::Store)? else {
+            return Ok(ReadConfig { config: FleetConfig::default(), expected: Expected::Absent });
+        };
+        let config = FleetConfig::parse(&entry.value).map_err(ReadError::Invalid)?;
+        Ok(ReadConfig { config, expected: Expected::Version(entry.version) })
+    }
+
+    /// Replaces the configuration that was read. Revision, author and history of `wanted` are
+    /// ignored; they follow from `read` and `author`.
+    pub async fn write(&self, read: &ReadConfig, wanted: FleetConfig, author: &Author) -> Outcome {
+        let differences = diff(&read.config, &wanted);
+        if differences.is_empty() && read.expected != Expected::Absent {
+            return Outcome::Unchanged { revision: read.config.revision };
+        }
+        let config = self.next_revision(read, wanted, author, &differences).check();
+        let config = match config {
+            Ok(config) => config,
+            Err(faults) => return Outcome::Invalid(faults),
+        };
+        let accepted = Outcome::Accepted { revision: config.revision, differences };
+        let value = config.to_toml();
+        match self.put(read, &value).await {
+            Ok(PutReply::Stored(_)) => accepted,
+            // The first write was answered, so none of this change's writes took effect.
+            Ok(PutReply::Conflict(entry)) => lost(read, entry),
+            Err(KvError::Unavailable) => Outcome::Unavailable,
+            Err(KvError::Unknown) => self.resolve(read, &value, &author.change, accepted).await,
+        }
+    }
+
+    fn next_revision(
+        &self,
+        read: &ReadConfig,
+        wanted: FleetConfig,
+        author: &Author,
+        differences: &[Difference],
+    ) -> FleetConfig {
+        let revision = read.config.revision + 1;
+        let texts: Vec<String> = differences.iter().map(ToString::to_string).collect();
+        let change = Change {
+            id: author.change.clone(),
+            revision,
+            author: author.name.clone(),
+            time_ms: self.clock.unix_millis(),
+            summary: texts.join("; ").chars().take(MAX_SUMMARY_CHARS).collect(),
+        };
+        let mut history = read.config.history.clone();
+        history.push(change);
+        let surplus = history.len().saturating_sub(MAX_HISTORY);
+        history.drain(..surplus);
+        let (author, change) = (author.name.clone(), author.change.clone());
+        FleetConfig { revision, author, change, history, ..wanted }
+    }
+
+    /// Finds out what became of a write whose answer was lost. The same write is repeated while
+    /// the entry is still the one that was read: of all its copies at most one can take effect,
+    /// and once the entry has another version, no late copy can.
+    async fn resolve(
+        &self,
+        read: &ReadConfig,
+        value: &str,
+        change: &str,
+        accepted: Outcome,
+    ) -> Outcome {
+        for _ in 0..MAX_TRIES {
+            match self.store.get(CONFIG_KEY).await {
+                // A read may be stale, so an entry that is not newer proves nothing.
+                Ok(Some(entry)) if is_newer(&entry, read.expected) => {
+                    return judge(read, entry, change, accepted);
+                }
+                Ok(_) => match self.put(read, value).await {
+                    Ok(PutReply::Stored(_)) => return accepted,
+                    Ok(PutReply::Conflict(Some(entry))) => {
+                        return judge(read, entry, change, accepted);
+                    }
+                    // The entry was deleted, perhaps after this change had taken effect.
+                    Ok(PutReply::Conflict(None)) => return Outcome::Unknown,
+                    Err(_) => {}
+                },
+                Err(_) => {}
+            }
+            self.clock.sleep(PAUSE).await;
+        }
+        Outcome::Unknown
+    }
+
+    async fn put(&self, read: &ReadConfig, value: &str) -> Result<PutReply, KvError> {
+        self.store.put(CONFIG_KEY, read.expected, value.to_owned(), None).await
+    }
+}
+
+fn is_newer(entry: &Entry, expected: Expected) -> bool {
+    match expected {
+        Expected::Absent => true,
+        Expected::Version(version) => entry.version > version,
+    }
+}
+
+/// Judges an ambiguous write by an entry that is newer than the one that was read. The history
+/// tells whether the change took effect, even if other changes followed.
+fn judge(read: &ReadConfig, entry: Entry, change: &str, accepted: Outcome) -> Outcome {
+    let Ok(found) = FleetConfig::parse(&entry.value) else { return Outcome::Unknown };
+    if found.history.iter().any(|known| known.id == change) {
+        return accepted;
+    }
+    let next = read.config.revision + 1;
+    let covered = found.history.iter().any(|known| known.revision == next);
+    // Without the change that followed the read one, this change may have left the history.
+    if covered { lost_to(read, &found) } else { Outcome::Unknown }
+}
+
+fn lost(read: &ReadConfig, entry: Option<Entry>) -> Outcome {
+    let found = entry.and_then(|entry| FleetConfig::parse(&entry.value).ok());
+    lost_to(read, &found.unwrap_or_default())
+}
+
+fn lost_to(read: &ReadConfig, found: &FleetConfig) -> Outcome {
+    Outcome::Lost {
+        revision: found.revision,
+        author: found.author.clone(),
+        differences: diff(&read.config, found),
+    }
+}
+
+impl std::fmt::Display for ReadError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            ReadError::Store(error) => write!(f, "configuration cannot be read: {error}"),
+            ReadError::Invalid(faults) => write!(f, "stored configuration is not valid:\n{faults}"),
+        }
+    }
+}
+
+impl std::error::Error for ReadError {}
