--- a/crates/fleet/src/orders.rs
+++ b/crates/fleet/src/orders.rs
@@ -105,6 +105,7 @@
     engines: &[EngineFacts],
 ) -> Vec<LayerRange> {
     if let Some(stages) = target.stages {
+        let stages = stages.min(target.layers);
         let bound = |stage: u32| target.layers * stage / stages;
         return (0..stages)
             .map(|stage| LayerRange { start: bound(stage), end: bound(stage + 1) })
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -16,7 +16,7 @@
 };
 use operators::api::{NodeStatus, Readiness};
 use serde::Serialize;
-use settings::{FleetConfig, Listen, NodeSettings, Platform};
+use settings::{FleetConfig, Listen, Log, NodeSettings, Platform};
 use standins::vms::VmsControl;
 use transport::{CallError, HttpClient, Timeouts};
 use vms::api::{Vm, VmRole};
@@ -105,6 +105,7 @@
                 vms: self.vms.addr(),
                 weights: self.weights.addr(),
             },
+            log: Log::default(),
         };
         let file = self.directory.join(format!("{name}.toml"));
         let text = toml::to_string(&settings).expect("settings are serializable");
