Recover and move token streams without blaming whole routes

Cause: a stall that no probe explained made a request avoid its whole route; a silent idle connection made probes blame a working engine; abandoned attempts were not cancelled; sessions were named by the caller's request identifier, so two requests could share one; deadlines were fixed; streams stayed on leaving engines.

Change: completion.rs is split by job. Sessions have identifiers that are unique in the fleet and tokens carry them. Stalls are counted per engine with decay, and engines that served other streams meanwhile are not blamed. Probes and repeated polls use new connections. An engine that could not be reached stays unused until its next report. Abandoned attempts are cancelled at all stages. Limits follow the reported and observed speed. Streams on a leaving engine are paused and moved with their KV cache, or continue with a prefill.

--- a/crates/engines/src/api.rs
+++ b/crates/engines/src/api.rs
@@ -74,6 +74,8 @@
 /// A generated token with the proof that each layer ran.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Token {
+    /// Identifier of the session that the token belongs to.
+    pub session: Arc<str>,
     /// Attempt that generated the token.
     pub attempt: u32,
     /// Index of the token among the generated ones, from 0.
--- a/crates/engines/src/check.rs
+++ b/crates/engines/src/check.rs
@@ -2,15 +2,18 @@
 
 use types::{Stage, check_coverage};
 
-use crate::api::{Receipt, Token};
+use crate::api::{Generate, Receipt, Token};
 
-/// Checks the receipts of one attempt's tokens: every layer ran exactly once for each position,
-/// in order, on the engines of the route.
+/// Checks the tokens of one attempt: each belongs to the session and attempt and is the next one,
+/// and its receipts prove that every layer ran exactly once for each position, in order, on the
+/// engines of the route.
 pub struct ReceiptCheck {
+    session: Arc<str>,
     route: Arc<[Stage]>,
     version: Arc<str>,
     attempt: u32,
     layers: u32,
+    resume: bool,
     next_index: u32,
     next_position: Option<u32>,
 }
@@ -28,16 +31,18 @@
 impl Error for LayerViolation {}
 
 impl ReceiptCheck {
-    /// Creates the check of an attempt that continues after `given` tokens on a model with
-    /// `layers` layers.
-    pub fn new(
-        route: Arc<[Stage]>,
-        version: Arc<str>,
-        attempt: u32,
-        layers: u32,
-        given: u32,
-    ) -> ReceiptCheck {
-        ReceiptCheck { route, version, attempt, layers, next_index: given, next_position: None }
+    /// Creates the check of the attempt that `request` starts on a model with `layers` layers.
+    pub fn new(request: &Generate, layers: u32) -> ReceiptCheck {
+        ReceiptCheck {
+            session: request.session.clone(),
+            route: request.route.clone(),
+            version: request.version.clone(),
+            attempt: request.attempt,
+            layers,
+            resume: request.resume,
+            next_index: request.given.len() as u32,
+            next_position: None,
+        }
     }
 
     /// Checks the next token of the attempt.
@@ -49,6 +54,9 @@
     }
 
     fn verify(&self, token: &Token) -> Result<(), String> {
+        if token.session != self.session {
+            return Err(format!("session {} instead of {}", token.session, self.session));
+        }
         if token.attempt != self.attempt {
             return Err(format!("attempt {} instead of {}", token.attempt, self.attempt));
         }
@@ -69,14 +77,19 @@
         stages.into_iter().try_for_each(|(stage, receipt)| self.verify_stage(stage, receipt, span))
     }
 
-    /// The first step of an attempt covers the prompt (or, on resume, the next position); each
-    /// later one covers exactly the position after it.
+    /// The first step of an attempt covers every position so far, or on resume only the next one;
+    /// each later step covers exactly the position after it.
     fn verify_span(&self, (first, end): (u32, u32)) -> Result<(), String> {
-        let Some(next) = self.next_position else {
-            return if first < end { Ok(()) } else { Err("the first step has no position".into()) };
+        let expected = match (self.next_position, self.resume) {
+            (Some(next), _) => (next, next + 1),
+            (None, true) => (end.saturating_sub(1), end),
+            (None, false) => (0, end),
         };
-        if (first, end) != (next, next + 1) {
-            return Err(format!("positions {first}..{end} instead of position {next}"));
+        if (first, end) != expected || end == 0 {
+            return Err(format!(
+                "positions {first}..{end} instead of {}..{}",
+                expected.0, expected.1
+            ));
         }
         Ok(())
     }
--- a/crates/engines/src/client.rs
+++ b/crates/engines/src/client.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use clock::Clock;
 use futures_util::{FutureExt, future::LocalBoxFuture};
@@ -6,8 +6,8 @@
 use transport::{Body, CallError, EventReader, HttpClient, Timeouts};
 
 use crate::{
-    Engine, ReceiptCheck, TokenStream,
-    api::{CacheEvents, Cancel, Generate, KvCache, Load, Order, OrderReply, Session},
+    Engine, EventSource, ReceiptCheck, TokenStream,
+    api::{CacheEvents, Cancel, Event, Generate, KvCache, Load, Order, OrderReply, Session},
 };
 
 /// Largest answer with an error that is read, in bytes.
@@ -27,13 +27,7 @@
 
     async fn start(self: Rc<Self>, request: Generate) -> Result<TokenStream, CallError> {
         let layers = request.route.last().map_or(0, |stage| stage.layers.end);
-        let check = ReceiptCheck::new(
-            request.route.clone(),
-            request.version.clone(),
-            request.attempt,
-            layers,
-            request.given.len() as u32,
-        );
+        let check = ReceiptCheck::new(&request, layers);
         // Serialization fails only for maps with keys that are not strings, which it has not.
         let payload = serde_json::to_vec(&request).expect("request is serializable");
         let request = Request::builder()
@@ -49,7 +43,23 @@
             let body = response.collect(MAX_ERROR_BYTES, self.timeouts.progress).await?;
             return Err(CallError::Status(status, String::from_utf8_lossy(&body).into_owned()));
         }
-        Ok(TokenStream::new(EventReader::new(response), check))
+        Ok(TokenStream::new(Box::new(HttpEvents { events: EventReader::new(response) }), check))
+    }
+}
+
+/// The events of a response body.
+struct HttpEvents {
+    events: EventReader,
+}
+
+impl EventSource for HttpEvents {
+    fn next(&mut self, limit: Duration) -> LocalBoxFuture<'_, Result<Option<Event>, CallError>> {
+        async move {
+            let Some(data) = self.events.next(limit).await? else { return Ok(None) };
+            let event = serde_json::from_slice(&data);
+            event.map(Some).map_err(|error| CallError::Malformed(error.to_string()))
+        }
+        .boxed_local()
     }
 }
 
@@ -89,6 +99,10 @@
             .boxed_local()
     }
 
+    fn drop_idle(&self) {
+        self.client.close_idle();
+    }
+
     fn order(&self, order: Order) -> LocalBoxFuture<'_, Result<OrderReply, CallError>> {
         async move {
             // An order goes over a new connection: bytes of an older one could wait in a
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use check::{LayerViolation, ReceiptCheck};
 pub use client::HttpEngine;
-pub use stream::{Part, StreamError, TokenStream};
+pub use stream::{EventSource, Part, StreamError, TokenStream};
 
 /// A model engine.
 pub trait Engine {
@@ -44,6 +44,10 @@
     /// Imports the KV cache of a session.
     fn import_kv(&self, cache: api::KvCache) -> LocalBoxFuture<'_, Result<(), CallError>>;
 
+    /// Drops the idle connections, so that the next call opens a new one. An idle connection may
+    /// have fallen silent while the engine works.
+    fn drop_idle(&self) {}
+
     /// Gives an order.
     fn order(&self, order: api::Order) -> LocalBoxFuture<'_, Result<api::OrderReply, CallError>>;
 }
--- a/crates/engines/src/stream.rs
+++ b/crates/engines/src/stream.rs
@@ -1,6 +1,7 @@
 use std::{error::Error, fmt, time::Duration};
 
-use transport::{CallError, EventReader};
+use futures_util::future::LocalBoxFuture;
+use transport::CallError;
 use types::UpstreamName;
 
 use crate::{
@@ -8,9 +9,15 @@
     api::{Event, StreamFault, Token},
 };
 
+/// Yields the events of one attempt.
+pub trait EventSource {
+    /// Waits at most `limit` for the next event; `None` is the end of the stream.
+    fn next(&mut self, limit: Duration) -> LocalBoxFuture<'_, Result<Option<Event>, CallError>>;
+}
+
 /// The token stream of one attempt. Every token is checked before it is returned.
 pub struct TokenStream {
-    events: EventReader,
+    events: Box<dyn EventSource>,
     check: ReceiptCheck,
 }
 
@@ -43,19 +50,17 @@
 
 impl TokenStream {
     /// Creates a stream over the events of an attempt.
-    pub fn new(events: EventReader, check: ReceiptCheck) -> TokenStream {
+    pub fn new(events: Box<dyn EventSource>, check: ReceiptCheck) -> TokenStream {
         TokenStream { events, check }
     }
 
     /// Waits at most `limit` for the next part of the answer.
     pub async fn next(&mut self, limit: Duration) -> Result<Part, StreamError> {
-        let data = self.events.next(limit).await.map_err(StreamError::Call)?;
-        let Some(data) = data else {
+        let event = self.events.next(limit).await.map_err(StreamError::Call)?;
+        let Some(event) = event else {
             let broken = CallError::Broken("stream ended without an end event".into());
             return Err(StreamError::Call(broken));
         };
-        let event = serde_json::from_slice(&data)
-            .map_err(|error| StreamError::Call(CallError::Malformed(error.to_string())))?;
         match event {
             Event::Token(token) => {
                 self.check.check(&token).map_err(StreamError::Layers)?;
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -7,7 +7,12 @@
 use settings::Policy;
 use types::{Failure, FailureKind, RequestId, Verdict};
 
-use crate::{completion::CompletionRun, service_call::CallRun, state::Node, trace::TraceWriter};
+use crate::{
+    completion::{CompletionRun, Progress},
+    service_call::CallRun,
+    state::Node,
+    trace::TraceWriter,
+};
 
 impl Backend for Node {
     fn complete(
@@ -72,6 +77,7 @@
         })?;
         let policy = config.policy(&request.caller.organisation, &request.model);
         let arrived = self.clock.now();
+        let progress = Progress::new(self.next_request_id().as_str().into(), arrived);
         let run = CompletionRun {
             deadline: deadline(arrived, &request.caller, &policy),
             node: self,
@@ -83,7 +89,7 @@
             given: Vec::new(),
             attempt: 0,
             avoid: Vec::new(),
-            last_token: arrived,
+            progress,
         };
         run.run(sink).await
     }
--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -119,6 +119,7 @@
             running: Default::default(),
             next_request: Default::default(),
             stop: self.stop,
+            cut: Stop::new(),
         })
     }
 }
--- /dev/null
+++ b/crates/node/src/completion/attempt.rs
@@ -0,0 +1,204 @@
+use std::{rc::Rc, time::Duration};
+
+use callers::TokenSink;
+use clock::{Timestamp, timeout};
+use engines::{
+    Engine, Part, StreamError, TokenStream,
+    api::{Cancel, Generate, Token},
+};
+use transport::CallError;
+use types::Stage;
+
+use super::{
+    CompletionRun, Plan,
+    guard::{AttemptGuard, send_cancel},
+    limits,
+    recover::{Blamed, Cause},
+};
+
+/// A stream that is expected to end within this time is not moved from a leaving engine.
+const FINISH_SOON: Duration = Duration::from_secs(1);
+/// Time that the first stage has to pause a stream, unless its steps are slow.
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// How an attempt ended.
+pub(super) enum Outcome {
+    /// The answer is whole.
+    Whole,
+    /// The caller went away.
+    CallerGone,
+    /// The request's deadline passed.
+    Late,
+    /// The stream was paused, so that it can move away from a leaving engine.
+    Paused,
+    /// The attempt failed.
+    Failed(Cause),
+}
+
+impl CompletionRun {
+    pub(super) async fn run_attempt(&mut self, plan: &Plan, sink: &mut dyn TokenSink) -> Outcome {
+        let session = self.progress.session.clone();
+        let mut guard =
+            AttemptGuard::new(self.node.clone(), plan.route.clone(), session, self.attempt);
+        let head = &plan.route[0].engine;
+        let Some(engine) = self.node.engine(head) else {
+            return Outcome::Failed(Cause::new(
+                "the engine left the fleet",
+                Blamed::Busy(head.clone()),
+            ));
+        };
+        self.progress.start_attempt(self.node.clock.now());
+        let outcome = match self.open(plan, engine.clone()).await {
+            Ok(stream) => self.forward(plan, engine, stream, sink).await,
+            Err(outcome) => outcome,
+        };
+        if matches!(outcome, Outcome::Whole | Outcome::Paused) {
+            guard.ended();
+        }
+        outcome
+    }
+
+    async fn open(&self, plan: &Plan, engine: Rc<dyn Engine>) -> Result<TokenStream, Outcome> {
+        let generate = Generate {
+            session: self.progress.session.clone(),
+            attempt: self.attempt,
+            model: self.request.model.clone(),
+            version: self.model.version.clone(),
+            class: self.request.caller.class,
+            prompt: self.request.prompt.clone(),
+            given: self.given.clone(),
+            max_tokens: self.request.max_tokens,
+            route: plan.route.clone(),
+            resume: plan.resume,
+        };
+        let limit = self.first_limit(plan).min(self.time_left());
+        let head = &plan.route[0].engine;
+        match timeout(&*self.node.clock, limit, engine.generate(generate)).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(error @ (CallError::Connect(_) | CallError::ConnectTimeout))) => {
+                Err(Outcome::Failed(Cause::new(error, Blamed::Unreachable(head.clone()))))
+            }
+            Ok(Err(error @ CallError::Status(..))) => {
+                Err(Outcome::Failed(Cause::new(error, Blamed::Busy(head.clone()))))
+            }
+            Ok(Err(error)) => Err(self.call_failed(error)),
+            Err(_) => Err(self.call_failed(CallError::Timeout)),
+        }
+    }
+
+    /// Forwards tokens to the caller until the attempt ends.
+    async fn forward(
+        &mut self,
+        plan: &Plan,
+        engine: Rc<dyn Engine>,
+        mut stream: TokenStream,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
+        let mut limit = self.first_limit(plan);
+        let mut pause_until: Option<Timestamp> = None;
+        loop {
+            let part = match stream.next(limit.min(self.time_left())).await {
+                Ok(part) => part,
+                Err(error) => return self.stream_failed(error),
+            };
+            match part {
+                Part::Token(token) => {
+                    if let Err(cause) = self.take_token(&plan.route, &token) {
+                        return Outcome::Failed(cause);
+                    }
+                    match timeout(&*self.node.clock, self.time_left(), sink.token(token.text)).await
+                    {
+                        Ok(true) => {}
+                        Ok(false) => return Outcome::CallerGone,
+                        Err(_) => return Outcome::Late,
+                    }
+                }
+                Part::End if self.given.len() as u32 == self.request.max_tokens => {
+                    return Outcome::Whole;
+                }
+                Part::Paused if pause_until.is_some() => return Outcome::Paused,
+                Part::End | Part::Paused => {
+                    let cause = "the stream ended early";
+                    return Outcome::Failed(Cause::new(cause, Blamed::Stages));
+                }
+            }
+            let now = self.node.clock.now();
+            if pause_until.is_some_and(|until| now >= until) {
+                let cause = "the engine did not pause the stream";
+                return Outcome::Failed(Cause::new(cause, Blamed::Nobody));
+            }
+            if pause_until.is_none() && self.has_to_move(&plan.route) {
+                self.request_pause(engine.clone());
+                pause_until = Some(now + PAUSE_LIMIT.max(self.progress.interval * 4));
+            }
+            limit = self.progress_limit(&plan.route);
+        }
+    }
+
+    /// Takes a checked token of the stream. An error means that the token is not the next one of
+    /// this request.
+    fn take_token(&mut self, route: &[Stage], token: &Token) -> Result<(), Cause> {
+        let now = self.node.clock.now();
+        if let Err(text) = self.progress.check(token, self.given.len() as u32) {
+            return Err(self.violation(text));
+        }
+        self.node.view.borrow_mut().progress(route, now);
+        self.observe_token(now);
+        self.given.push(token.id);
+        Ok(())
+    }
+
+    fn stream_failed(&self, error: StreamError) -> Outcome {
+        match error {
+            StreamError::Call(error) => self.call_failed(error),
+            StreamError::Fault { engine, fault } => Outcome::Failed(Cause::of_fault(engine, fault)),
+            StreamError::Layers(violation) => Outcome::Failed(self.violation(violation.0)),
+        }
+    }
+
+    fn call_failed(&self, error: CallError) -> Outcome {
+        if self.time_left().is_zero() {
+            return Outcome::Late;
+        }
+        Outcome::Failed(Cause::new(error, Blamed::Unknown))
+    }
+
+    fn violation(&self, text: String) -> Cause {
+        self.node.metrics.layer_violations.inc();
+        tracing::error!(request = %self.request.caller.id, text, "token check failed");
+        Cause::new(text, Blamed::Stages)
+    }
+
+    /// Whether an engine of the route is leaving, could be replaced and the stream would not end
+    /// soon by itself.
+    fn has_to_move(&self, route: &[Stage]) -> bool {
+        let left = self.request.max_tokens - self.given.len() as u32;
+        if self.progress.interval * left <= FINISH_SOON {
+            return false;
+        }
+        let view = self.node.view.borrow();
+        view.replace_leaving(route, &self.route_request(), self.node.clock.now()).is_some()
+    }
+
+    fn request_pause(&self, engine: Rc<dyn Engine>) {
+        let session = self.progress.session.clone();
+        send_cancel(engine, Cancel { session, attempt: self.attempt, at_step_end: true });
+    }
+
+    fn first_limit(&self, plan: &Plan) -> Duration {
+        let pace = self.node.view.borrow().pace(&plan.route);
+        let words = self.request.prompt.split_whitespace().count();
+        let positions = if plan.resume { 1 } else { words + self.given.len() };
+        let expected = pace.step + pace.prefill * positions as u32;
+        limits::first_token(&self.policy, expected, self.given.is_empty())
+    }
+
+    fn progress_limit(&self, route: &[Stage]) -> Duration {
+        let reported = self.node.view.borrow().pace(route).step;
+        limits::progress(&self.policy, reported.max(self.progress.interval))
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.since(self.node.clock.now())
+    }
+}
--- /dev/null
+++ b/crates/node/src/completion/recover.rs
@@ -0,0 +1,155 @@
+use std::time::Duration;
+
+use clock::timeout;
+use engines::api::StreamFault;
+use futures_util::future::join_all;
+use operators::api::Decision;
+use routing::Blame;
+use types::{Stage, UpstreamName};
+
+use super::CompletionRun;
+use crate::metrics::Gap;
+
+/// Time that an engine has to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which an engine that failed gets no new work.
+const SUSPECT_TIME: Duration = Duration::from_secs(1);
+/// Longest time for which an engine that could not be reached gets no new work. Its next load
+/// report ends it earlier.
+pub(crate) const UNREACHABLE_TIME: Duration = Duration::from_secs(4);
+
+/// Why an attempt failed.
+pub(super) struct Cause {
+    text: String,
+    blamed: Blamed,
+}
+
+/// Who is to blame for a failed attempt.
+pub(super) enum Blamed {
+    /// The stages have to be probed to find out.
+    Unknown,
+    /// One of the stages, all of which may answer probes.
+    Stages,
+    /// This engine cannot be reached.
+    Unreachable(UpstreamName),
+    /// An engine of the route could not reach this engine.
+    Suspect(UpstreamName),
+    /// This engine is leaving.
+    Leaving(UpstreamName),
+    /// This engine cannot run the request now, but others may use it.
+    Busy(UpstreamName),
+    /// No engine; the next attempt may use the same route.
+    Nobody,
+}
+
+impl Cause {
+    pub(super) fn new(text: impl ToString, blamed: Blamed) -> Cause {
+        Cause { text: text.to_string(), blamed }
+    }
+
+    /// The cause that an engine's report of a fault stands for.
+    pub(super) fn of_fault(engine: Option<UpstreamName>, fault: StreamFault) -> Cause {
+        let text = match &engine {
+            Some(engine) => format!("{fault} at {engine}"),
+            None => fault.to_string(),
+        };
+        let blamed = match (fault, engine) {
+            (StreamFault::HandoffFailed, Some(engine)) => Blamed::Suspect(engine),
+            (StreamFault::Leaving, Some(engine)) => Blamed::Leaving(engine),
+            (StreamFault::WrongStage | StreamFault::Full, Some(engine)) => Blamed::Busy(engine),
+            // The engine that reports a gap is not the one that lost the handoff.
+            (StreamFault::PositionGap, _) => Blamed::Stages,
+            (StreamFault::CacheMissing | StreamFault::Superseded, _) => Blamed::Nobody,
+            (_, None) => Blamed::Unknown,
+        };
+        Cause { text, blamed }
+    }
+}
+
+impl CompletionRun {
+    /// Finds out which engines failed and keeps the next attempt away from them.
+    pub(super) async fn recover(&mut self, route: &[Stage], cause: Cause) {
+        self.node.metrics.attempts_failed.inc();
+        self.progress.failures += 1;
+        self.progress.gap = Some(Gap::Failure);
+        let Blame { avoid, suspects } = self.blame(route, cause.blamed).await;
+        tracing::info!(
+            request = %self.request.caller.id,
+            attempt = self.attempt,
+            cause = cause.text,
+            ?avoid,
+            ?suspects,
+            "attempt failed"
+        );
+        self.trace.record(Decision::AttemptFailed {
+            attempt: self.attempt,
+            cause: cause.text,
+            suspects: avoid.clone(),
+        });
+        self.avoid.extend(avoid);
+    }
+
+    async fn blame(&self, route: &[Stage], blamed: Blamed) -> Blame {
+        let now = self.node.clock.now();
+        let mut view = self.node.view.borrow_mut();
+        match blamed {
+            Blamed::Nobody => Blame::default(),
+            Blamed::Busy(engine) => Blame { avoid: vec![engine], suspects: Vec::new() },
+            Blamed::Leaving(engine) => {
+                if let Some(report) = view.engines.get_mut(&engine).and_then(|e| e.report.as_mut())
+                {
+                    report.leaving = true;
+                }
+                Blame { avoid: vec![engine], suspects: Vec::new() }
+            }
+            Blamed::Suspect(engine) => {
+                view.suspect(&engine, now + SUSPECT_TIME);
+                Blame { avoid: vec![engine.clone()], suspects: vec![engine] }
+            }
+            Blamed::Unreachable(engine) => {
+                view.unreachable(&engine, now + UNREACHABLE_TIME);
+                Blame { avoid: vec![engine.clone()], suspects: vec![engine] }
+            }
+            Blamed::Stages => {
+                drop(view);
+                self.blame_stages(route)
+            }
+            Blamed::Unknown => {
+                drop(view);
+                self.probe(route).await
+            }
+        }
+    }
+
+    /// Blames the engines of a route that do not answer a probe; if all do, the one that the
+    /// stalls of the node's streams point to.
+    async fn probe(&self, route: &[Stage]) -> Blame {
+        let probes = route.iter().map(|stage| async {
+            let engine = self.node.engine(&stage.engine)?;
+            // An idle connection may be silent although the engine works.
+            engine.drop_idle();
+            let load = timeout(&*self.node.clock, PROBE_TIMEOUT, engine.load()).await;
+            let answered = matches!(load, Ok(Ok(_)));
+            (!answered).then(|| stage.engine.clone())
+        });
+        let silent: Vec<_> = join_all(probes).await.into_iter().flatten().collect();
+        if silent.is_empty() {
+            return self.blame_stages(route);
+        }
+        let until = self.node.clock.now() + UNREACHABLE_TIME;
+        for engine in &silent {
+            self.node.view.borrow_mut().unreachable(engine, until);
+        }
+        Blame { avoid: silent.clone(), suspects: silent }
+    }
+
+    fn blame_stages(&self, route: &[Stage]) -> Blame {
+        let now = self.node.clock.now();
+        let mut view = self.node.view.borrow_mut();
+        let blame = view.blame_stall(route, self.progress.last, now);
+        for engine in &blame.suspects {
+            view.suspect(engine, now + SUSPECT_TIME);
+        }
+        blame
+    }
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) running: Cell<u32>,
     pub(crate) next_request: Cell<u64>,
     pub(crate) stop: Stop,
+    /// Raised at the drain deadline: requests that still run end with an error.
+    pub(crate) cut: Stop,
 }
 
 impl Node {
--- a/crates/node/src/tasks/engine.rs
+++ b/crates/node/src/tasks/engine.rs
@@ -1,15 +1,17 @@
 use std::{rc::Rc, time::Duration};
 
+use clock::timeout;
 use engines::{Engine, api::Load};
 use routing::Report;
+use transport::CallError;
 use types::UpstreamName;
 
-use crate::state::Node;
+use crate::{completion::UNREACHABLE_TIME, state::Node};
 
 /// Interval at which an engine's load report is read.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for which an engine that did not answer gets no new work. It outlasts the next poll.
-const SUSPECT_TIME: Duration = Duration::from_millis(1500);
+/// Time that an engine has to answer one poll, and then once more over a new connection.
+const POLL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Reads the load reports of one engine for as long as it is in the fleet.
 pub(crate) async fn poll_engine(node: Rc<Node>, name: UpstreamName, engine: Rc<dyn Engine>) {
@@ -19,7 +21,7 @@
             return;
         }
         let start = node.clock.now();
-        let load = engine.load().await;
+        let load = read_load(&node, &*engine).await;
         let now = node.clock.now();
         {
             let mut view = node.view.borrow_mut();
@@ -27,7 +29,7 @@
                 (Ok(load), Some(state)) => state.record(report(load), now.since(start)),
                 (Err(error), Some(_)) => {
                     tracing::debug!(engine = %name, %error, "load report cannot be read");
-                    view.suspect(&name, now + SUSPECT_TIME);
+                    view.unreachable(&name, now + UNREACHABLE_TIME);
                 }
                 (_, None) => return,
             }
@@ -36,6 +38,18 @@
     }
 }
 
+/// Reads a load report. If an open connection brings none, a new one is tried, because connections
+/// fall silent while their engine works.
+async fn read_load(node: &Node, engine: &dyn Engine) -> Result<Load, CallError> {
+    for _ in 0..2 {
+        match timeout(&*node.clock, POLL_TIMEOUT, engine.load()).await {
+            Ok(Err(CallError::Timeout | CallError::Broken(_))) | Err(_) => engine.drop_idle(),
+            Ok(result) => return result,
+        }
+    }
+    Err(CallError::Timeout)
+}
+
 fn report(load: Load) -> Report {
     Report {
         incarnation: load.incarnation,
--- a/crates/operators/src/api.rs
+++ b/crates/operators/src/api.rs
@@ -101,6 +101,18 @@
         /// Engines that are suspected.
         suspects: Vec<UpstreamName>,
     },
+    /// The KV cache of a leaving engine was moved to a replica.
+    Transferred {
+        /// The leaving engine.
+        from: UpstreamName,
+        /// The replica.
+        to: UpstreamName,
+    },
+    /// The KV cache of a leaving engine could not be moved, so a prefill replaces it.
+    TransferFailed {
+        /// What happened.
+        cause: String,
+    },
     /// The idempotency key was claimed.
     Claimed,
     /// The answer of an earlier send was replayed.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,11 +9,16 @@
 
 mod baseline;
 mod estimate;
+mod pace;
 mod path;
+mod replace;
+mod stall;
 mod view;
 
 pub use baseline::{LeastOutstanding, RoundRobin};
 pub use estimate::Estimate;
+pub use pace::Pace;
+pub use stall::{Blame, StallRecord};
 pub use view::{EngineState, LoadView, Report};
 
 use std::sync::Arc;
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -3,7 +3,7 @@
 use clock::Timestamp;
 use types::{Domain, LayerRange, ModelName, Stage, UpstreamName};
 
-use crate::RouteRequest;
+use crate::{RouteRequest, StallRecord};
 
 /// What an engine reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,6 +47,10 @@
     pub leaving: bool,
     /// The engine failed and is not used before this time.
     pub suspect_until: Option<Timestamp>,
+    /// The engine could not be reached and is not used before this time or its next report.
+    pub unreachable_until: Option<Timestamp>,
+    /// Progress and stalls of streams on the engine.
+    pub stalls: StallRecord,
     /// Time of a small exchange with the engine.
     pub round_trip: Duration,
 }
@@ -70,6 +74,8 @@
             finished: 0,
             leaving: false,
             suspect_until: None,
+            unreachable_until: None,
+            stalls: StallRecord::default(),
             round_trip: Duration::ZERO,
         }
     }
@@ -79,7 +85,9 @@
         let restarted = self.report.as_ref().is_some_and(|r| r.incarnation != report.incarnation);
         if restarted {
             self.suspect_until = None;
+            self.stalls = StallRecord::default();
         }
+        self.unreachable_until = None;
         self.report = Some(report);
         self.started = 0;
         self.finished = 0;
@@ -95,9 +103,14 @@
 
     /// Whether new work may go to the engine.
     pub fn is_available(&self, now: Timestamp) -> bool {
-        let leaving = self.leaving || self.report.as_ref().is_none_or(|report| report.leaving);
         let suspect = self.suspect_until.is_some_and(|until| now < until);
-        !leaving && !suspect
+        let unreachable = self.unreachable_until.is_some_and(|until| now < until);
+        self.report.is_some() && !self.is_leaving() && !suspect && !unreachable
+    }
+
+    /// Whether the list of VMs, an operator or the engine itself says that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.report.as_ref().is_some_and(|report| report.leaving)
     }
 
     /// Whether the engine holds layers of the requested model and version.
@@ -137,4 +150,12 @@
             engine.suspect_until = Some(until);
         }
     }
+
+    /// Keeps new work from an engine that could not be reached until its next report, at most
+    /// until `until`.
+    pub fn unreachable(&mut self, engine: &UpstreamName, until: Timestamp) {
+        if let Some(engine) = self.engines.get_mut(engine) {
+            engine.unreachable_until = Some(until);
+        }
+    }
 }
--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -169,6 +169,7 @@
             let Some(output) = handoff.activations.last() else { return };
             let id = reference::sample(*output);
             let token = Token {
+                session: handoff.session.clone(),
                 attempt: session.attempt,
                 index: head.generated,
                 id,
--- a/crates/standins/src/engine/handler.rs
+++ b/crates/standins/src/engine/handler.rs
@@ -257,7 +257,9 @@
         let cancel: Cancel = body.json().await.map_err(bad_request)?;
         if cancel.at_step_end {
             let mut sessions = self.sessions.borrow_mut();
+            // A late order to pause must not stop a newer attempt.
             let session = sessions.get_mut(&cancel.session);
+            let session = session.filter(|session| session.attempt <= cancel.attempt);
             if let Some(head) = session.and_then(|session| session.head.as_mut()) {
                 head.pausing = true;
             }
@@ -309,8 +311,11 @@
         if cache.values.len() != cache.layers.len() as usize {
             return Err(bad_request("one value per layer is needed".into()));
         }
+        let mut sessions = self.sessions.borrow_mut();
+        // The number of the newest attempt stays, so that late handoffs of older ones are dropped.
+        let attempt = sessions.get(&cache.session).map_or(0, |session| session.attempt);
         let session = Session {
-            attempt: 0,
+            attempt,
             model: cache.model,
             version: cache.version,
             layers: cache.layers,
@@ -320,7 +325,7 @@
             used: self.clock.now(),
             head: None,
         };
-        self.sessions.borrow_mut().insert(cache.session, session);
+        sessions.insert(cache.session, session);
         Ok(())
     }
 
