Add the operators' commands

Cause: operators could only run a node and check its settings.

Two exceptions with the same scope and name are a fault, because they cannot be told apart in a difference.

Conclusion: the configuration can be changed from the command line.

--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -12,7 +12,7 @@
 use crate::{CONFIG_KEY, Difference, diff};
 
 /// Tries to find out what became of a write whose answer was lost.
-const MAX_TRIES: u32 = 8;
+const MAX_TRIES: u32 = 5;
 /// Pause between these tries.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Longest summary of a change, in characters.
@@ -101,7 +101,7 @@
     /// ignored; they follow from `read` and `author`.
     pub async fn write(&self, read: &ReadConfig, wanted: FleetConfig, author: &Author) -> Outcome {
         let differences = diff(&read.config, &wanted);
-        if differences.is_empty() && read.expected != Expected::Absent {
+        if is_same(&read.config, &wanted) && read.expected != Expected::Absent {
             return Outcome::Unchanged { revision: read.config.revision };
         }
         let config = self.next_revision(read, wanted, author, &differences).check();
@@ -128,7 +128,10 @@
         differences: &[Difference],
     ) -> FleetConfig {
         let revision = read.config.revision + 1;
-        let texts: Vec<String> = differences.iter().map(ToString::to_string).collect();
+        let mut texts: Vec<String> = differences.iter().map(ToString::to_string).collect();
+        if texts.is_empty() {
+            texts.push("order of exceptions".into());
+        }
         let change = Change {
             id: author.change.clone(),
             revision,
@@ -181,6 +184,13 @@
     }
 }
 
+fn is_same(before: &FleetConfig, after: &FleetConfig) -> bool {
+    before.defaults == after.defaults
+        && before.models == after.models
+        && before.services == after.services
+        && before.exceptions == after.exceptions
+}
+
 fn is_newer(entry: &Entry, expected: Expected) -> bool {
     match expected {
         Expected::Absent => true,
--- a/crates/fleet/src/diff.rs
+++ b/crates/fleet/src/diff.rs
@@ -58,6 +58,8 @@
                 add(&format!("{path}.{key}"), value, values);
             }
         }
+        // A configuration without exceptions may also lack the list.
+        Value::Array(list) if list.is_empty() && path == "exceptions" => {}
         Value::Array(list) if list.iter().any(Value::is_table) => {
             for (index, value) in list.iter().enumerate() {
                 add(&format!("{path}[{}]", label(value, index)), value, values);
--- /dev/null
+++ b/crates/node/src/commands/config.rs
@@ -0,0 +1,177 @@
+use std::{net::SocketAddr, path::Path, rc::Rc};
+
+use clock::{Clock, RuntimeClock};
+use fleet::{Author, ConfigStore, Difference, Outcome, ReadConfig, diff, edit};
+use keyvalue::HttpKeyValue;
+use settings::{Exception, FleetConfig, ModelConfig, PolicyChange};
+use transport::Timeouts;
+
+use super::{
+    Exit,
+    config_args::{ChangeArgs, ConfigCommand, ExceptCommand, ModelCommand, ServiceCommand},
+    settings_file, status,
+};
+
+/// Deadlines of a call to the key-value service. An operator can wait longer than a request.
+const STORE_TIMEOUTS: Timeouts = Timeouts::from_millis(1000, 1000);
+
+pub(crate) async fn run(command: ConfigCommand) -> Result<Exit, String> {
+    match command {
+        ConfigCommand::Show { store } => show(store.addr()?).await,
+        ConfigCommand::History { store } => history(store.addr()?).await,
+        ConfigCommand::Status { nodes } => status::revisions(nodes).await,
+        ConfigCommand::Edit { file, change } => replace(&file, &change).await,
+        ConfigCommand::Set { key, value, change: args } => {
+            change(&args, |config| {
+                config.with_default(&key, &value).map_err(|faults| faults.to_string())
+            })
+            .await
+        }
+        ConfigCommand::Except(command) => except(command).await,
+        ConfigCommand::Model(command) => set_model(command).await,
+        ConfigCommand::Service(command) => set_service(command).await,
+    }
+}
+
+/// Reads the configuration, changes it with `edit` and writes it.
+pub(crate) async fn change(
+    args: &ChangeArgs,
+    edit: impl FnOnce(&FleetConfig) -> Result<FleetConfig, String>,
+) -> Result<Exit, String> {
+    let store = open(args.store.addr()?);
+    let read = store.read().await.map_err(|error| format!("not accepted: {error}"))?;
+    let wanted = edit(&read.config).map_err(|message| format!("not accepted:\n{message}"))?;
+    Ok(write(&store, &read, wanted, &args.author).await)
+}
+
+async fn show(addr: SocketAddr) -> Result<Exit, String> {
+    let read = open(addr).read().await.map_err(|error| error.to_string())?;
+    print!("{}", read.config.to_toml());
+    Ok(Exit::Success)
+}
+
+async fn history(addr: SocketAddr) -> Result<Exit, String> {
+    let read = open(addr).read().await.map_err(|error| error.to_string())?;
+    for change in &read.config.history {
+        let (id, author) = (&change.id, &change.author);
+        println!("revision {} by {author} at {} ms ({id})", change.revision, change.time_ms);
+        println!("  {}", change.summary);
+    }
+    Ok(Exit::Success)
+}
+
+async fn replace(file: &Path, args: &ChangeArgs) -> Result<Exit, String> {
+    let wanted = settings_file::load_fleet(file)?;
+    let store = open(args.store.addr()?);
+    let read = store.read().await.map_err(|error| format!("not accepted: {error}"))?;
+    if read.config.revision != wanted.revision {
+        println!(
+            "not accepted: the file was edited from revision {}, but revision {} by {} is stored",
+            wanted.revision, read.config.revision, read.config.author
+        );
+        print_differences(&diff(&wanted, &read.config));
+        return Ok(Exit::Failure);
+    }
+    Ok(write(&store, &read, wanted, &args.author).await)
+}
+
+async fn except(command: ExceptCommand) -> Result<Exit, String> {
+    match command {
+        ExceptCommand::Add { scope, name, reason, values, leaving, change: args } => {
+            let set = PolicyChange::parse(&values).map_err(|faults| faults.to_string())?;
+            let exception = Exception { scope, name, reason, leaving, set };
+            change(&args, |config| Ok(edit::add_exception(config, exception))).await
+        }
+        ExceptCommand::Remove { scope, name, change: args } => {
+            change(&args, |config| Ok(edit::remove_exception(config, scope, &name))).await
+        }
+    }
+}
+
+async fn set_model(command: ModelCommand) -> Result<Exit, String> {
+    let ModelCommand::Set { name, model_version, layers, replicas, stages, change: args } = command;
+    change(&args, |config| {
+        let mut changed = config.clone();
+        let new = ModelConfig { version: "".into(), layers: 0, replicas: 1, stages: None };
+        let model = changed.models.entry(name.as_str().into()).or_insert(new);
+        if let Some(version) = model_version {
+            model.version = version.into();
+        }
+        model.layers = layers.unwrap_or(model.layers);
+        model.stages = stages.or(model.stages);
+        model.replicas = replicas.unwrap_or(model.replicas);
+        Ok(changed)
+    })
+    .await
+}
+
+async fn set_service(command: ServiceCommand) -> Result<Exit, String> {
+    let ServiceCommand::Set { name, idempotent, refusal, lookup, change: args } = command;
+    change(&args, |config| {
+        let mut changed = config.clone();
+        let service = changed.services.entry(name.as_str().into()).or_default();
+        if !idempotent.is_empty() {
+            service.idempotent = idempotent;
+        }
+        if !refusal.is_empty() {
+            service.refusals = refusal;
+        }
+        service.lookup = lookup.or(service.lookup.take());
+        Ok(changed)
+    })
+    .await
+}
+
+fn open(addr: SocketAddr) -> ConfigStore {
+    let clock = Rc::new(RuntimeClock::new());
+    ConfigStore::new(Rc::new(HttpKeyValue::new(clock.clone(), addr, STORE_TIMEOUTS)), clock)
+}
+
+async fn write(store: &ConfigStore, read: &ReadConfig, wanted: FleetConfig, author: &str) -> Exit {
+    let time = RuntimeClock::new().unix_millis();
+    let change = format!("{time:x}-{:x}", rand::random::<u64>());
+    let author = Author { name: author.to_owned(), change };
+    let outcome = store.write(read, wanted, &author).await;
+    report(&outcome, read, &author.change)
+}
+
+fn report(outcome: &Outcome, read: &ReadConfig, change: &str) -> Exit {
+    match outcome {
+        Outcome::Accepted { revision, differences } => {
+            println!("accepted: revision {revision} (change {change})");
+            print_differences(differences);
+            Exit::Success
+        }
+        Outcome::Unchanged { revision } => {
+            println!("nothing to change: revision {revision} is as asked for");
+            Exit::Success
+        }
+        Outcome::Lost { revision, author, differences } => {
+            println!(
+                "not accepted: revision {revision} by {author} came first; since revision {}:",
+                read.config.revision
+            );
+            print_differences(differences);
+            Exit::Failure
+        }
+        Outcome::Invalid(faults) => {
+            println!("not accepted:\n{faults}");
+            Exit::Failure
+        }
+        Outcome::Unavailable => {
+            println!("not accepted: key-value service is unavailable");
+            Exit::Failure
+        }
+        Outcome::Unknown => {
+            println!(
+                "unknown: the change may be in force now or later; look for change {change} in \
+                 `gypsumrack config history` before you repeat it"
+            );
+            Exit::Unknown
+        }
+    }
+}
+
+fn print_differences(differences: &[Difference]) {
+    differences.iter().for_each(|difference| println!("  {difference}"));
+}
--- /dev/null
+++ b/crates/node/src/commands/serve.rs
@@ -0,0 +1,35 @@
+use std::{path::PathBuf, rc::Rc};
+
+use clap::Args;
+use clock::RuntimeClock;
+use settings::{Log, LogFormat};
+use tracing_subscriber::EnvFilter;
+
+use super::{Exit, settings_file};
+
+#[derive(Args)]
+pub(crate) struct ServeArgs {
+    /// Settings file of the node.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+pub(crate) fn run(args: &ServeArgs) -> Result<Exit, String> {
+    let settings = settings_file::load_node(&args.settings)?;
+    start_log(&settings.log);
+    let runtime = compio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let clock = Rc::new(RuntimeClock::new());
+    runtime.block_on(node::run(clock, settings)).map_err(|error| error.to_string())?;
+    Ok(Exit::Success)
+}
+
+/// The variable `RUST_LOG` overrides the level, for the analysis of a fault.
+fn start_log(log: &Log) {
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(log.level.to_string()));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match log.format {
+        LogFormat::Json => builder.json().flatten_event(true).init(),
+        LogFormat::Text => builder.init(),
+    }
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -121,7 +121,8 @@
 impl FleetConfig {
     /// Parses and checks a configuration in TOML.
     pub fn parse(text: &str) -> Result<FleetConfig, Faults> {
-        walk::parse(text, schema::FLEET)
+        let config: FleetConfig = walk::parse(text, schema::FLEET)?;
+        config.check_names()
     }
 
     /// Writes the configuration as TOML.
@@ -132,7 +133,8 @@
 
     /// Checks every value.
     pub fn check(self) -> Result<FleetConfig, Faults> {
-        walk::decode(self.to_table()?, schema::FLEET)
+        let config: FleetConfig = walk::decode(self.to_table()?, schema::FLEET)?;
+        config.check_names()
     }
 
     /// The configuration with another value of a default, which is written as in TOML. Quotes
@@ -147,6 +149,19 @@
         walk::decode(table, schema::FLEET)
     }
 
+    /// Checks that exceptions can be told apart by scope and name.
+    fn check_names(self) -> Result<FleetConfig, Faults> {
+        let mut faults = Faults::default();
+        for (index, exception) in self.exceptions.iter().enumerate() {
+            let same = |e: &Exception| e.scope == exception.scope && e.name == exception.name;
+            if self.exceptions[..index].iter().any(same) {
+                let problem = format!("must be the only exception for this {}", exception.scope);
+                faults.add(format!("exceptions[{index}].name"), &exception.name, problem);
+            }
+        }
+        if faults.0.is_empty() { Ok(self) } else { Err(faults) }
+    }
+
     /// The configuration as a table.
     pub fn to_table(&self) -> Result<Table, Faults> {
         Table::try_from(self).map_err(|error| {
