Count claims, replays, refusals and calls, and describe operations

Cause: metrics lacked refusals, replays, attempts, claims, key-value calls and the start time; organisation labels had no bound; no page told operators what to do.

Change: the metrics are added; the first 64 organisations have label values, the rest share one.

Conclusion: the page cannot drift from the code without a failing test.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -129,6 +129,9 @@
             trace.record(Decision::Answered { verdict });
             return;
         };
+        if verdict == Verdict::NotRun {
+            self.metrics.refusals.with_label_values::<&str>(&[failure.kind.into()]).inc();
+        }
         tracing::info!(
             request = %caller.id,
             organisation = %caller.organisation,
--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -11,6 +11,7 @@
 use weights::{HttpWeightStore, WeightStore};
 
 use crate::{
+    metered::Metered,
     metrics::Metrics,
     peering::NoPeers,
     state::{Node, new_policy},
@@ -27,6 +28,8 @@
 const ENGINE_TIMEOUTS: Timeouts = Timeouts::from_millis(200, 1000);
 /// Deadlines of a call to a plain service. The whole call also has the request's deadline.
 const SERVICE_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 600_000);
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: f64 = 1000.0;
 /// Longest wait for another node to finish a request with the same idempotency key.
 const CLAIM_WAIT: Duration = Duration::from_secs(5);
 
@@ -109,15 +112,18 @@
     /// Assembles the node. Its tasks are started by [`run`](crate::run).
     pub fn build(self) -> Rc<Node> {
         let incarnation = self.clock.unix_millis();
+        let metrics = Metrics::new(incarnation as f64 / MILLIS_PER_SECOND);
+        let calls = metrics.keyvalue_calls.clone();
+        let store: Rc<dyn KeyValue> = Rc::new(Metered::new(self.store, calls));
         let holder = (self.settings.name.clone(), incarnation);
         let claims =
-            Claims::new(self.store.clone(), self.clock.clone(), self.holders, holder, CLAIM_WAIT);
+            Claims::new(store.clone(), self.clock.clone(), self.holders, holder, CLAIM_WAIT);
         let kind = RouteKind::default();
         Rc::new(Node {
             clock: self.clock,
             settings: self.settings,
             incarnation,
-            store: self.store,
+            store,
             vm_list: self.vm_list,
             weights: self.weights,
             connector: self.connector,
@@ -128,7 +134,7 @@
             replicas: RefCell::default(),
             policy: RefCell::new((kind, new_policy(kind, incarnation))),
             traces: RefCell::new(Traces::default()),
-            metrics: Metrics::new(),
+            metrics,
             running: Default::default(),
             next_request: Default::default(),
             stop: self.stop,
--- a/crates/node/src/commands/serve.rs
+++ b/crates/node/src/commands/serve.rs
@@ -27,7 +27,10 @@
 fn start_log(log: &Log) {
     let filter =
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(log.level.to_string()));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(false)
+        .with_writer(std::io::stderr);
     match log.format {
         LogFormat::Json => builder.json().flatten_event(true).init(),
         LogFormat::Text => builder.init(),
--- a/crates/node/src/commands/status.rs
+++ b/crates/node/src/commands/status.rs
@@ -25,6 +25,11 @@
         println!("{}", serde_json::to_string_pretty(&known).map_err(|error| error.to_string())?);
     } else {
         known.iter().for_each(print);
+        let (members, _) = ask_members(&nodes).await;
+        if members.len() > known.len() {
+            println!();
+            print_members(&members);
+        }
     }
     Ok(exit(&failed))
 }
@@ -42,11 +47,7 @@
 pub(crate) async fn revisions(nodes: Vec<SocketAddr>) -> Result<Exit, String> {
     let (members, failed) = ask_members(&nodes).await;
     let newest = members.values().map(|member| member.revision).max().unwrap_or(0);
-    println!("{:<20} {:<16} {:<18} REVISION", "NODE", "INCARNATION", "READINESS");
-    for Member { node, incarnation, readiness, revision } in members.values() {
-        let readiness = readiness.map_or("unknown", readiness_text);
-        println!("{:<20} {incarnation:<16} {readiness:<18} {revision}", node.as_str());
-    }
+    print_members(&members);
     let in_force = members.values().filter(|member| member.revision == newest).count();
     let total = members.len() + failed.len();
     println!("revision {newest} is in force on {in_force} of {total} nodes");
@@ -124,6 +125,14 @@
     }
 }
 
+fn print_members(members: &BTreeMap<NodeName, Member>) {
+    println!("{:<20} {:<16} {:<18} REVISION", "NODE", "INCARNATION", "READINESS");
+    for Member { node, incarnation, readiness, revision } in members.values() {
+        let readiness = readiness.map_or("unknown", readiness_text);
+        println!("{:<20} {incarnation:<16} {readiness:<18} {revision}", node.as_str());
+    }
+}
+
 fn readiness_text(readiness: Readiness) -> &'static str {
     match readiness {
         Readiness::Ready => "ready",
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -81,6 +81,7 @@
                 None => Plan { route: self.find_route().await?, resume: false },
             };
             self.attempt += 1;
+            self.node.metrics.attempts.inc();
             let stages = plan.route.iter().map(|stage| stage.engine.clone()).collect();
             let (attempt, given) = (self.attempt, self.given.len() as u32);
             self.trace.record(Decision::Routed { attempt, stages, given });
--- a/crates/node/src/completion/attempt.rs
+++ b/crates/node/src/completion/attempt.rs
@@ -165,7 +165,13 @@
 
     fn violation(&self, text: String) -> Cause {
         self.node.metrics.layer_violations.inc();
-        tracing::error!(request = %self.request.caller.id, text, "token check failed");
+        let caller = &self.request.caller;
+        tracing::error!(
+            request = %caller.id,
+            organisation = %caller.organisation,
+            text,
+            "token check failed"
+        );
         Cause::new(text, Blamed::Stages)
     }
 
--- a/crates/node/src/completion/progress.rs
+++ b/crates/node/src/completion/progress.rs
@@ -74,8 +74,8 @@
     /// Counts a token in the metrics and in the mean interval.
     pub(super) fn observe_token(&mut self, now: Timestamp) {
         let caller = &self.request.caller;
-        let labels = [caller.organisation.as_str(), caller.class.into()];
         let metrics = &self.node.metrics;
+        let labels = [metrics.organisations.label(&caller.organisation), caller.class.into()];
         let progress = &mut self.progress;
         match progress.last_token {
             None => {
--- a/crates/node/src/completion/recover.rs
+++ b/crates/node/src/completion/recover.rs
@@ -75,6 +75,7 @@
         let Blame { avoid, suspects } = self.blame(route, cause.blamed).await;
         tracing::info!(
             request = %self.request.caller.id,
+            organisation = %self.request.caller.organisation,
             attempt = self.attempt,
             cause = cause.text,
             ?avoid,
--- a/crates/node/src/completion/transfer.rs
+++ b/crates/node/src/completion/transfer.rs
@@ -27,7 +27,13 @@
         let results = timeout(&*self.node.clock, TRANSFER_TIMEOUT, transfers).await;
         let results = results.unwrap_or_else(|_| vec![Err("the transfer timed out".into())]);
         if let Some(cause) = results.into_iter().find_map(Result::err) {
-            tracing::info!(request = %self.request.caller.id, cause, "KV cache was not moved");
+            let caller = &self.request.caller;
+            tracing::info!(
+                request = %caller.id,
+                organisation = %caller.organisation,
+                cause,
+                "KV cache was not moved"
+            );
             self.node.metrics.transfers_failed.inc();
             self.trace.record(Decision::TransferFailed { cause });
             return None;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod builder;
 mod completion;
 mod console;
+mod metered;
 mod metrics;
 mod peering;
 mod replicas;
@@ -21,5 +22,6 @@
 mod trace;
 
 pub use builder::{Connector, NodeBuilder};
+pub use metrics::{OrganisationLabels, metric_names};
 pub use run::run;
 pub use state::Node;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,11 +1,20 @@
+use std::{cell::RefCell, collections::BTreeSet};
+
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, core::Collector,
 };
 use strum::IntoStaticStr;
+use types::Organisation;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
     [0.002, 0.005, 0.01, 0.02, 0.034, 0.068, 0.1, 0.2, 0.34, 0.68, 1.0, 2.0, 5.0, 30.0];
+/// Organisations with label values of their own. Each one costs up to 32 series in each histogram
+/// and class, and a caller can invent names.
+const MAX_ORGANISATIONS: usize = 64;
+/// Label value of all further organisations.
+const OTHER_ORGANISATIONS: &str = "other";
 
 /// Why a stream was interrupted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
@@ -22,73 +31,98 @@
 /// Metrics of one node.
 pub(crate) struct Metrics {
     registry: Registry,
+    pub(crate) organisations: OrganisationLabels,
     pub(crate) requests: IntCounterVec,
+    pub(crate) refusals: IntCounterVec,
     pub(crate) first_token: HistogramVec,
     pub(crate) token_interval: HistogramVec,
+    pub(crate) attempts: IntCounter,
     pub(crate) attempts_failed: IntCounter,
     pub(crate) layer_violations: IntCounter,
     pub(crate) transfers_failed: IntCounter,
     pub(crate) stream_gap: HistogramVec,
+    pub(crate) claims: IntCounter,
+    pub(crate) replays: IntCounter,
+    pub(crate) keyvalue_calls: IntCounterVec,
     pub(crate) config_revision: IntGauge,
 }
 
+/// Names of all metrics, for the operators' page.
+pub fn metric_names() -> Vec<String> {
+    let mut names = Registrar::default();
+    Metrics::register(&mut names, 0.0);
+    names.names
+}
+
 impl Metrics {
-    pub(crate) fn new() -> Metrics {
-        let registry = Registry::new();
-        let requests = counter_vec(
-            &registry,
-            "gypsumrack_requests_total",
-            "Requests by class and verdict.",
-            &["class", "verdict"],
-        );
-        let first_token = histogram_vec(
-            &registry,
-            "gypsumrack_first_token_seconds",
-            "Time from arrival to the first token.",
-            &["organisation", "class"],
-        );
-        let token_interval = histogram_vec(
-            &registry,
-            "gypsumrack_token_interval_seconds",
-            "Time between two tokens.",
-            &["organisation", "class"],
-        );
-        let attempts_failed = counter(
-            &registry,
-            "gypsumrack_attempts_failed_total",
-            "Attempts that ended before the answer was whole.",
-        );
-        let layer_violations = counter(
-            &registry,
-            "gypsumrack_layer_violations_total",
-            "Tokens whose receipts did not prove that every layer ran once, in order.",
-        );
-        let transfers_failed = counter(
-            &registry,
-            "gypsumrack_transfers_failed_total",
-            "Streams whose KV cache could not be moved from a leaving engine.",
-        );
-        let stream_gap = histogram_vec(
-            &registry,
-            "gypsumrack_stream_gap_seconds",
-            "Time between the tokens before and after an interruption of a stream.",
-            &["cause"],
-        );
-        let config_revision = gauge(
-            &registry,
-            "gypsumrack_config_revision",
-            "Revision of the configuration in force.",
-        );
+    /// Creates the metrics of a node that started `started` seconds after the Unix epoch.
+    pub(crate) fn new(started: f64) -> Metrics {
+        Metrics::register(&mut Registrar::default(), started)
+    }
+
+    fn register(registrar: &mut Registrar, started: f64) -> Metrics {
+        let start_time = registrar.add(Gauge::new(
+            "process_start_time_seconds",
+            "Start of the process, in seconds since the Unix epoch.",
+        ));
+        start_time.set(started);
         Metrics {
-            registry,
-            requests,
-            first_token,
-            token_interval,
-            attempts_failed,
-            layer_violations,
-            transfers_failed,
-            stream_gap,
-            config_revision,
+            organisations: OrganisationLabels::default(),
+            requests: registrar.counter_vec(
+                "gypsumrack_requests_total",
+                "Requests by class and verdict.",
+                &["class", "verdict"],
+            ),
+            refusals: registrar.counter_vec(
+                "gypsumrack_refusals_total",
+                "Requests that were answered with not-run, by kind of failure.",
+                &["kind"],
+            ),
+            first_token: registrar.histogram_vec(
+                "gypsumrack_first_token_seconds",
+                "Time from arrival to the first token.",
+                &["organisation", "class"],
+            ),
+            token_interval: registrar.histogram_vec(
+                "gypsumrack_token_interval_seconds",
+                "Time between two tokens.",
+                &["organisation", "class"],
+            ),
+            attempts: registrar
+                .counter("gypsumrack_attempts_total", "Attempts to run a completion on a route."),
+            attempts_failed: registrar.counter(
+                "gypsumrack_attempts_failed_total",
+                "Attempts that ended before the answer was whole.",
+            ),
+            layer_violations: registrar.counter(
+                "gypsumrack_layer_violations_total",
+                "Tokens whose receipts did not prove that every layer ran once, in order.",
+            ),
+            transfers_failed: registrar.counter(
+                "gypsumrack_transfers_failed_total",
+                "Streams whose KV cache could not be moved from a leaving engine.",
+            ),
+            stream_gap: registrar.histogram_vec(
+                "gypsumrack_stream_gap_seconds",
+                "Time between the tokens before and after an interruption of a stream.",
+                &["cause"],
+            ),
+            claims: registrar
+                .counter("gypsumrack_claims_total", "Idempotency keys that this node claimed."),
+            replays: registrar.counter(
+                "gypsumrack_replays_total",
+                "Requests that got the answer of an earlier send.",
+            ),
+            keyvalue_calls: registrar.counter_vec(
+                "gypsumrack_keyvalue_calls_total",
+                "Calls of the key-value service by kind and outcome.",
+                &["call", "outcome"],
+            ),
+            config_revision: registrar.add(IntGauge::new(
+                "gypsumrack_config_revision",
+                "Revision of the configuration in force.",
+            )),
+            registry: registrar.registry.clone(),
         }
     }
 
@@ -99,27 +133,53 @@
     }
 }
 
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
-    let metric = IntCounter::new(name, help).expect("metric name is valid");
-    registry.register(Box::new(metric.clone())).expect("metric name is unique");
-    metric
+/// The bounded set of label values for organisations.
+#[derive(Default)]
+pub struct OrganisationLabels {
+    known: RefCell<BTreeSet<Organisation>>,
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let metric = IntGauge::new(name, help).expect("metric name is valid");
-    registry.register(Box::new(metric.clone())).expect("metric name is unique");
-    metric
+impl OrganisationLabels {
+    /// The label value of an organisation: its name for the first ones seen, then a common one.
+    pub fn label<'a>(&self, organisation: &'a Organisation) -> &'a str {
+        let mut known = self.known.borrow_mut();
+        if known.contains(organisation) {
+            return organisation.as_str();
+        }
+        if known.len() == MAX_ORGANISATIONS {
+            return OTHER_ORGANISATIONS;
+        }
+        known.insert(organisation.clone());
+        organisation.as_str()
+    }
 }
 
-fn counter_vec(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let metric = IntCounterVec::new(Opts::new(name, help), labels).expect("metric name is valid");
-    registry.register(Box::new(metric.clone())).expect("metric name is unique");
-    metric
+/// Registers metrics and remembers their names. A vector has no series before its first use, so
+/// the registry alone does not know all names.
+#[derive(Default)]
+struct Registrar {
+    registry: Registry,
+    names: Vec<String>,
 }
 
-fn histogram_vec(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
-    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-    let metric = HistogramVec::new(options, labels).expect("metric name is valid");
-    registry.register(Box::new(metric.clone())).expect("metric name is unique");
-    metric
+impl Registrar {
+    fn add<M: Collector + Clone + 'static>(&mut self, metric: prometheus::Result<M>) -> M {
+        let metric = metric.expect("metric name is valid");
+        self.names.extend(metric.desc().iter().map(|desc| desc.fq_name.clone()));
+        self.registry.register(Box::new(metric.clone())).expect("metric name is unique");
+        metric
+    }
+
+    fn counter(&mut self, name: &str, help: &str) -> IntCounter {
+        self.add(IntCounter::new(name, help))
+    }
+
+    fn counter_vec(&mut self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        self.add(IntCounterVec::new(Opts::new(name, help), labels))
+    }
+
+    fn histogram_vec(&mut self, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+        let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+        self.add(HistogramVec::new(options, labels))
+    }
 }
--- a/crates/node/src/service_call.rs
+++ b/crates/node/src/service_call.rs
@@ -61,18 +61,20 @@
             ClaimRequest { key, digest, deadline: self.deadline, first_send: request.first_send };
         match self.node.claims.admit(&wanted).await {
             Ok(Admission::Replay(answer)) => {
+                self.node.metrics.replays.inc();
                 self.trace.record(Decision::Replayed);
                 Ok(replayed(answer))
             }
             Ok(Admission::Run(claim)) => {
+                self.node.metrics.claims.inc();
                 self.trace.record(Decision::Claimed);
                 self.run_with(claim, &wanted.key).await
             }
             Err(failure) if failure.kind == FailureKind::OutcomeUnknown => {
                 let settled = self.look_up(&wanted.key).await;
-                settled
-                    .map(|answer| ServiceReply { replayed: true, ..reply(answer) })
-                    .ok_or(failure)
+                let answer = settled.ok_or(failure)?;
+                self.node.metrics.replays.inc();
+                Ok(ServiceReply { replayed: true, ..reply(answer) })
             }
             Err(failure) => Err(failure),
         }
@@ -138,7 +140,13 @@
             };
             let failed = Decision::CallFailed { upstream: name.clone(), cause: cause.clone() };
             self.trace.record(failed);
-            tracing::info!(request = %self.request.caller.id, upstream = %name, cause, "call failed");
+            tracing::info!(
+                request = %self.request.caller.id,
+                organisation = %self.request.caller.organisation,
+                upstream = %name,
+                cause,
+                "call failed"
+            );
             if verdict != Verdict::NotRun {
                 let message = format!("the call was sent, but it was not answered: {cause}");
                 return Err(Failure::new(FailureKind::Upstream, verdict, message));
--- a/crates/node/src/tasks/engine.rs
+++ b/crates/node/src/tasks/engine.rs
@@ -28,7 +28,7 @@
             match (load, view.engines.get_mut(&name)) {
                 (Ok(load), Some(state)) => state.record(report(load), now.since(start)),
                 (Err(error), Some(_)) => {
-                    tracing::debug!(engine = %name, %error, "load report cannot be read");
+                    tracing::debug!(upstream = %name, %error, "load report cannot be read");
                     view.unreachable(&name, now + UNREACHABLE_TIME);
                 }
                 (_, None) => return,
--- a/crates/node/src/tasks/vms.rs
+++ b/crates/node/src/tasks/vms.rs
@@ -52,7 +52,7 @@
         let leaving = vm.leaving || self.is_leaving(name);
         let known = self.view.borrow().engines.get(name).map(|state| state.addr);
         if known != Some(vm.addr) {
-            tracing::info!(engine = %name, addr = %vm.addr, "engine joined");
+            tracing::info!(upstream = %name, addr = %vm.addr, "engine joined");
             let client = self.connector.engine(vm.addr);
             let state = EngineState::new(vm.addr, vm.domain.clone());
             self.view.borrow_mut().engines.insert(name.clone(), state);
@@ -71,7 +71,7 @@
         match known.get_mut(name) {
             Some(replica) if replica.addr == vm.addr => replica.leaving = leaving,
             _ => {
-                tracing::info!(%service, replica = %name, addr = %vm.addr, "replica joined");
+                tracing::info!(%service, upstream = %name, addr = %vm.addr, "replica joined");
                 let client = self.connector.service(vm.addr);
                 let replica = Replica { client, addr: vm.addr, leaving, suspect_until: None };
                 known.insert(name.clone(), replica);
--- /dev/null
+++ b/crates/node/tests/operations_page.rs
@@ -0,0 +1,73 @@
+//! The operators' page names every setting and metric.
+
+use node::{OrganisationLabels, metric_names};
+use settings::schema::{Absent, FLEET, Kind, NODE, Setting};
+use types::Organisation;
+
+const PAGE: &str = include_str!("../../../docs/operations.md");
+
+/// One line for each setting, as the page has to show it.
+fn rows(settings: &[Setting], prefix: &str) -> Vec<String> {
+    let mut rows = Vec::new();
+    for setting in settings {
+        let path = format!("{prefix}{}", setting.key);
+        match setting.kind {
+            Kind::Table(inner) if setting.key == "set" => {
+                rows.extend(changeable(self::rows(inner, &format!("{path}."))));
+            }
+            Kind::Table(inner) => rows.extend(self::rows(inner, &format!("{path}."))),
+            Kind::Named(inner) => rows.extend(self::rows(inner, &format!("{path}.NAME."))),
+            Kind::List(inner, _) => rows.extend(self::rows(inner, &format!("{path}[]."))),
+            kind => {
+                let absent = match setting.absent {
+                    Absent::Required => "required".to_owned(),
+                    Absent::Empty => "none".to_owned(),
+                    Absent::Default(value) => format!("`{value}`"),
+                };
+                rows.push(format!("| `{path}` | {} | {absent} |", kind.expectation()));
+            }
+        }
+    }
+    rows
+}
+
+/// An exception changes only the values that it names.
+fn changeable(rows: Vec<String>) -> impl Iterator<Item = String> {
+    rows.into_iter().map(|row| {
+        let (start, _) = row.rsplit_once(" | ").unwrap();
+        format!("{start} | as in `defaults` |")
+    })
+}
+
+/// Guards against a page that lacks a setting or shows an old unit, bound or default.
+#[test]
+fn the_page_names_every_setting() {
+    let all = [rows(NODE, ""), rows(FLEET, "")].concat();
+    let missing: Vec<_> = all.iter().filter(|row| !PAGE.contains(*row)).collect();
+    assert!(missing.is_empty(), "docs/operations.md lacks these lines:\n{missing:#?}");
+}
+
+/// Guards against a metric that operators do not know about.
+#[test]
+fn the_page_names_every_metric() {
+    let names = metric_names();
+    assert!(names.len() > 10);
+    let missing: Vec<_> =
+        names.iter().filter(|name| !PAGE.contains(&format!("| `{name}`"))).collect();
+    assert!(missing.is_empty(), "docs/operations.md lacks {missing:?}");
+}
+
+/// Guards against callers that fill the memory of nodes and of the metrics store with invented
+/// names.
+#[test]
+fn label_values_of_organisations_are_bounded() {
+    let labels = OrganisationLabels::default();
+    let names: Vec<Organisation> =
+        (0..100).map(|number| format!("organisation-{number}").into()).collect();
+    for (number, name) in names.iter().enumerate() {
+        let expected = if number < 64 { name.as_str() } else { "other" };
+        assert_eq!(labels.label(name), expected);
+    }
+    assert_eq!(labels.label(&names[0]), names[0].as_str());
+    assert_eq!(labels.label(&names[99]), "other");
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -122,7 +122,7 @@
     /// Parses and checks a configuration in TOML.
     pub fn parse(text: &str) -> Result<FleetConfig, Faults> {
         let config: FleetConfig = walk::parse(text, schema::FLEET)?;
-        config.check_names()
+        config.check_rules()
     }
 
     /// Writes the configuration as TOML.
@@ -134,7 +134,7 @@
     /// Checks every value.
     pub fn check(self) -> Result<FleetConfig, Faults> {
         let config: FleetConfig = walk::decode(self.to_table()?, schema::FLEET)?;
-        config.check_names()
+        config.check_rules()
     }
 
     /// The configuration with another value of a default, which is written as in TOML. Quotes
@@ -149,9 +149,17 @@
         walk::decode(table, schema::FLEET)
     }
 
-    /// Checks that exceptions can be told apart by scope and name.
-    fn check_names(self) -> Result<FleetConfig, Faults> {
+    /// Checks the rules that concern several keys: a model has at most as many stages as layers,
+    /// and exceptions can be told apart by scope and name.
+    fn check_rules(self) -> Result<FleetConfig, Faults> {
         let mut faults = Faults::default();
+        for (name, model) in &self.models {
+            if let Some(stages) = model.stages.filter(|stages| *stages > model.layers) {
+                let problem =
+                    format!("must be at most {} stages, one for each layer", model.layers);
+                faults.add(format!("models.{name}.stages"), stages, problem);
+            }
+        }
         for (index, exception) in self.exceptions.iter().enumerate() {
             let same = |e: &Exception| e.scope == exception.scope && e.name == exception.name;
             if self.exceptions[..index].iter().any(same) {
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -94,6 +94,29 @@
     assert_eq!(keys, expected);
 }
 
+/// Guards against more stages than layers, which no order can fulfil, and against two exceptions
+/// that cannot be told apart.
+#[test]
+fn rules_that_concern_several_keys_are_checked() {
+    let text = r#"
+        [models.permits]
+        version = "1"
+        layers = 3
+        stages = 4
+        [[exceptions]]
+        scope = "model"
+        name = "permits"
+        reason = "trial"
+        [[exceptions]]
+        scope = "model"
+        name = "permits"
+        reason = "second trial"
+    "#;
+    let faults = FleetConfig::parse(text).unwrap_err();
+    let keys: Vec<_> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
+    assert_eq!(keys, ["models.permits.stages", "exceptions[1].name"]);
+}
+
 /// Guards against a schema that has drifted from the types: the defaults that the schema names
 /// have to be those that a file without the keys gets.
 #[test]
