Log the cause of a failed request under a name of its own

Cause: the event "request failed" had a field named message, so its JSON line had the key twice. "Nothing to change" claimed more than a read can show, because a read may be stale.

Change: the field is named cause. The command says that nothing was written for the revision as read.

Conclusion: log stores can index the lines.

--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -51,7 +51,8 @@
         /// What it changed.
         differences: Vec<Difference>,
     },
-    /// The configuration already is as asked for; nothing was written.
+    /// The configuration, as it was read, already is as asked for; nothing was written, so a stale
+    /// read was not noticed.
     Unchanged {
         /// Revision of the configuration.
         revision: u64,
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -137,7 +137,7 @@
             organisation = %caller.organisation,
             kind = %failure.kind,
             %verdict,
-            message = failure.message,
+            cause = failure.message,
             "request failed"
         );
         let (kind, message) = (failure.kind, failure.message.clone());
--- a/crates/node/src/commands/config.rs
+++ b/crates/node/src/commands/config.rs
@@ -143,7 +143,7 @@
             Exit::Success
         }
         Outcome::Unchanged { revision } => {
-            println!("nothing to change: revision {revision} is as asked for");
+            println!("nothing written: revision {revision}, as read, already is as asked for");
             Exit::Success
         }
         Outcome::Lost { revision, author, differences } => {
--- a/crates/node/tests/command_line.rs
+++ b/crates/node/tests/command_line.rs
@@ -88,6 +88,7 @@
     assert_eq!(with(&["drain", "permits-0", "--reason", "cleaning"]).0, 0);
     assert!(run(&["config", "show", "--keyvalue", &addr]).1.contains("reason = \"cleaning\""));
     assert_eq!(with(&["drain", "permits-0", "--undo"]).0, 0);
+    edit_twice(&addr, &with);
     control(store, &KeyValueFaults { lose_answers: 1, ..KeyValueFaults::default() });
     assert_eq!(with(&["config", "set", "weight", "2"]).0, 0);
     control(store, &KeyValueFaults { lose_writes: 100, ..KeyValueFaults::default() });
@@ -97,6 +98,20 @@
     assert_eq!(with(&["config", "set", "weight", "4"]).0, 1);
     control(store, &KeyValueFaults::default());
     let (_, history) = run(&["config", "history", "--keyvalue", &addr]);
-    assert!(history.contains("revision 4 by maria"), "{history}");
-    assert!(!history.contains("revision 5"), "{history}");
+    assert!(history.contains("revision 5 by maria"), "{history}");
+    assert!(!history.contains("revision 6"), "{history}");
+}
+
+/// Guards against an edited file that overwrites changes made since it was printed.
+fn edit_twice(store: &str, with: &dyn Fn(&[&str]) -> (i32, String)) {
+    let name = format!("gypsumrack-edit-{}.toml", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    let text = run(&["config", "show", "--keyvalue", store]).1;
+    std::fs::write(&file, text.replace("queue_depth = 256", "queue_depth = 64")).unwrap();
+    let edit = ["config", "edit", file.to_str().unwrap()];
+    assert_eq!(with(&edit).0, 0);
+    let (code, text) = with(&edit);
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(code, 1);
+    assert!(text.contains("edited from revision 3, but revision 4 by maria"), "{text}");
 }
