Bound every wait of connections and refuse requests while draining

Cause: a stopping server stopped to accept, so new requests got a closed connection in place of a refusal; requests that outlived the drain deadline were cut without an event; a caller that never reads and a peer that sends a few bytes at a time could hold a connection for good; a call that its caller gave up left the other idle connections of a silent peer in use; a silent watch was found after 10.5 s, close to the 11 s in which a configuration has to be in force.

--- a/crates/keyvalue/src/client.rs
+++ b/crates/keyvalue/src/client.rs
@@ -10,8 +10,9 @@
     api::{Call, Entry, Expected, PATH, PutReply, Reply},
 };
 
-/// Longest wait of one watch call. A connection that fell silent is found this late.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait of one watch call. A connection that fell silent is found this late, which has to
+/// leave time for a change to be in force everywhere within 11 s.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 
 /// The key-value service, reached over HTTP.
 pub struct HttpKeyValue {
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -1,8 +1,11 @@
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use callers::{Backend, Caller, Completion, ServiceReply, ServiceRequest, Summary, TokenSink};
 use clock::Timestamp;
-use futures_util::{FutureExt, future::LocalBoxFuture};
+use futures_util::{
+    FutureExt,
+    future::{Either, LocalBoxFuture, select},
+};
 use operators::api::Decision;
 use settings::Policy;
 use types::{Failure, FailureKind, RequestId, Verdict};
@@ -36,6 +39,7 @@
         self: Rc<Self>,
         request: ServiceRequest,
     ) -> LocalBoxFuture<'static, Result<ServiceReply, Failure>> {
+        let cut = self.cut.clone();
         // The call goes on when its caller goes away, so that its claim ends with the outcome.
         let task = compio::runtime::spawn(async move {
             let _running = self.count_running();
@@ -46,7 +50,18 @@
             self.conclude(&caller, &trace, verdict, result.as_ref().err());
             result
         });
-        DetachOnDrop { task: Some(task) }.join().boxed_local()
+        let cut = cut.raised();
+        async move {
+            let joined = pin!(DetachOnDrop { task: Some(task) }.join());
+            match select(joined, pin!(cut)).await {
+                Either::Left((outcome, _)) => outcome,
+                Either::Right(_) => {
+                    let message = "the node shut down before the call was answered";
+                    Err(Failure::new(FailureKind::Draining, Verdict::MayHaveRun, message))
+                }
+            }
+        }
+        .boxed_local()
     }
 
     fn is_accepting(&self) -> bool {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -9,10 +9,14 @@
 
 use crate::{Node, NodeBuilder};
 
+/// Time in which the answers of requests that were cut at the drain deadline are written.
+const CUT_GRACE: Duration = Duration::from_secs(1);
+
 /// Runs a node until it was told to stop and its requests have ended.
 pub async fn run(clock: Rc<dyn Clock>, settings: NodeSettings) -> io::Result<()> {
     let stop = Stop::new();
-    let drain = Duration::from_millis(settings.drain_ms);
+    // Requests that are cut at the drain deadline get time for their last event.
+    let drain = Duration::from_millis(settings.drain_ms) + CUT_GRACE;
     let listen = settings.listen.clone();
     let callers = Server::bind(clock.clone(), listen.callers, stop.clone()).await?.drain(drain);
     // Operators can watch a node until its last request has ended.
@@ -25,7 +29,7 @@
     compio::runtime::spawn(stop_on_signal(stop)).detach();
     let serving = async {
         callers.run(Rc::new(FrontEnd::new(node.clone()))).await;
-        node.finish_running(drain).await;
+        node.finish_running(CUT_GRACE).await;
         ended.raise();
     };
     join(serving, operators.run(Rc::new(ConsoleServer::new(node.clone())))).await;
@@ -43,6 +47,14 @@
     stop.raise();
 }
 
+/// Ends the requests that still run at the drain deadline.
+pub(crate) async fn cut_at_deadline(node: Rc<Node>) {
+    node.stop.raised().await;
+    node.clock.sleep(Duration::from_millis(node.settings.drain_ms)).await;
+    tracing::info!(running = node.running.get(), "drain deadline has passed");
+    node.cut.raise();
+}
+
 impl Node {
     /// Waits until calls that go on without their caller have ended, at most for `limit`.
     async fn finish_running(&self, limit: Duration) {
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -7,12 +7,13 @@
 
 use std::rc::Rc;
 
-use crate::Node;
+use crate::{Node, run::cut_at_deadline};
 
 impl Node {
     /// Starts the tasks that follow the platform and the upstreams.
     pub fn start_tasks(self: Rc<Self>) {
         compio::runtime::spawn(config::watch_config(self.clone())).detach();
+        compio::runtime::spawn(cut_at_deadline(self.clone())).detach();
         compio::runtime::spawn(vms::poll_vms(self.clone())).detach();
         compio::runtime::spawn(orders::give_orders(self)).detach();
     }
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -11,7 +11,7 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{Body, CallError, connect};
+use crate::{Body, CallError, connect, write_limit::WriteLimit};
 
 /// Connections kept open to one peer while they are not in use.
 const MAX_IDLE: usize = 32;
@@ -27,7 +27,8 @@
 pub struct Timeouts {
     /// Time to open a connection.
     pub connect: Duration,
-    /// Time from the request to the head of the response, and between parts of its body.
+    /// Time from the request to the head of the response, and from there to the end of its body
+    /// or, in a stream, between two events.
     pub progress: Duration,
 }
 
@@ -162,7 +163,8 @@
 
     async fn open(&self, limit: Duration) -> Result<SendRequest<Body>, CallError> {
         let stream = connect(&*self.clock, self.addr, limit).await?;
-        let handshake = http1::handshake(HyperStream::new_plain(stream));
+        let handshake =
+            http1::handshake(WriteLimit::new(self.clock.clone(), HyperStream::new_plain(stream)));
         let (sender, connection) = timeout(&*self.clock, limit, handshake)
             .await
             .map_err(|_| CallError::ConnectTimeout)?
@@ -182,7 +184,9 @@
         request: Request<Body>,
         timeouts: Timeouts,
     ) -> Result<ResponseStream, Dispatch> {
+        let mut waiting = Waiting { pool: &self.pool, answered: false };
         let head = timeout(&*self.clock, timeouts.progress, sender.try_send_request(request)).await;
+        waiting.answered = head.is_ok();
         match head {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
@@ -199,10 +203,7 @@
                 Some(unsent) => Err(Dispatch::Unsent(Box::new(unsent))),
                 None => Err(Dispatch::Failed(CallError::Broken(describe(&error.into_error())))),
             },
-            Err(_) => {
-                self.close_idle();
-                Err(Dispatch::Failed(CallError::Timeout))
-            }
+            Err(_) => Err(Dispatch::Failed(CallError::Timeout)),
         }
     }
 
@@ -219,6 +220,21 @@
     }
 }
 
+/// A request that waits for the head of its answer. If the wait ends without one, even because
+/// the caller's own deadline dropped it, the idle connections may be as silent as this one.
+struct Waiting<'a> {
+    pool: &'a Pool,
+    answered: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.pool.idle.borrow_mut().clear();
+        }
+    }
+}
+
 enum Dispatch {
     Unsent(Box<Request<Body>>),
     Failed(CallError),
@@ -267,10 +283,26 @@
         }
     }
 
-    /// Reads the whole body, at most `bound` bytes.
+    /// Waits until `deadline` for the next part of the body.
+    pub(crate) async fn chunk_until(
+        &mut self,
+        deadline: Timestamp,
+    ) -> Result<Option<Bytes>, CallError> {
+        let left = deadline.since(self.clock.now());
+        self.chunk(left).await
+    }
+
+    /// The time `limit` from now.
+    pub(crate) fn deadline(&self, limit: Duration) -> Timestamp {
+        self.clock.now() + limit
+    }
+
+    /// Reads the whole body, at most `bound` bytes, within `limit`. Each chunk counts against the
+    /// same limit, so that a peer that sends a few bytes at a time cannot extend it.
     pub async fn collect(mut self, bound: usize, limit: Duration) -> Result<Bytes, CallError> {
+        let deadline = self.deadline(limit);
         let mut whole = BytesMut::new();
-        while let Some(chunk) = self.chunk(limit).await? {
+        while let Some(chunk) = self.chunk_until(deadline).await? {
             whole.extend_from_slice(&chunk);
             if whole.len() > bound {
                 return Err(CallError::Malformed("body exceeds its bound".into()));
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,7 @@
 mod server;
 mod sse;
 mod stop;
+mod write_limit;
 
 pub use body::{Body, BodyWriter};
 pub use client::{HttpClient, ResponseStream, Timeouts};
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use clock::{Clock, timeout};
@@ -11,12 +11,15 @@
 use serde::{Serialize, de::DeserializeOwned};
 use types::{MAX_BODY_BYTES, MAX_HEADERS};
 
-use crate::{Body, Stop};
+use crate::{Body, Stop, write_limit::WriteLimit};
 
 /// Time a client has for the head of a request. It bounds what an idle connection costs.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time a client has for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after the stop signal in which a server still answers new requests, so that a request that
+/// was under way gets a refusal in place of a closed connection.
+const REFUSE_TIME: Duration = Duration::from_millis(500);
 /// Interval at which a stopping server looks whether its connections have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Pause after a failed `accept`, for example when the process has no free descriptors.
@@ -91,31 +94,37 @@
         self.listener.local_addr()
     }
 
-    /// Accepts connections until the stop signal, then waits for the open ones to end. A stopping
-    /// server closes each connection after the answer it is sending.
+    /// Accepts connections until the stop signal and the end of the open ones, which is waited for
+    /// up to the drain limit. A stopping server goes on to accept connections, so that new requests
+    /// are refused by the handler, and closes each connection after the answer it is sending.
     pub async fn run<H: Handler + 'static>(self, handler: Rc<H>) {
         let open = Rc::new(Cell::new(0_usize));
         let closing = Stop::new();
+        let accepting = pin!(self.accept_all(handler, open.clone(), closing.clone()));
+        let drained = pin!(self.drained(open));
+        select(accepting, drained).await;
+        closing.raise();
+    }
+
+    async fn accept_all<H: Handler + 'static>(
+        &self,
+        handler: Rc<H>,
+        open: Rc<Cell<usize>>,
+        closing: Stop,
+    ) {
         let mut accepted_count = 0;
         loop {
-            let accept = std::pin::pin!(self.listener.accept());
-            let stopped = std::pin::pin!(self.stop.raised());
-            let accepted = match select(accept, stopped).await {
-                Either::Left((accepted, _)) => accepted,
-                Either::Right(_) => break,
-            };
-            match accepted {
+            match self.listener.accept().await {
                 Ok((stream, _)) => {
                     let guard = OpenGuard::new(open.clone());
                     accepted_count += 1;
                     let id = ConnectionId(accepted_count);
                     let (clock, handler) = (self.clock.clone(), handler.clone());
-                    let (stop, closing) = (self.stop.clone(), closing.clone());
+                    let (stop, cut) = (self.stop.clone(), closing.raised());
                     compio::runtime::spawn(async move {
                         let _guard = guard;
                         let serving = serve_connection(clock, stream, id, handler, stop);
-                        let cut = closing.raised();
-                        select(std::pin::pin!(serving), std::pin::pin!(cut)).await;
+                        select(pin!(serving), pin!(cut)).await;
                     })
                     .detach();
                 }
@@ -125,11 +134,16 @@
                 }
             }
         }
-        let deadline = self.clock.now() + self.drain;
-        while open.get() > 0 && self.clock.now() < deadline {
+    }
+
+    /// Completes after the stop signal, when no connection is open or the drain limit has passed.
+    async fn drained(&self, open: Rc<Cell<usize>>) {
+        self.stop.raised().await;
+        let started = self.clock.now();
+        self.clock.sleep(REFUSE_TIME.min(self.drain)).await;
+        while open.get() > 0 && self.clock.now().since(started) < self.drain {
             self.clock.sleep(DRAIN_POLL).await;
         }
-        closing.raise();
     }
 }
 
@@ -144,6 +158,8 @@
         tracing::debug!(%error, "connection closed before it was served");
         return;
     }
+    let pause_clock = clock.clone();
+    let io = WriteLimit::new(clock.clone(), HyperStream::new_plain(stream));
     let service = service_fn(move |request: Request<Incoming>| {
         let (clock, handler) = (clock.clone(), handler.clone());
         async move {
@@ -152,15 +168,19 @@
             Ok::<_, Infallible>(handler.handle(request).await)
         }
     });
-    let mut connection = std::pin::pin!(
+    let mut connection = pin!(
         http1::Builder::new()
             .timer(CompioTimer)
             .header_read_timeout(HEAD_TIMEOUT)
             .max_headers(MAX_HEADERS)
-            .serve_connection(HyperStream::new_plain(stream), service)
+            .keep_alive(!stop.is_raised())
+            .serve_connection(io, service)
     );
-    let stopped = std::pin::pin!(stop.raised());
-    let result = match select(connection.as_mut(), stopped).await {
+    let refused = async {
+        stop.raised().await;
+        pause_clock.sleep(REFUSE_TIME).await;
+    };
+    let result = match select(connection.as_mut(), pin!(refused)).await {
         Either::Left((result, _)) => result,
         Either::Right(_) => {
             connection.as_mut().graceful_shutdown();
--- a/crates/transport/src/sse.rs
+++ b/crates/transport/src/sse.rs
@@ -29,8 +29,10 @@
         EventReader { response, buffer: BytesMut::new() }
     }
 
-    /// Waits at most `limit` for the data of the next event; `None` is the end of the stream.
+    /// Waits at most `limit` for the data of the next event; `None` is the end of the stream. Parts
+    /// of an event do not extend the limit.
     pub async fn next(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
+        let deadline = self.response.deadline(limit);
         loop {
             if let Some(event) = self.take_event() {
                 return Ok(Some(event));
@@ -38,7 +40,7 @@
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(CallError::Malformed("event exceeds its bound".into()));
             }
-            match self.response.chunk(limit).await? {
+            match self.response.chunk_until(deadline).await? {
                 Some(chunk) => self.buffer.extend_from_slice(&chunk),
                 None if self.buffer.is_empty() => return Ok(None),
                 None => return Err(CallError::Broken("stream ended inside an event".into())),
