Send cancel calls from one task and test recovery on a clock that stands still

Cause: a guard that spawned its cancel calls made the runtime panic when it was dropped with the runtime (assertion in compio-executor while it clears its tasks), which would have changed the exit code of a node.

Change: guards queue cancel calls for one task of the node. Tests of the order and timing of decisions use fakes for engines, the key-value service and the list of VMs. The engine double can stall while its load report answers, and refuse KV calls.

--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -3,6 +3,7 @@
 use claims::{Claims, HolderQuery};
 use clock::Clock;
 use engines::{Engine, HttpEngine};
+use futures_channel::mpsc;
 use keyvalue::{HttpKeyValue, KeyValue};
 use services::{HttpService, Service};
 use settings::{NodeSettings, RouteKind};
@@ -119,6 +120,7 @@
         let claims =
             Claims::new(store.clone(), self.clock.clone(), self.holders, holder, CLAIM_WAIT);
         let kind = RouteKind::default();
+        let (cancels, cancel_orders) = mpsc::unbounded();
         Rc::new(Node {
             clock: self.clock,
             settings: self.settings,
@@ -138,6 +140,8 @@
             running: Default::default(),
             next_request: Default::default(),
             stop: self.stop,
+            cancels,
+            cancel_orders: RefCell::new(Some(cancel_orders)),
             cut: Stop::new(),
         })
     }
--- a/crates/node/src/completion/attempt.rs
+++ b/crates/node/src/completion/attempt.rs
@@ -7,11 +7,11 @@
     api::{Cancel, Generate, Token},
 };
 use transport::CallError;
-use types::Stage;
+use types::{Stage, UpstreamName};
 
 use super::{
     CompletionRun, Plan,
-    guard::{AttemptGuard, send_cancel},
+    guard::AttemptGuard,
     limits,
     recover::{Blamed, Cause},
 };
@@ -48,8 +48,8 @@
             ));
         };
         self.progress.start_attempt(self.node.clock.now());
-        let outcome = match self.open(plan, engine.clone()).await {
-            Ok(stream) => self.forward(plan, engine, stream, sink).await,
+        let outcome = match self.open(plan, engine).await {
+            Ok(stream) => self.forward(plan, stream, sink).await,
             Err(outcome) => outcome,
         };
         if matches!(outcome, Outcome::Whole | Outcome::Paused) {
@@ -90,7 +90,6 @@
     async fn forward(
         &mut self,
         plan: &Plan,
-        engine: Rc<dyn Engine>,
         mut stream: TokenStream,
         sink: &mut dyn TokenSink,
     ) -> Outcome {
@@ -128,7 +127,7 @@
                 return Outcome::Failed(Cause::new(cause, Blamed::Nobody));
             }
             if pause_until.is_none() && self.has_to_move(&plan.route) {
-                self.request_pause(engine.clone());
+                self.request_pause(&plan.route[0].engine);
                 pause_until = Some(now + PAUSE_LIMIT.max(self.progress.interval * 4));
             }
             limit = self.progress_limit(&plan.route);
@@ -186,9 +185,10 @@
         view.replace_leaving(route, &self.route_request(), self.node.clock.now()).is_some()
     }
 
-    fn request_pause(&self, engine: Rc<dyn Engine>) {
+    fn request_pause(&self, head: &UpstreamName) {
         let session = self.progress.session.clone();
-        send_cancel(engine, Cancel { session, attempt: self.attempt, at_step_end: true });
+        let cancel = Cancel { session, attempt: self.attempt, at_step_end: true };
+        self.node.cancel(head, cancel);
     }
 
     fn first_limit(&self, plan: &Plan) -> Duration {
--- a/crates/node/src/completion/guard.rs
+++ b/crates/node/src/completion/guard.rs
@@ -1,15 +1,10 @@
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc};
 
-use clock::timeout;
-use engines::{Engine, api::Cancel};
+use engines::api::Cancel;
 use types::Stage;
 
 use crate::state::Node;
 
-/// Time after which a cancel call is given up. The engine then learns of the end from the closed
-/// stream or from a newer attempt.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Counts a running attempt in the load view and cancels it at its engines when it is dropped
 /// before its end.
 pub(super) struct AttemptGuard {
@@ -39,14 +34,8 @@
     /// Tells every stage, because the first one may not be able to tell the others any more.
     fn cancel(&self) {
         for stage in self.route.iter() {
-            let Some(engine) = self.node.engine(&stage.engine) else { continue };
             let (session, attempt) = (self.session.clone(), self.attempt);
-            let clock = self.node.clock.clone();
-            let cancel = Cancel { session, attempt, at_step_end: false };
-            spawn(async move {
-                // Nothing depends on the outcome.
-                let _ = timeout(&*clock, CANCEL_TIMEOUT, engine.cancel(cancel)).await;
-            });
+            self.node.cancel(&stage.engine, Cancel { session, attempt, at_step_end: false });
         }
     }
 }
@@ -59,21 +48,3 @@
         }
     }
 }
-
-/// Sends a cancel call without waiting for its answer.
-pub(super) fn send_cancel(engine: Rc<dyn Engine>, cancel: Cancel) {
-    spawn(async move {
-        if let Err(error) = engine.cancel(cancel).await {
-            tracing::debug!(%error, "cancel call failed");
-        }
-    });
-}
-
-/// Spawns a task. A guard that is dropped with the runtime has nowhere to spawn one.
-fn spawn(task: impl Future<Output = ()> + 'static) {
-    let spawned =
-        compio::runtime::Runtime::try_with_current(|runtime| runtime.spawn(task).detach());
-    if spawned.is_err() {
-        tracing::debug!("attempt was not cancelled because the process is ending");
-    }
-}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,8 +6,9 @@
 
 use claims::Claims;
 use clock::Clock;
-use engines::Engine;
+use engines::{Engine, api::Cancel};
 use fleet::ConfigState;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender};
 use keyvalue::KeyValue;
 use routing::{Estimate, LeastOutstanding, LoadView, RoundRobin, RoutePolicy};
 use settings::{FleetConfig, NodeSettings, RouteKind};
@@ -16,7 +17,9 @@
 use vms::VmList;
 use weights::WeightStore;
 
-use crate::{builder::Connector, metrics::Metrics, replicas::Replicas, trace::Traces};
+use crate::{
+    builder::Connector, metrics::Metrics, replicas::Replicas, tasks::CancelOrder, trace::Traces,
+};
 
 /// One node of the router. All its tasks share it; they run on one thread.
 pub struct Node {
@@ -39,6 +42,10 @@
     pub(crate) running: Cell<u32>,
     pub(crate) next_request: Cell<u64>,
     pub(crate) stop: Stop,
+    /// Queue of the cancel calls.
+    pub(crate) cancels: UnboundedSender<CancelOrder>,
+    /// Other end of the queue, until the task that reads it is started.
+    pub(crate) cancel_orders: RefCell<Option<UnboundedReceiver<CancelOrder>>>,
     /// Raised at the drain deadline: requests that still run end with an error.
     pub(crate) cut: Stop,
 }
@@ -74,6 +81,13 @@
         choose(&mut *policy.1)
     }
 
+    /// Queues a cancel call for an engine, if it is still in the fleet.
+    pub(crate) fn cancel(&self, engine: &UpstreamName, cancel: Cancel) {
+        let Some(engine) = self.engine(engine) else { return };
+        // The queue has no reader only while the node is being assembled or torn down.
+        let _ = self.cancels.unbounded_send(CancelOrder { engine, cancel });
+    }
+
     /// Counts a running request until the guard is dropped.
     pub(crate) fn count_running(self: &Rc<Self>) -> RunningGuard {
         self.running.set(self.running.get() + 1);
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -1,5 +1,6 @@
 //! The tasks that talk to the platform and the engines.
 
+mod cancel;
 mod config;
 mod engine;
 mod orders;
@@ -7,12 +8,17 @@
 
 use std::rc::Rc;
 
+pub(crate) use cancel::CancelOrder;
+
 use crate::{Node, run::cut_at_deadline};
 
 impl Node {
     /// Starts the tasks that follow the platform and the upstreams.
     pub fn start_tasks(self: Rc<Self>) {
         compio::runtime::spawn(config::watch_config(self.clone())).detach();
+        if let Some(orders) = self.cancel_orders.take() {
+            compio::runtime::spawn(cancel::send_cancels(self.clock.clone(), orders)).detach();
+        }
         compio::runtime::spawn(cut_at_deadline(self.clone())).detach();
         compio::runtime::spawn(vms::poll_vms(self.clone())).detach();
         compio::runtime::spawn(orders::give_orders(self)).detach();
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,410 @@
+//! Fakes of a node's peers, whose answers a test gives by hand under a clock that stands still.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use callers::{Backend, Caller, Completion, Summary, TokenSink};
+use clock::{Clock, ManualClock, timeout};
+use engines::{
+    Engine, EventSource, ReceiptCheck, TokenStream,
+    api::{CacheEvents, Cancel, Event, Generate, KvCache, Load, Order, OrderReply, Receipt, Token},
+};
+use futures_channel::mpsc;
+use futures_util::{
+    FutureExt, StreamExt,
+    future::{LocalBoxFuture, pending, poll_fn},
+};
+use keyvalue::{
+    KeyValue, KvError,
+    api::{Entry, Expected, PutReply},
+};
+use node::{Connector, Node, NodeBuilder};
+use services::Service;
+use settings::{FleetConfig, ModelConfig, NodeSettings};
+use transport::{CallError, Stop};
+use types::{Class, Failure, LayerRange, UpstreamName};
+use vms::{
+    VmList,
+    api::{Vm, VmRole, VmSnapshot},
+};
+
+/// Positions of the prompt of every request.
+pub const PROMPT: u32 = 3;
+/// Layers of each of the model's two ranges.
+const RANGE: u32 = 4;
+
+/// A stream that an engine was asked for.
+#[derive(Clone)]
+pub struct Started {
+    pub request: Generate,
+    pub events: mpsc::UnboundedSender<Event>,
+}
+
+/// All engines of the fleet and the calls that they got.
+#[derive(Default)]
+pub struct Fleet {
+    pub started: RefCell<Vec<Started>>,
+    pub cancels: RefCell<Vec<(UpstreamName, Cancel)>>,
+    pub exports: RefCell<Vec<UpstreamName>>,
+    pub imports: RefCell<Vec<(UpstreamName, KvCache)>>,
+    pub silent: RefCell<Vec<UpstreamName>>,
+    pub leaving: RefCell<Vec<UpstreamName>>,
+    pub refuse_import: Cell<bool>,
+}
+
+/// A node with fakes for its peers.
+pub struct Bench {
+    pub clock: ManualClock,
+    pub fleet: Rc<Fleet>,
+    pub node: Rc<Node>,
+    pub stop: Stop,
+}
+
+/// A completion that runs in its own task.
+pub struct Running {
+    pub text: Rc<RefCell<String>>,
+    pub result: Rc<RefCell<Option<Result<Summary, Failure>>>>,
+}
+
+/// Runs a test on a runtime with a node that knows two replicas `a0`, `a1`, `b0`, `b1` of each
+/// layer range.
+pub fn with_bench<F: Future<Output = ()>>(test: impl FnOnce(Bench) -> F) {
+    let runtime = compio::runtime::Runtime::new().expect("runtime can be created");
+    runtime.block_on(async {
+        let clock = ManualClock::new();
+        let fleet = Rc::new(Fleet::default());
+        let stop = Stop::new();
+        let peers = Rc::new(Peers { clock: clock.clone(), fleet: fleet.clone() });
+        let node = NodeBuilder::new(Rc::new(clock.clone()), node_settings())
+            .store(peers.clone())
+            .vm_list(peers.clone())
+            .connector(peers)
+            .stop(stop.clone())
+            .build();
+        node.clone().start_tasks();
+        let bench = Bench { clock, fleet, node, stop };
+        bench.settle().await;
+        test(bench).await;
+    });
+}
+
+impl Bench {
+    /// Lets all tasks run until they wait for the clock or a peer.
+    pub async fn settle(&self) {
+        for _ in 0..100 {
+            let mut yielded = false;
+            poll_fn(|context| {
+                if std::mem::replace(&mut yielded, true) {
+                    return std::task::Poll::Ready(());
+                }
+                context.waker().wake_by_ref();
+                std::task::Poll::Pending
+            })
+            .await;
+        }
+    }
+
+    /// Advances the clock in small steps.
+    pub async fn advance(&self, millis: u64) {
+        for _ in 0..millis.div_ceil(5) {
+            self.clock.advance(Duration::from_millis(5));
+            self.settle().await;
+        }
+    }
+
+    /// Starts a completion of `max_tokens` tokens.
+    pub async fn complete(&self, max_tokens: u32) -> Running {
+        let caller = Caller {
+            id: "same".into(),
+            organisation: "o".into(),
+            class: Class::Interactive,
+            deadline: Some(Duration::from_secs(20)),
+        };
+        let prompt = "one two three".into();
+        let request = Completion { caller, model: "m".into(), prompt, max_tokens };
+        let running = Running { text: Rc::default(), result: Rc::default() };
+        let sink = Box::new(Sink { text: running.text.clone() });
+        let (node, result) = (self.node.clone(), running.result.clone());
+        compio::runtime::spawn(async move {
+            let ended = node.complete(request, sink).await;
+            *result.borrow_mut() = Some(ended);
+        })
+        .detach();
+        self.settle().await;
+        running
+    }
+
+    /// The newest stream.
+    pub fn newest(&self) -> Started {
+        self.fleet.started.borrow().last().cloned().expect("a stream was started")
+    }
+
+    /// Number of streams that were started.
+    pub fn count(&self) -> usize {
+        self.fleet.started.borrow().len()
+    }
+
+    /// Sends the tokens `range` on a stream and lets them arrive.
+    pub async fn send(&self, stream: &Started, range: std::ops::Range<u32>) {
+        for index in range {
+            stream.send(Event::Token(token(&stream.request, index)));
+            self.advance(5).await;
+        }
+    }
+}
+
+impl Started {
+    /// Sends an event; the node may have closed the stream.
+    pub fn send(&self, event: Event) {
+        let _ = self.events.unbounded_send(event);
+    }
+
+    /// Names of the engines of the route.
+    pub fn stages(&self) -> Vec<UpstreamName> {
+        self.request.route.iter().map(|stage| stage.engine.clone()).collect()
+    }
+}
+
+/// The token with an index as a correct run of an attempt generates it.
+pub fn token(request: &Generate, index: u32) -> Token {
+    let end = PROMPT + index;
+    let whole = index == request.given.len() as u32 && !request.resume;
+    let first = if whole { 0 } else { end - 1 };
+    let receipts = request.route.iter().map(|stage| Receipt {
+        engine: stage.engine.clone(),
+        version: request.version.clone(),
+        layers: stage.layers,
+        attempt: request.attempt,
+        first,
+        end,
+    });
+    Token {
+        session: request.session.clone(),
+        attempt: request.attempt,
+        index,
+        id: index,
+        text: format!("{index} "),
+        receipts: receipts.collect(),
+    }
+}
+
+/// The text of the first `count` tokens.
+pub fn text(count: u32) -> String {
+    (0..count).map(|index| format!("{index} ")).collect()
+}
+
+struct Sink {
+    text: Rc<RefCell<String>>,
+}
+
+impl TokenSink for Sink {
+    fn token(&mut self, text: String) -> LocalBoxFuture<'_, bool> {
+        self.text.borrow_mut().push_str(&text);
+        std::future::ready(true).boxed_local()
+    }
+}
+
+struct Peers {
+    clock: ManualClock,
+    fleet: Rc<Fleet>,
+}
+
+struct FakeEngine {
+    name: UpstreamName,
+    clock: ManualClock,
+    fleet: Rc<Fleet>,
+}
+
+struct Events {
+    clock: ManualClock,
+    events: mpsc::UnboundedReceiver<Event>,
+}
+
+const NAMES: [&str; 4] = ["a0", "a1", "b0", "b1"];
+
+fn addr(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1 + number as u16))
+}
+
+fn node_settings() -> NodeSettings {
+    let text = "name = 'n'\ndomain = 'd'\nregion = 'r'\ndrain_ms = 2000\n\
+        [listen]\ncallers = '127.0.0.1:0'\noperators = '127.0.0.1:0'\npeers = '127.0.0.1:0'\n\
+        [platform]\nkeyvalue = '127.0.0.1:1'\nvms = '127.0.0.1:1'\nweights = '127.0.0.1:1'\n";
+    NodeSettings::parse(text).expect("settings are valid")
+}
+
+impl Connector for Peers {
+    fn engine(&self, wanted: SocketAddr) -> Rc<dyn Engine> {
+        let name = NAMES[usize::from(wanted.port()) - 1].into();
+        Rc::new(FakeEngine { name, clock: self.clock.clone(), fleet: self.fleet.clone() })
+    }
+
+    fn service(&self, _: SocketAddr) -> Rc<dyn Service> {
+        unreachable!("there are no services")
+    }
+}
+
+impl VmList for Peers {
+    fn list(&self) -> LocalBoxFuture<'_, Result<VmSnapshot, CallError>> {
+        let vms = NAMES.iter().enumerate().map(|(number, name)| Vm {
+            name: (*name).into(),
+            addr: addr(number),
+            domain: "d".into(),
+            role: VmRole::Engine,
+            leaving: false,
+        });
+        std::future::ready(Ok(VmSnapshot { version: 1, vms: vms.collect() })).boxed_local()
+    }
+}
+
+impl KeyValue for Peers {
+    fn watch(&self, key: &str, after: u64) -> LocalBoxFuture<'_, Result<Option<Entry>, KvError>> {
+        if after > 0 {
+            return pending().boxed_local();
+        }
+        let model = ModelConfig { version: "1".into(), layers: 2 * RANGE, replicas: 2 };
+        let config = FleetConfig {
+            revision: 1,
+            models: BTreeMap::from([("m".into(), model)]),
+            ..FleetConfig::default()
+        };
+        let entry = Entry { key: key.into(), value: config.to_toml(), version: 1, created: 1 };
+        std::future::ready(Ok(Some(entry))).boxed_local()
+    }
+
+    fn get(&self, _: &str) -> LocalBoxFuture<'_, Result<Option<Entry>, KvError>> {
+        refused()
+    }
+
+    fn put(
+        &self,
+        _: &str,
+        _: Expected,
+        _: String,
+        _: Option<u64>,
+    ) -> LocalBoxFuture<'_, Result<PutReply, KvError>> {
+        refused()
+    }
+
+    fn delete(&self, _: &str, _: u64) -> LocalBoxFuture<'_, Result<bool, KvError>> {
+        refused()
+    }
+
+    fn list(&self, _: &str, _: &str, _: u32) -> LocalBoxFuture<'_, Result<Vec<Entry>, KvError>> {
+        refused()
+    }
+
+    fn grant(&self, _: u64) -> LocalBoxFuture<'_, Result<u64, KvError>> {
+        refused()
+    }
+
+    fn renew(&self, _: u64) -> LocalBoxFuture<'_, Result<bool, KvError>> {
+        refused()
+    }
+
+    fn revoke(&self, _: u64) -> LocalBoxFuture<'_, Result<(), KvError>> {
+        refused()
+    }
+}
+
+fn refused<T: 'static>() -> LocalBoxFuture<'static, Result<T, KvError>> {
+    std::future::ready(Err(KvError::Unavailable)).boxed_local()
+}
+
+impl FakeEngine {
+    fn layers(&self) -> LayerRange {
+        let start = if self.name.as_str().starts_with('a') { 0 } else { RANGE };
+        LayerRange { start, end: start + RANGE }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.fleet.silent.borrow().contains(&self.name)
+    }
+}
+
+impl Engine for FakeEngine {
+    fn generate(
+        self: Rc<Self>,
+        request: Generate,
+    ) -> LocalBoxFuture<'static, Result<TokenStream, CallError>> {
+        let (events, receiver) = mpsc::unbounded();
+        let check = ReceiptCheck::new(&request, 2 * RANGE);
+        let started = Started { request, events };
+        self.fleet.started.borrow_mut().push(started);
+        let source = Box::new(Events { clock: self.clock.clone(), events: receiver });
+        std::future::ready(Ok(TokenStream::new(source, check))).boxed_local()
+    }
+
+    fn cancel(&self, cancel: Cancel) -> LocalBoxFuture<'_, Result<(), CallError>> {
+        self.fleet.cancels.borrow_mut().push((self.name.clone(), cancel));
+        // An engine may never answer a cancel call, and nothing may wait for it.
+        pending().boxed_local()
+    }
+
+    fn load(&self) -> LocalBoxFuture<'_, Result<Load, CallError>> {
+        if self.is_silent() {
+            return pending().boxed_local();
+        }
+        let load = Load {
+            engine: self.name.clone(),
+            incarnation: 1,
+            model: "m".into(),
+            version: "1".into(),
+            layers: self.layers(),
+            slots: 8,
+            running: 0,
+            step_micros: 1000,
+            prefill_micros: 10,
+            leaving: self.fleet.leaving.borrow().contains(&self.name),
+            order_token: 0,
+        };
+        std::future::ready(Ok(load)).boxed_local()
+    }
+
+    fn cache_events(&self, _: u64) -> LocalBoxFuture<'_, Result<CacheEvents, CallError>> {
+        std::future::ready(Ok(CacheEvents::default())).boxed_local()
+    }
+
+    fn export_kv(&self, session: &str) -> LocalBoxFuture<'_, Result<KvCache, CallError>> {
+        self.fleet.exports.borrow_mut().push(self.name.clone());
+        let newest = self.fleet.started.borrow().last().cloned().expect("a stream was started");
+        let cache = KvCache {
+            session: session.into(),
+            model: newest.request.model.clone(),
+            version: newest.request.version.clone(),
+            layers: self.layers(),
+            positions: PROMPT + 9,
+            values: vec![0; RANGE as usize],
+        };
+        std::future::ready(Ok(cache)).boxed_local()
+    }
+
+    fn import_kv(&self, cache: KvCache) -> LocalBoxFuture<'_, Result<(), CallError>> {
+        self.fleet.imports.borrow_mut().push((self.name.clone(), cache));
+        let refused = self.fleet.refuse_import.get();
+        let result = if refused { Err(CallError::Status(500, String::new())) } else { Ok(()) };
+        std::future::ready(result).boxed_local()
+    }
+
+    fn order(&self, _: Order) -> LocalBoxFuture<'_, Result<OrderReply, CallError>> {
+        std::future::ready(Ok(OrderReply::Accepted)).boxed_local()
+    }
+}
+
+impl EventSource for Events {
+    fn next(&mut self, limit: Duration) -> LocalBoxFuture<'_, Result<Option<Event>, CallError>> {
+        async move {
+            let clock: Rc<dyn Clock> = Rc::new(self.clock.clone());
+            match timeout(&*clock, limit, self.events.next()).await {
+                Ok(event) => Ok(event),
+                Err(_) => Err(CallError::Timeout),
+            }
+        }
+        .boxed_local()
+    }
+}
--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -8,6 +8,10 @@
 pub struct EngineFaults {
     /// Stops all work; connections stay open.
     pub hang: bool,
+    /// Stops all work but still answers calls, so that the load report looks healthy.
+    pub stall: bool,
+    /// Refuses to export and import KV caches.
+    pub refuse_kv: bool,
     /// Multiplies the time of each step; zero means one.
     pub slowdown: u32,
     /// Delay of each handoff to the given address, in microseconds.
--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -26,7 +26,7 @@
         while let Ok(handoff) = queue.try_recv() {
             waiting.push(handoff);
         }
-        while engine.faults.borrow().hang {
+        while engine.is_stopped() {
             engine.clock.sleep(HANG_POLL).await;
         }
         // A stable sort keeps the order of arrival within a class.
@@ -42,6 +42,11 @@
 }
 
 impl Engine {
+    fn is_stopped(&self) -> bool {
+        let faults = self.faults.borrow();
+        faults.hang || faults.stall
+    }
+
     fn step_cost(&self, batch: &[Handoff]) -> Duration {
         let mut prefill = 0;
         for handoff in batch {
--- a/crates/standins/src/engine/handler.rs
+++ b/crates/standins/src/engine/handler.rs
@@ -64,6 +64,9 @@
             (Method::POST, "/v1/cancel") => reply(self.cancel(body).await),
             (Method::GET, "/v1/load") => reply(Ok(self.lagging_load())),
             (Method::GET, "/v1/cache-events") => reply(Ok(self.cache_events(&query))),
+            (Method::POST, "/v1/kv/export" | "/v1/kv/import") if self.faults.borrow().refuse_kv => {
+                reply::<()>(Err((StatusCode::SERVICE_UNAVAILABLE, "KV calls are refused".into())))
+            }
             (Method::POST, "/v1/kv/export") => reply(self.export_kv(body).await),
             (Method::POST, "/v1/kv/import") => reply(self.import_kv(body).await),
             (Method::POST, "/v1/orders") => reply(self.order(body).await),
