--- a/crates/node/src/completion/attempt.rs
+++ b/crates/node/src/completion/attempt.rs
@@ -38,8 +38,10 @@
 impl CompletionRun {
     pub(super) async fn run_attempt(&mut self, plan: &Plan, sink: &mut dyn TokenSink) -> Outcome {
         let session = self.progress.session.clone();
-        let mut guard =
-            AttemptGuard::new(self.node.clone(), plan.route.clone(), session, self.attempt);
+        let words = self.request.prompt.split_whitespace().count();
+        let positions = if plan.resume { 1 } else { words + self.given.len() };
+        let (node, route) = (self.node.clone(), plan.route.clone());
+        let mut guard = AttemptGuard::new(node, route, session, self.attempt, positions as u32);
         let head = &plan.route[0].engine;
         let Some(engine) = self.node.engine(head) else {
             return Outcome::Failed(Cause::new(
@@ -49,7 +51,7 @@
         };
         self.progress.start_attempt(self.node.clock.now());
         let outcome = match self.open(plan, engine).await {
-            Ok(stream) => self.forward(plan, stream, sink).await,
+            Ok(stream) => self.forward(plan, &mut guard, stream, sink).await,
             Err(outcome) => outcome,
         };
         if matches!(outcome, Outcome::Whole | Outcome::Paused) {
@@ -90,6 +92,7 @@
     async fn forward(
         &mut self,
         plan: &Plan,
+        guard: &mut AttemptGuard,
         mut stream: TokenStream,
         sink: &mut dyn TokenSink,
     ) -> Outcome {
@@ -102,12 +105,14 @@
             };
             match part {
                 Part::Token(token) => {
+                    guard.prefilled();
                     if let Err(cause) = self.take_token(&plan.route, &token) {
                         return Outcome::Failed(cause);
                     }
                     match timeout(&*self.node.clock, self.time_left(), sink.token(token.text)).await
                     {
-                        Ok(true) => {}
+                        // The time that the caller took is none of the engines'.
+                        Ok(true) => self.progress.last = self.node.clock.now(),
                         Ok(false) => return Outcome::CallerGone,
                         Err(_) => return Outcome::Late,
                     }
@@ -192,16 +197,15 @@
     }
 
     fn first_limit(&self, plan: &Plan) -> Duration {
-        let pace = self.node.view.borrow().pace(&plan.route);
-        let words = self.request.prompt.split_whitespace().count();
-        let positions = if plan.resume { 1 } else { words + self.given.len() };
-        let expected = pace.step + pace.prefill * positions as u32;
-        limits::first_token(&self.policy, expected, self.given.is_empty())
+        let expected = self.node.view.borrow().expected_step(&plan.route);
+        let is_first = self.given.is_empty();
+        limits::first_token(&self.policy, expected, is_first, self.progress.unexplained)
     }
 
     fn progress_limit(&self, route: &[Stage]) -> Duration {
-        let reported = self.node.view.borrow().pace(route).step;
-        limits::progress(&self.policy, reported.max(self.progress.interval))
+        let expected = self.node.view.borrow().expected_step(route);
+        let expected = expected.max(self.progress.interval);
+        limits::progress(&self.policy, expected, self.progress.unexplained)
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/node/src/completion/guard.rs
+++ b/crates/node/src/completion/guard.rs
@@ -12,6 +12,8 @@
     route: Arc<[Stage]>,
     session: Arc<str>,
     attempt: u32,
+    /// Positions whose prefill is counted in the load view.
+    prefilling: u32,
     ended: bool,
 }
 
@@ -21,9 +23,22 @@
         route: Arc<[Stage]>,
         session: Arc<str>,
         attempt: u32,
+        prefilling: u32,
     ) -> AttemptGuard {
-        node.view.borrow_mut().start(&route);
-        AttemptGuard { node, route, session, attempt, ended: false }
+        {
+            let mut view = node.view.borrow_mut();
+            view.start(&route);
+            view.start_prefill(&route, prefilling);
+        }
+        AttemptGuard { node, route, session, attempt, prefilling, ended: false }
+    }
+
+    /// The first token has come, so that the prefill has ended.
+    pub(super) fn prefilled(&mut self) {
+        let positions = std::mem::take(&mut self.prefilling);
+        if positions > 0 {
+            self.node.view.borrow_mut().finish_prefill(&self.route, positions);
+        }
     }
 
     /// The engines have ended the attempt, so that there is nothing to cancel.
@@ -42,6 +57,7 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        self.prefilled();
         self.node.view.borrow_mut().finish(&self.route);
         if !self.ended {
             self.cancel();
--- a/crates/node/src/completion/progress.rs
+++ b/crates/node/src/completion/progress.rs
@@ -16,6 +16,8 @@
     pub(super) session: Arc<str>,
     /// Attempts that have failed.
     pub(super) failures: u32,
+    /// Failed attempts for which no probe or report named an engine.
+    pub(super) unexplained: u32,
     /// Time of the last token, or of the start of the attempt.
     pub(super) last: Timestamp,
     /// Mean time between the tokens of an attempt.
@@ -35,6 +37,7 @@
         Progress {
             session,
             failures: 0,
+            unexplained: 0,
             last: now,
             interval: Duration::ZERO,
             prompt: None,
--- a/crates/node/src/completion/recover.rs
+++ b/crates/node/src/completion/recover.rs
@@ -90,9 +90,10 @@
         self.avoid.extend(avoid);
     }
 
-    async fn blame(&self, route: &[Stage], blamed: Blamed) -> Blame {
+    async fn blame(&mut self, route: &[Stage], blamed: Blamed) -> Blame {
         let now = self.node.clock.now();
-        let mut view = self.node.view.borrow_mut();
+        let node = self.node.clone();
+        let mut view = node.view.borrow_mut();
         match blamed {
             Blamed::Nobody => Blame::default(),
             Blamed::Busy(engine) => Blame { avoid: vec![engine], suspects: Vec::new() },
@@ -124,7 +125,7 @@
 
     /// Blames the engines of a route that do not answer a probe; if all do, the one that the
     /// stalls of the node's streams point to.
-    async fn probe(&self, route: &[Stage]) -> Blame {
+    async fn probe(&mut self, route: &[Stage]) -> Blame {
         let probes = route.iter().map(|stage| async {
             let engine = self.node.engine(&stage.engine)?;
             // An idle connection may be silent although the engine works.
@@ -144,7 +145,8 @@
         Blame { avoid: silent.clone(), suspects: silent }
     }
 
-    fn blame_stages(&self, route: &[Stage]) -> Blame {
+    fn blame_stages(&mut self, route: &[Stage]) -> Blame {
+        self.progress.unexplained += 1;
         let now = self.node.clock.now();
         let mut view = self.node.view.borrow_mut();
         let blame = view.blame_stall(route, self.progress.last, now);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,7 +18,6 @@
 
 pub use baseline::{LeastOutstanding, RoundRobin};
 pub use estimate::Estimate;
-pub use pace::Pace;
 pub use stall::{Blame, StallRecord};
 pub use view::{EngineState, LoadView, Report};
 
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -2,33 +2,37 @@
 
 use types::Stage;
 
-use crate::{EngineState, LoadView};
-
-/// Speed that a route is expected to have, by the reports of its engines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Pace {
-    /// Time between two tokens.
-    pub step: Duration,
-    /// Time of the prefill of one position.
-    pub prefill: Duration,
-}
+use crate::{EngineState, LoadView, Report};
 
 impl LoadView {
-    /// The pace of a route. Stages without a report count as immediate.
-    pub fn pace(&self, route: &[Stage]) -> Pace {
-        let mut pace = Pace::default();
+    /// Time between two tokens that is expected of a route, by the reports of its engines and the
+    /// prefills that this node has started on them. Stages without a report count as immediate.
+    pub fn expected_step(&self, route: &[Stage]) -> Duration {
+        let states = route.iter().filter_map(|stage| self.engines.get(&stage.engine));
+        states.filter_map(|state| Some(stage_time(state, state.report.as_ref()?))).sum()
+    }
+
+    /// Counts the prefill of `positions` positions on a route as started.
+    pub fn start_prefill(&mut self, route: &[Stage], positions: u32) {
+        for stage in route {
+            if let Some(engine) = self.engines.get_mut(&stage.engine) {
+                engine.prefilling += positions;
+            }
+        }
+    }
+
+    /// Counts the prefill of `positions` positions on a route as ended.
+    pub fn finish_prefill(&mut self, route: &[Stage], positions: u32) {
         for stage in route {
-            let Some(state) = self.engines.get(&stage.engine) else { continue };
-            let Some(report) = &state.report else { continue };
-            let load = load_factor(state, report.slots);
-            pace.step += report.step.mul_f64(load) + state.round_trip;
-            pace.prefill += report.prefill.mul_f64(load);
+            if let Some(engine) = self.engines.get_mut(&stage.engine) {
+                engine.prefilling = engine.prefilling.saturating_sub(positions);
+            }
         }
-        pace
     }
 }
 
-/// Sessions beyond the engine's slots wait, which makes every step longer.
-fn load_factor(state: &EngineState, slots: u32) -> f64 {
-    (f64::from(state.estimated_sessions()) / f64::from(slots.max(1))).max(1.0)
+/// Sessions beyond the engine's slots wait, and prefills delay the steps of all sessions.
+fn stage_time(state: &EngineState, report: &Report) -> Duration {
+    let load = f64::from(state.estimated_sessions()) / f64::from(report.slots.max(1));
+    report.step.mul_f64(load.max(1.0)) + report.prefill * state.prefilling + state.round_trip
 }
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -56,11 +56,14 @@
     }
 
     /// Counts a stall of a route that made no progress after `since`, and decides who is to
-    /// blame. Engines that have served other streams since then are not, unless all have.
+    /// blame. Engines that have served other streams in the second half of the time since then are
+    /// not, unless all have. In the first half, tokens that had left the stalled engine may still
+    /// have arrived.
     pub fn blame_stall(&mut self, route: &[Stage], since: Timestamp, now: Timestamp) -> Blame {
+        let middle = since + now.since(since) / 2;
         let idle = |stage: &&Stage| {
             let record = self.engines.get(&stage.engine).map(|state| state.stalls);
-            record.and_then(|record| record.progress).is_none_or(|last| last <= since)
+            record.and_then(|record| record.progress).is_none_or(|last| last <= middle)
         };
         let mut blamed: Vec<UpstreamName> =
             route.iter().filter(idle).map(|stage| stage.engine.clone()).collect();
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -5,6 +5,10 @@
 
 use crate::{RouteRequest, StallRecord};
 
+/// Largest rise of the round trip's estimate with one report: this factor and this step.
+const ROUND_TRIP_RISE: f64 = 1.25;
+const ROUND_TRIP_STEP: Duration = Duration::from_millis(1);
+
 /// What an engine reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -43,6 +47,8 @@
     pub started: u32,
     /// Requests of this node that have ended since the last report.
     pub finished: u32,
+    /// Positions of the prefills that this node has started and that have not ended.
+    pub prefilling: u32,
     /// Whether the list of VMs or an operator says that the engine is leaving.
     pub leaving: bool,
     /// The engine failed and is not used before this time.
@@ -72,6 +78,7 @@
             outstanding: 0,
             started: 0,
             finished: 0,
+            prefilling: 0,
             leaving: false,
             suspect_until: None,
             unreachable_until: None,
@@ -91,7 +98,10 @@
         self.report = Some(report);
         self.started = 0;
         self.finished = 0;
-        self.round_trip = round_trip;
+        // One slow exchange, for example over a connection that fell silent, must not raise the
+        // estimate much; a link that stays slow raises it step by step.
+        let raised = self.round_trip.mul_f64(ROUND_TRIP_RISE) + ROUND_TRIP_STEP;
+        self.round_trip = round_trip.min(raised);
     }
 
     /// Estimates how many sessions run on the engine now: those of the last report, corrected by
