--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -267,7 +267,8 @@
         if after > 0 {
             return pending().boxed_local();
         }
-        let model = ModelConfig { version: "1".into(), layers: 2 * RANGE, replicas: 2 };
+        let model =
+            ModelConfig { version: "1".into(), layers: 2 * RANGE, replicas: 2, stages: None };
         let config = FleetConfig {
             revision: 1,
             models: BTreeMap::from([("m".into(), model)]),
@@ -391,7 +392,11 @@
         std::future::ready(result).boxed_local()
     }
 
-    fn order(&self, _: Order) -> LocalBoxFuture<'_, Result<OrderReply, CallError>> {
+    fn order<'a>(
+        &'a self,
+        _: Order,
+        _: &'a dyn Fn() -> bool,
+    ) -> LocalBoxFuture<'a, Result<OrderReply, CallError>> {
         std::future::ready(Ok(OrderReply::Accepted)).boxed_local()
     }
 }
