Add the peer crate for other nodes

Cause: nodes had no way to talk to each other. The protocol version goes with every frame; unknown kinds are refused. The operators' interface gets the path /fleet.

--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -23,6 +23,7 @@
 use clock::Clock;
 use futures_util::future::LocalBoxFuture;
 use keyvalue::KeyValue;
+use serde::{Deserialize, Serialize};
 use types::NodeName;
 
 pub use admit::{Admission, ClaimRequest};
@@ -36,7 +37,7 @@
 const MAX_RELINQUISHED: usize = 4096;
 
 /// What the holder of a claim says about it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HolderStatement {
     /// The holder has not sent the request and never will.
     Relinquished,
--- a/crates/operators/src/api.rs
+++ b/crates/operators/src/api.rs
@@ -34,6 +34,28 @@
     pub engines: Vec<EngineStatus>,
 }
 
+/// `GET /fleet`: the state of all members, gathered from them.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct FleetStatus {
+    /// Members that have answered, in the order of their names.
+    pub members: Vec<MemberStatus>,
+    /// Members that did not answer in time.
+    pub silent: Vec<NodeName>,
+}
+
+/// State of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Number that changes with each start of the process.
+    pub incarnation: u64,
+    /// Whether the node can serve requests.
+    pub readiness: Readiness,
+    /// Revision of the configuration in force.
+    pub revision: u64,
+}
+
 /// What a node knows about an engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EngineStatus {
--- a/crates/operators/src/console.rs
+++ b/crates/operators/src/console.rs
@@ -31,6 +31,7 @@
                 json_response(status, &readiness)
             }
             (&Method::GET, "/status") => json_response(StatusCode::OK, &self.console.status()),
+            (&Method::GET, "/fleet") => json_response(StatusCode::OK, &self.console.fleet().await),
             (&Method::GET, "/metrics") => metrics(self.console.metrics()),
             (&Method::POST, "/drain") => {
                 self.console.drain();
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -24,6 +24,9 @@
     /// What was decided for a request, gathered from the nodes.
     fn explain(&self, request: &str) -> LocalBoxFuture<'_, Vec<api::Trace>>;
 
+    /// The state of all members, gathered from them.
+    fn fleet(&self) -> LocalBoxFuture<'_, api::FleetStatus>;
+
     /// Starts a graceful shutdown.
     fn drain(&self);
 }
--- /dev/null
+++ b/crates/peers/src/outgoing.rs
@@ -0,0 +1,88 @@
+use std::{pin::pin, rc::Rc, time::Duration};
+
+use clock::timeout;
+use futures_util::future::{Either, select};
+use rand::Rng;
+use transport::{CallError, Stop};
+
+use crate::{
+    Peers, SUSPECT_AFTER, Target,
+    frame::{FrameReader, FrameWriter, broken},
+    link::Link,
+    query::{builder, request},
+};
+
+/// Time to open a connection and its stream.
+const OPEN_LIMIT: Duration = Duration::from_secs(1);
+/// First pause after a lost connection. It doubles with each failure.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two attempts to connect.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Keeps a link to one node until `stop` is raised or this node has ended.
+pub(crate) async fn keep_link(peers: Rc<Peers>, target: Target, stop: Stop) {
+    let mut pause = MIN_PAUSE;
+    let started = peers.clock.now();
+    while !stop.is_raised() && peers.handler().is_some() {
+        let opened = peers.clock.now();
+        if let Err(error) = run_link(&peers, &target, &stop).await {
+            tracing::debug!(peer = %target.node, %error, "link was lost");
+        }
+        if stop.is_raised() {
+            return;
+        }
+        let now = peers.clock.now();
+        let heard = peers.last_heard(&target.node).unwrap_or(started);
+        if now.since(heard) >= SUSPECT_AFTER
+            && let Some(handler) = peers.handler()
+        {
+            let news = handler.silent(&target.node);
+            peers.pass_on(None, news);
+        }
+        // A link that has worked for a while is replaced at once.
+        pause = if heard > opened { MIN_PAUSE } else { (pause * 2).min(MAX_PAUSE) };
+        let jittered = pause.mul_f64(rand::rng().random_range(0.5..1.0));
+        select(peers.clock.sleep(jittered), pin!(stop.raised())).await;
+    }
+}
+
+async fn run_link(peers: &Rc<Peers>, target: &Target, stop: &Stop) -> Result<(), CallError> {
+    let clock = &*peers.clock;
+    let stream = transport::connect(clock, target.addr, OPEN_LIMIT).await?;
+    let handshake = builder().handshake(transport::tokio_stream(stream));
+    let (sender, connection) = timeout(clock, OPEN_LIMIT, handshake)
+        .await
+        .map_err(|_| CallError::Timeout)?
+        .map_err(broken)?;
+    let exchange = async {
+        let open = async {
+            let mut sender = sender.ready().await.map_err(broken)?;
+            let (response, writer) = sender.send_request(request(), false).map_err(broken)?;
+            let response = response.await.map_err(broken)?;
+            Ok::<_, CallError>((sender, response.into_body(), writer))
+        };
+        let opened = timeout(clock, OPEN_LIMIT, open).await.map_err(|_| CallError::Timeout)?;
+        let (_sender, reader, writer) = opened?;
+        let (reader, writer) = (FrameReader::new(reader), FrameWriter::new(writer));
+        let mut link = Link::opened(peers.clone(), target.node.clone(), reader, writer);
+        let stopped = {
+            let running = pin!(link.run(None));
+            match select(running, pin!(stop.raised())).await {
+                Either::Left((result, _)) => Some(result),
+                Either::Right(_) => None,
+            }
+        };
+        if let Some(result) = stopped {
+            return result;
+        }
+        link.end();
+        // The connection has to write the end of the stream before it is dropped.
+        clock.sleep(MIN_PAUSE).await;
+        Ok(())
+    };
+    match select(pin!(connection), pin!(exchange)).await {
+        Either::Left((Ok(()), _)) => Err(CallError::Broken("connection was closed".into())),
+        Either::Left((Err(error), _)) => Err(broken(error)),
+        Either::Right((result, _)) => result,
+    }
+}
--- /dev/null
+++ b/crates/peers/src/query.rs
@@ -0,0 +1,76 @@
+use std::{net::SocketAddr, pin::pin, time::Duration};
+
+use bytes::Bytes;
+use clock::timeout;
+use futures_util::future::{Either, select};
+use http::{Method, Request};
+use transport::CallError;
+
+use crate::{
+    Direction, Message, Peers,
+    frame::{FrameReader, FrameWriter, WINDOW_BYTES, broken},
+};
+
+impl Peers {
+    /// Asks the node at `addr` one question over a connection of its own, so that neither a silent
+    /// link nor a long snapshot delays it. The answer has to arrive within `limit`.
+    pub async fn ask(
+        &self,
+        addr: SocketAddr,
+        question: &Message,
+        limit: Duration,
+    ) -> Result<Message, CallError> {
+        let asked = timeout(&*self.clock, limit, self.exchange(addr, question, limit)).await;
+        asked.unwrap_or(Err(CallError::Timeout))
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        question: &Message,
+        limit: Duration,
+    ) -> Result<Message, CallError> {
+        let stream = transport::connect(&*self.clock, addr, limit).await?;
+        let handshake = builder().handshake(transport::tokio_stream(stream));
+        let (sender, connection) = handshake.await.map_err(broken)?;
+        let exchange = async {
+            let mut sender = sender.ready().await.map_err(broken)?;
+            let (response, writer) = sender.send_request(request(), false).map_err(broken)?;
+            let sent = FrameWriter::new(writer).send(&*self.clock, question, true).await?;
+            self.count(question.kind(), Direction::Sent, sent);
+            let mut reader = FrameReader::new(response.await.map_err(broken)?.into_body());
+            let frame = reader.next().await?;
+            let frame = frame.ok_or_else(|| CallError::Broken("no answer".into()))?;
+            let refused = |kind| CallError::Malformed(format!("answer of unknown kind {kind}"));
+            let message = frame.message.map_err(refused)?;
+            self.count(message.kind(), Direction::Received, frame.bytes);
+            Ok(message)
+        };
+        match select(pin!(exchange), pin!(connection)).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => Err(CallError::Broken("connection was closed".into())),
+        }
+    }
+}
+
+/// Settings of a client connection.
+pub(crate) fn builder() -> h2::client::Builder {
+    let mut builder = h2::client::Builder::new();
+    builder
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .enable_push(false);
+    builder
+}
+
+/// The head of every stream. The messages are in its body.
+pub(crate) fn request() -> Request<()> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = http::Uri::from_static("http://peer/");
+    *request.version_mut() = http::Version::HTTP_2;
+    request
+}
+
+/// Type of the data that connections send.
+pub(crate) type Data = Bytes;
--- /dev/null
+++ b/crates/peers/tests/links/harness.rs
@@ -0,0 +1,316 @@
+//! A node without routing, and a proxy whose connections can be made silent.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use claims::{ClaimId, HolderStatement};
+use clock::Clock;
+use compio::{
+    BufResult,
+    io::{AsyncRead, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use fleet::{Crash, CrashId, Fact, FleetTable, Member, MemberState};
+use operators::api::{MemberStatus, Readiness, Trace};
+use peers::{
+    Direction, Heartbeat, Kind, Message, PROTOCOL_VERSION, PeerHandler, Peers, Snapshot,
+    SnapshotQuery, Target, encode,
+};
+use transport::Stop;
+use types::{Digest, NodeName, RequestId};
+
+pub fn run(test: impl Future<Output = ()>) {
+    compio::runtime::Runtime::new().expect("runtime can be created").block_on(test);
+}
+
+pub async fn wait(
+    clock: &Rc<dyn Clock>,
+    limit: Duration,
+    condition: impl Fn() -> bool,
+) -> Duration {
+    let start = clock.now();
+    while !condition() {
+        assert!(clock.now().since(start) < limit, "condition holds within {limit:?}");
+        clock.sleep(Duration::from_millis(5)).await;
+    }
+    clock.now().since(start)
+}
+
+pub fn crash(fingerprint: Digest, number: u64) -> Fact {
+    let id = CrashId { at_millis: 1, node: "a".into(), incarnation: 1, number };
+    Fact::Crash(Crash { id, fingerprint, engine: "engine-0".into(), cleared: false })
+}
+
+pub struct TestNode {
+    pub peers: Rc<Peers>,
+    pub addr: SocketAddr,
+    pub table: Rc<RefCell<FleetTable>>,
+    state: RefCell<Option<Rc<State>>>,
+    stop: Stop,
+}
+
+struct State {
+    name: NodeName,
+    table: Rc<RefCell<FleetTable>>,
+    received: RefCell<HashMap<Kind, usize>>,
+}
+
+impl TestNode {
+    pub async fn start(clock: &Rc<dyn Clock>, name: &str) -> TestNode {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+        let addr = listener.local_addr().expect("address is known");
+        let own = Member {
+            node: name.into(),
+            incarnation: 1,
+            refutations: 0,
+            state: MemberState::Alive,
+            since_millis: 1,
+            addr,
+            region: "r".into(),
+        };
+        let table = Rc::new(RefCell::new(FleetTable::default()));
+        table.borrow_mut().merge([Fact::Member(own)], 1);
+        let state = Rc::new(State {
+            name: name.into(),
+            table: table.clone(),
+            received: RefCell::default(),
+        });
+        let weak = Rc::downgrade(&state);
+        let peers = Peers::new(clock.clone(), weak);
+        let stop = Stop::new();
+        compio::runtime::spawn(peers.clone().serve(listener, stop.clone())).detach();
+        TestNode { peers, addr, table, state: RefCell::new(Some(state)), stop }
+    }
+
+    pub fn link_to(&self, node: &str, addr: SocketAddr) {
+        self.peers.set_targets(&[Target { node: node.into(), addr }]);
+    }
+
+    pub fn link_to_both(&self, first: (&str, SocketAddr), second: (&str, SocketAddr)) {
+        let target = |(node, addr): (&str, SocketAddr)| Target { node: node.into(), addr };
+        self.peers.set_targets(&[target(first), target(second)]);
+    }
+
+    pub fn unlink(&self) {
+        self.peers.set_targets(&[]);
+    }
+
+    pub fn crash(&self, fingerprint: Digest, number: u64) {
+        let news = self.table.borrow_mut().merge([crash(fingerprint, number)], 1);
+        self.peers.push(news);
+    }
+
+    pub fn state(&self, node: &str) -> Option<MemberState> {
+        self.table.borrow().member(node).map(|member| member.state)
+    }
+
+    pub fn knows(&self, node: &str) -> bool {
+        self.state(node).is_some()
+    }
+
+    pub fn live(&self) -> usize {
+        self.table.borrow().live_members().count()
+    }
+
+    pub fn received(&self, kind: Kind) -> usize {
+        let state = self.state.borrow();
+        let received = state.as_ref().map(|state| state.received.borrow().get(&kind).copied());
+        received.flatten().unwrap_or(0)
+    }
+
+    pub fn own_status(&self) -> MemberStatus {
+        self.state.borrow().as_ref().expect("node runs").status()
+    }
+
+    /// Ends the node without a word to the others.
+    pub fn end(&self) {
+        self.state.replace(None);
+        self.stop.raise();
+    }
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        self.stop.raise();
+    }
+}
+
+impl PeerHandler for State {
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            sequence: 0,
+            node: self.name.clone(),
+            incarnation: 1,
+            refutations: 0,
+            revision: 0,
+            digest: self.table.borrow().digest(),
+        }
+    }
+
+    fn introduction(&self) -> Vec<Fact> {
+        self.table.borrow().member(&self.name).cloned().into_iter().map(Fact::Member).collect()
+    }
+
+    fn heard(&self, heartbeat: &Heartbeat) -> Vec<Fact> {
+        let (node, incarnation) = (&heartbeat.node, heartbeat.incarnation);
+        let mut table = self.table.borrow_mut();
+        table.heard(node, incarnation, heartbeat.refutations, 1).into_iter().collect()
+    }
+
+    fn silent(&self, node: &NodeName) -> Vec<Fact> {
+        self.table.borrow_mut().suspect(node, 1).into_iter().collect()
+    }
+
+    fn merge(&self, facts: Vec<Fact>) -> Vec<Fact> {
+        self.table.borrow_mut().merge(facts, 1)
+    }
+
+    fn snapshot(&self, query: SnapshotQuery) -> Snapshot {
+        let facts = if query.facts { self.table.borrow().facts() } else { Vec::new() };
+        Snapshot { facts, config: None }
+    }
+
+    fn wants_config(&self, _: u64) -> bool {
+        false
+    }
+
+    fn offer_config(&self, _: &str) {}
+
+    fn statement(&self, claim: &ClaimId) -> HolderStatement {
+        if claim.number == 5 { HolderStatement::Relinquished } else { HolderStatement::Unknown }
+    }
+
+    fn traces(&self, _: &RequestId) -> Vec<Trace> {
+        Vec::new()
+    }
+
+    fn status(&self) -> MemberStatus {
+        let readiness = Readiness::NoConfiguration;
+        MemberStatus { node: self.name.clone(), incarnation: 1, readiness, revision: 0 }
+    }
+
+    fn count(&self, kind: Kind, direction: Direction, _: usize) {
+        if direction == Direction::Received {
+            *self.received.borrow_mut().entry(kind).or_default() += 1;
+        }
+    }
+}
+
+/// Forwards connections to one address.
+pub struct Proxy {
+    addr: SocketAddr,
+    state: Rc<ProxyState>,
+}
+
+#[derive(Default)]
+struct ProxyState {
+    accepted: Cell<usize>,
+    /// Connections up to this number carry nothing any more.
+    silent: Cell<usize>,
+}
+
+impl Proxy {
+    pub async fn start(target: SocketAddr) -> Proxy {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+        let addr = listener.local_addr().expect("address is known");
+        let state = Rc::new(ProxyState::default());
+        let shared = state.clone();
+        compio::runtime::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let number = shared.accepted.get() + 1;
+                shared.accepted.set(number);
+                let Ok(far) = TcpStream::connect(target).await else { continue };
+                let (there, back) = (near.clone(), far.clone());
+                let state = shared.clone();
+                compio::runtime::spawn(forward(near, far, number, state.clone())).detach();
+                compio::runtime::spawn(forward(back, there, number, state)).detach();
+            }
+        })
+        .detach();
+        Proxy { addr, state }
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub fn accepted(&self) -> usize {
+        self.state.accepted.get()
+    }
+
+    pub fn silence_open_connections(&self) {
+        self.state.silent.set(self.accepted());
+    }
+
+    pub fn silence_all(&self) {
+        self.state.silent.set(usize::MAX);
+    }
+}
+
+async fn forward(mut from: TcpStream, mut to: TcpStream, number: usize, state: Rc<ProxyState>) {
+    loop {
+        let BufResult(count, mut buffer) = from.read(Vec::with_capacity(4096)).await;
+        let Ok(count) = count else { return };
+        if number <= state.silent.get() {
+            // Both sockets stay open until this process ends.
+            std::future::pending::<()>().await;
+        }
+        if count == 0 {
+            return;
+        }
+        buffer.truncate(count);
+        if to.write_all(buffer).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Opens a link as a newer release would, sends a kind that this one does not know and then a
+/// heartbeat. Returns the kinds of the messages that came back.
+pub async fn send_unknown_kind(addr: SocketAddr) -> Vec<Kind> {
+    let stream = TcpStream::connect(addr).await.expect("node listens");
+    let io = transport::tokio_stream(stream);
+    let (mut sender, connection) = h2::client::handshake(io).await.expect("node speaks h2");
+    let driver = compio::runtime::spawn(async move {
+        // The test ends the connection.
+        let _ = connection.await;
+    });
+    let request = http::Request::post("http://peer/").body(()).expect("request is valid");
+    let (response, mut body) = sender.send_request(request, false).expect("stream is opened");
+    let heartbeat = Message::Heartbeat(Heartbeat {
+        sequence: 1,
+        node: "new".into(),
+        incarnation: 1,
+        refutations: 0,
+        revision: 0,
+        digest: 0,
+    });
+    let mut unknown = BytesMut::new();
+    unknown.put_u32(4);
+    unknown.put_slice(&[PROTOCOL_VERSION + 1, 200, 1, 2]);
+    for frame in [encode(&heartbeat).expect("heartbeat is small"), unknown.freeze()] {
+        body.send_data(frame, false).expect("stream is open");
+    }
+    let frame: Bytes = encode(&heartbeat).expect("heartbeat is small");
+    body.send_data(frame, true).expect("stream is open");
+    let mut answers = response.await.expect("node answers").into_body();
+    let mut received = BytesMut::new();
+    while let Some(Ok(data)) = answers.data().await {
+        received.extend_from_slice(&data);
+    }
+    drop(driver);
+    let mut kinds = Vec::new();
+    while received.len() > 5 {
+        let length = received.get_u32() as usize;
+        let frame = received.split_to(length);
+        kinds.extend(Kind::from_repr(frame[1]));
+    }
+    kinds
+}
