Connect the nodes and spread configuration, marks and crashes

Cause: each node watched the configuration by itself, asked nobody about claims, and saw leaving upstreams only through its own list of VMs. Change: three nodes per region watch the configuration, the others pull it from peers; claims, traces and status are asked of other nodes; leaving marks and crashes spread at once; serve binds the port for peers; the cluster of xtask puts nodes on the list of VMs.

--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -1,9 +1,15 @@
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Duration,
+};
 
 use claims::{Claims, HolderQuery};
 use clock::Clock;
 use engines::{Engine, HttpEngine};
 use keyvalue::{HttpKeyValue, KeyValue};
+use peers::Peers;
 use services::{HttpService, Service};
 use settings::{NodeSettings, RouteKind};
 use transport::{Stop, Timeouts};
@@ -13,7 +19,7 @@
 use crate::{
     metered::Metered,
     metrics::Metrics,
-    peering::NoPeers,
+    peering::PeerHolders,
     state::{Node, new_policy},
     trace::Traces,
 };
@@ -50,7 +56,7 @@
     vm_list: Rc<dyn VmList>,
     weights: Rc<dyn WeightStore>,
     connector: Rc<dyn Connector>,
-    holders: Rc<dyn HolderQuery>,
+    holders: Option<Rc<dyn HolderQuery>>,
     stop: Stop,
 }
 
@@ -66,7 +72,7 @@
             vm_list: Rc::new(vm_list),
             weights: Rc::new(weights),
             connector: Rc::new(HttpConnector { clock: clock.clone() }),
-            holders: Rc::new(NoPeers),
+            holders: None,
             stop: Stop::new(),
             clock,
             settings,
@@ -97,9 +103,9 @@
         self
     }
 
-    /// Sets how other nodes are asked about their claims.
+    /// Sets how other nodes are asked about their claims, in place of the links to peers.
     pub fn holders(mut self, holders: Rc<dyn HolderQuery>) -> NodeBuilder {
-        self.holders = holders;
+        self.holders = Some(holders);
         self
     }
 
@@ -111,15 +117,20 @@
 
     /// Assembles the node. Its tasks are started by [`run`](crate::run).
     pub fn build(self) -> Rc<Node> {
+        Rc::new_cyclic(|node| self.assemble(node))
+    }
+
+    fn assemble(self, node: &Weak<Node>) -> Node {
         let incarnation = self.clock.unix_millis();
         let metrics = Metrics::new(incarnation as f64 / MILLIS_PER_SECOND);
         let calls = metrics.keyvalue_calls.clone();
         let store: Rc<dyn KeyValue> = Rc::new(Metered::new(self.store, calls));
         let holder = (self.settings.name.clone(), incarnation);
-        let claims =
-            Claims::new(store.clone(), self.clock.clone(), self.holders, holder, CLAIM_WAIT);
+        let holders = self.holders.unwrap_or_else(|| Rc::new(PeerHolders { node: node.clone() }));
+        let claims = Claims::new(store.clone(), self.clock.clone(), holders, holder, CLAIM_WAIT);
         let kind = RouteKind::default();
-        Rc::new(Node {
+        Node {
+            peers: Peers::new(self.clock.clone(), node.clone()),
             clock: self.clock,
             settings: self.settings,
             incarnation,
@@ -129,6 +140,12 @@
             connector: self.connector,
             claims: Rc::new(claims),
             config: RefCell::default(),
+            fleet: RefCell::default(),
+            refutations: Default::default(),
+            member_since: Cell::new(incarnation),
+            listed_nodes: RefCell::default(),
+            last_pull: Default::default(),
+            next_crash: Default::default(),
             view: RefCell::default(),
             engines: RefCell::default(),
             replicas: RefCell::default(),
@@ -139,7 +156,7 @@
             next_request: Default::default(),
             stop: self.stop,
             cut: Stop::new(),
-        })
+        }
     }
 }
 
--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -1,10 +1,10 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use operators::{
     Console,
-    api::{EngineStatus, NodeStatus, Readiness, Trace},
+    api::{EngineStatus, FleetStatus, NodeStatus, Readiness, Trace},
 };
 use routing::EngineState;
-use types::UpstreamName;
+use types::{RequestId, UpstreamName};
 
 use crate::state::Node;
 
@@ -36,8 +36,12 @@
     }
 
     fn explain(&self, request: &str) -> LocalBoxFuture<'_, Vec<Trace>> {
-        let own = self.traces.borrow().find(request);
-        std::future::ready(own).boxed_local()
+        let request = RequestId::from(request);
+        async move { self.gather_traces(request).await }.boxed_local()
+    }
+
+    fn fleet(&self) -> LocalBoxFuture<'_, FleetStatus> {
+        self.gather_status().boxed_local()
     }
 
     fn drain(&self) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -45,6 +45,7 @@
     pub(crate) replays: IntCounter,
     pub(crate) keyvalue_calls: IntCounterVec,
     pub(crate) config_revision: IntGauge,
+    pub(crate) peer_bytes: IntCounterVec,
 }
 
 /// Names of all metrics, for the operators' page.
@@ -122,6 +123,11 @@
                 "gypsumrack_config_revision",
                 "Revision of the configuration in force.",
             )),
+            peer_bytes: registrar.counter_vec(
+                "gypsumrack_peer_bytes_total",
+                "Bytes of messages between nodes, with their h2 headers.",
+                &["kind", "direction"],
+            ),
             registry: registrar.registry.clone(),
         }
     }
--- a/crates/node/src/peering.rs
+++ b/crates/node/src/peering.rs
@@ -1,13 +1,130 @@
-//! What a node asks other nodes.
+//! What a node answers to other nodes, and what it asks them about claims.
+
+use std::{rc::Weak, time::Duration};
 
 use claims::{ClaimId, HolderQuery, HolderStatement};
+use fleet::Fact;
 use futures_util::{FutureExt, future::LocalBoxFuture};
+use operators::{
+    Console,
+    api::{MemberStatus, Trace},
+};
+use peers::{
+    Direction, Heartbeat, Kind, MAX_TRACES, Message, PeerHandler, Snapshot, SnapshotQuery,
+};
+use types::{NodeName, RequestId};
+
+use crate::state::Node;
+
+/// Time that the holder of a claim has to answer. A caller waits for it.
+const CLAIM_LIMIT: Duration = Duration::from_millis(300);
+/// Time after which the configuration is pulled from another peer. Several announce a revision at
+/// about the same time, and one answer is enough.
+const PULL_INTERVAL: Duration = Duration::from_secs(1);
+
+impl PeerHandler for Node {
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            sequence: 0,
+            node: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            refutations: self.refutations.get(),
+            revision: self.config.borrow().revision(),
+            digest: self.fleet.borrow().digest(),
+        }
+    }
+
+    fn introduction(&self) -> Vec<Fact> {
+        let own = self.fleet.borrow().member(&self.settings.name).cloned();
+        own.into_iter().map(Fact::Member).collect()
+    }
+
+    fn heard(&self, heartbeat: &Heartbeat) -> Vec<Fact> {
+        let now = self.clock.unix_millis();
+        let (incarnation, refutations) = (heartbeat.incarnation, heartbeat.refutations);
+        let mut table = self.fleet.borrow_mut();
+        table.heard(&heartbeat.node, incarnation, refutations, now).into_iter().collect()
+    }
+
+    fn silent(&self, node: &NodeName) -> Vec<Fact> {
+        let now = self.clock.unix_millis();
+        let news = self.fleet.borrow_mut().suspect(node, now);
+        if news.is_some() {
+            tracing::info!(peer = %node, "node is suspect");
+        }
+        news.into_iter().collect()
+    }
+
+    fn merge(&self, facts: Vec<Fact>) -> Vec<Fact> {
+        let news = self.merge_facts(facts);
+        self.refute();
+        news
+    }
+
+    fn snapshot(&self, query: SnapshotQuery) -> Snapshot {
+        let facts = if query.facts { self.fleet.borrow().facts() } else { Vec::new() };
+        let current = self.config.borrow().current();
+        let config = current.filter(|_| query.config).map(|config| config.to_toml().into());
+        Snapshot { facts, config }
+    }
 
-/// Answers for nodes that cannot be asked.
-pub(crate) struct NoPeers;
+    fn wants_config(&self, revision: u64) -> bool {
+        let now = self.clock.now();
+        let pulled = self.last_pull.get().is_some_and(|last| now.since(last) < PULL_INTERVAL);
+        let wanted = revision > self.config.borrow().revision() && !pulled;
+        if wanted {
+            self.last_pull.set(Some(now));
+        }
+        wanted
+    }
+
+    fn offer_config(&self, text: &str) {
+        // A revision that is announced while this one arrives may be pulled at once.
+        self.last_pull.set(None);
+        Node::offer_config(self, text);
+    }
+
+    fn statement(&self, claim: &ClaimId) -> HolderStatement {
+        self.claims.statement(claim)
+    }
+
+    fn traces(&self, request: &RequestId) -> Vec<Trace> {
+        let mut traces = self.traces.borrow().find(request);
+        traces.truncate(MAX_TRACES);
+        traces
+    }
+
+    fn status(&self) -> MemberStatus {
+        MemberStatus {
+            node: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            readiness: self.readiness(),
+            revision: self.config.borrow().revision(),
+        }
+    }
+
+    fn count(&self, kind: Kind, direction: Direction, bytes: usize) {
+        let labels: [&str; 2] = [kind.into(), direction.into()];
+        self.metrics.peer_bytes.with_label_values(&labels).inc_by(bytes as u64);
+    }
+}
+
+/// Asks the holders of claims through the peers.
+pub(crate) struct PeerHolders {
+    pub(crate) node: Weak<Node>,
+}
 
-impl HolderQuery for NoPeers {
-    fn ask(&self, _: &ClaimId) -> LocalBoxFuture<'_, HolderStatement> {
-        std::future::ready(HolderStatement::Unknown).boxed_local()
+impl HolderQuery for PeerHolders {
+    fn ask(&self, id: &ClaimId) -> LocalBoxFuture<'_, HolderStatement> {
+        let id = id.clone();
+        async move {
+            let Some(node) = self.node.upgrade() else { return HolderStatement::Unknown };
+            let Some(addr) = node.node_addr(&id.node) else { return HolderStatement::Unknown };
+            match node.peers.ask(addr, &Message::ClaimQuery(id), CLAIM_LIMIT).await {
+                Ok(Message::ClaimAnswer(statement)) => statement,
+                _ => HolderStatement::Unknown,
+            }
+        }
+        .boxed_local()
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,6 +2,7 @@
 
 use callers::FrontEnd;
 use clock::Clock;
+use compio::net::TcpListener;
 use futures_util::future::{join, select};
 use operators::ConsoleServer;
 use settings::NodeSettings;
@@ -10,7 +11,7 @@
 use crate::{Node, NodeBuilder};
 
 /// Runs a node until it was told to stop and its requests have ended.
-pub async fn run(clock: Rc<dyn Clock>, settings: NodeSettings) -> io::Result<()> {
+pub async fn run(clock: Rc<dyn Clock>, mut settings: NodeSettings) -> io::Result<()> {
     let stop = Stop::new();
     let drain = Duration::from_millis(settings.drain_ms);
     let listen = settings.listen.clone();
@@ -18,11 +19,16 @@
     // Operators can watch a node until its last request has ended.
     let ended = Stop::new();
     let operators = Server::bind(clock.clone(), listen.operators, ended.clone()).await?;
+    let peers = TcpListener::bind(listen.peers).await?;
+    settings.listen.peers = peers.local_addr()?;
     let node = NodeBuilder::new(clock, settings).stop(stop.clone()).build();
     println!("callers {}", callers.local_addr()?);
+    println!("peers {}", peers.local_addr()?);
     println!("operators {}", operators.local_addr()?);
     node.clone().start_tasks();
     compio::runtime::spawn(stop_on_signal(stop)).detach();
+    // Other nodes can ask about claims until the last request has ended.
+    compio::runtime::spawn(node.clone().serve_peers(peers, ended.clone())).detach();
     let serving = async {
         callers.run(Rc::new(FrontEnd::new(node.clone()))).await;
         node.finish_running(drain).await;
@@ -44,6 +50,11 @@
 }
 
 impl Node {
+    /// Serves other nodes until `stop` is raised.
+    pub async fn serve_peers(self: Rc<Self>, listener: TcpListener, stop: Stop) {
+        self.peers.clone().serve(listener, stop).await;
+    }
+
     /// Waits until calls that go on without their caller have ended, at most for `limit`.
     async fn finish_running(&self, limit: Duration) {
         const POLL: Duration = Duration::from_millis(20);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,18 +1,20 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
 };
 
 use claims::Claims;
-use clock::Clock;
+use clock::{Clock, Timestamp};
 use engines::Engine;
-use fleet::ConfigState;
+use fleet::{ConfigState, FleetTable};
 use keyvalue::KeyValue;
+use peers::Peers;
 use routing::{Estimate, LeastOutstanding, LoadView, RoundRobin, RoutePolicy};
 use settings::{FleetConfig, NodeSettings, RouteKind};
 use transport::Stop;
-use types::{Failure, FailureKind, RequestId, UpstreamName};
+use types::{Failure, FailureKind, NodeName, RequestId, UpstreamName};
 use vms::VmList;
 use weights::WeightStore;
 
@@ -30,6 +32,18 @@
     pub(crate) connector: Rc<dyn Connector>,
     pub(crate) claims: Rc<Claims>,
     pub(crate) config: RefCell<ConfigState>,
+    pub(crate) fleet: RefCell<FleetTable>,
+    pub(crate) peers: Rc<Peers>,
+    /// Suspicions of this process that it has refuted.
+    pub(crate) refutations: Cell<u32>,
+    /// Time since which this process is a member, in milliseconds since the Unix epoch. It
+    /// changes with each refutation.
+    pub(crate) member_since: Cell<u64>,
+    /// Nodes on the list of VMs, without this one and those that are leaving.
+    pub(crate) listed_nodes: RefCell<BTreeMap<NodeName, SocketAddr>>,
+    /// Last pull of the configuration from a peer.
+    pub(crate) last_pull: Cell<Option<Timestamp>>,
+    pub(crate) next_crash: Cell<u64>,
     pub(crate) view: RefCell<LoadView>,
     pub(crate) engines: RefCell<BTreeMap<UpstreamName, Rc<dyn Engine>>>,
     pub(crate) replicas: RefCell<Replicas>,
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -1,4 +1,4 @@
-//! The tasks that talk to the platform and the engines.
+//! The tasks that talk to the platform, the engines and other nodes.
 
 mod config;
 mod engine;
@@ -7,12 +7,15 @@
 
 use std::rc::Rc;
 
-use crate::Node;
+use crate::{Node, members};
 
 impl Node {
     /// Starts the tasks that follow the platform and the upstreams.
     pub fn start_tasks(self: Rc<Self>) {
+        self.join_fleet();
         compio::runtime::spawn(config::watch_config(self.clone())).detach();
+        compio::runtime::spawn(config::read_config(self.clone())).detach();
+        compio::runtime::spawn(members::leave_on_stop(self.clone())).detach();
         compio::runtime::spawn(vms::poll_vms(self.clone())).detach();
         compio::runtime::spawn(orders::give_orders(self)).detach();
     }
--- a/crates/node/src/tasks/vms.rs
+++ b/crates/node/src/tasks/vms.rs
@@ -1,7 +1,11 @@
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use routing::EngineState;
-use types::{ServiceName, UpstreamName};
+use types::{NodeName, ServiceName, UpstreamName};
 use vms::api::{Vm, VmRole, VmSnapshot};
 
 use super::engine::poll_engine;
@@ -19,6 +23,7 @@
                 tracing::warn!(%error, "list of VMs cannot be read; the last one is kept")
             }
         }
+        node.tend_members();
         node.clock.sleep(POLL_INTERVAL).await;
     }
 }
@@ -27,6 +32,8 @@
     fn apply_vms(self: &Rc<Self>, snapshot: &VmSnapshot) {
         let mut engines = BTreeSet::new();
         let mut replicas = BTreeSet::new();
+        let mut nodes = BTreeMap::new();
+        self.observe_list(snapshot);
         for vm in &snapshot.vms {
             let name = UpstreamName::from(vm.name.as_str());
             match &vm.role {
@@ -38,9 +45,13 @@
                     self.apply_replica(service, &name, vm);
                     replicas.insert(name);
                 }
-                VmRole::Node => {}
+                VmRole::Node if vm.leaving || vm.name == *self.settings.name => {}
+                VmRole::Node => {
+                    nodes.insert(NodeName::from(vm.name.as_str()), vm.addr);
+                }
             }
         }
+        self.listed_nodes.replace(nodes);
         self.engines.borrow_mut().retain(|name, _| engines.contains(name));
         self.view.borrow_mut().engines.retain(|name, _| engines.contains(name));
         for known in self.replicas.borrow_mut().by_service.values_mut() {
@@ -78,8 +89,4 @@
             }
         }
     }
-
-    fn is_leaving(&self, name: &UpstreamName) -> bool {
-        self.config.borrow().current().is_some_and(|config| config.is_leaving(name))
-    }
 }
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -113,6 +113,7 @@
         let file = file.to_string_lossy().into_owned();
         let args = ["serve".into(), "--settings".into(), file];
         let process = Process::spawn(&binary("gypsumrack"), name, args, &self.directory);
+        self.list(name, process.port("peers"), domain, VmRole::Node).await;
         self.nodes.push(process);
     }
 
