Write the last messages to peers before a node ends

Cause: in a demo run a node ended 0.1 ms after its stop signal, before the message that it leaves could be written, so its peers would have had to suspect it. Conclusion: peers hear of a planned stop from the node itself.

--- a/crates/node/src/leaving.rs
+++ b/crates/node/src/leaving.rs
@@ -54,6 +54,11 @@
     pub(crate) fn merge_facts(&self, facts: Vec<Fact>) -> Vec<Fact> {
         let now = self.clock.unix_millis();
         let news = self.fleet.borrow_mut().merge(facts, now);
+        for fact in &news {
+            if let Fact::Member(member) = fact {
+                tracing::info!(peer = %member.node, state = ?member.state, "member has changed");
+            }
+        }
         if news.iter().any(|fact| matches!(fact, Fact::Leaving(_))) {
             self.apply_marks();
         }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -10,6 +10,9 @@
 
 use crate::{Node, NodeBuilder};
 
+/// Time that the last messages to other nodes, which say that this one has left, have to be written.
+const LEAVE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Runs a node until it was told to stop and its requests have ended.
 pub async fn run(clock: Rc<dyn Clock>, mut settings: NodeSettings) -> io::Result<()> {
     let stop = Stop::new();
@@ -32,6 +35,7 @@
     let serving = async {
         callers.run(Rc::new(FrontEnd::new(node.clone()))).await;
         node.finish_running(drain).await;
+        node.clock.sleep(LEAVE_PAUSE).await;
         ended.raise();
     };
     join(serving, operators.run(Rc::new(ConsoleServer::new(node.clone())))).await;
--- a/crates/peers/src/frame.rs
+++ b/crates/peers/src/frame.rs
@@ -188,6 +188,8 @@
         Message::Snapshot(snapshot) => {
             snapshot.facts.len() <= MAX_SNAPSHOT_FACTS && all_bounded(&snapshot.facts)
         }
+        Message::ClaimQuery(claim) => claim.node.len() <= types::MAX_NAME_BYTES,
+        Message::TraceQuery(request) => request.len() <= types::MAX_HEADER_BYTES,
         Message::TraceAnswer(traces) => traces.len() <= MAX_TRACES,
         _ => true,
     }
