Let the halves of a partitioned fleet find each other again

Cause: after a partition each half suspects all nodes of the other one and links only to healthy nodes, so with four or more nodes on each side nothing would connect them again. Change: a node keeps a link to one suspect node besides the three healthy ones, another one every 15 s. A heartbeat refutes a suspicion only of the same incarnation, because a new process may have another address and introduces itself. A link that is opened again does not count the silence before it. Conclusion: a partition heals without a restart.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -92,7 +92,7 @@
     }
 
     /// A heartbeat of `node` arrived that says it is alive. Returns the fact if it refutes what
-    /// is known.
+    /// is known. A new incarnation introduces itself with a fact of its own, which has its address.
     pub fn heard(
         &mut self,
         node: &str,
@@ -101,18 +101,13 @@
         now_millis: u64,
     ) -> Option<Fact> {
         let member = self.members.get(node)?;
-        if (incarnation, refutations) <= (member.incarnation, member.refutations) {
+        if incarnation != member.incarnation || refutations <= member.refutations {
             return None;
         }
         let state = MemberState::Alive;
         let since_millis = now_millis;
-        let fact = Fact::Member(Member {
-            incarnation,
-            refutations,
-            state,
-            since_millis,
-            ..member.clone()
-        });
+        let fresh = Member { refutations, state, since_millis, ..member.clone() };
+        let fact = Fact::Member(fresh);
         self.merge_one(&fact, now_millis).then_some(fact)
     }
 
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,6 +1,6 @@
 //! This node as a member of the fleet, and its choice of peers.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fleet::{Fact, Member, MemberState};
 use peers::Target;
@@ -10,6 +10,8 @@
 
 /// Nodes to which a node keeps a link. With the links that others open there are about six.
 const PEERS: usize = 3;
+/// Time for which a node tries to reach the same suspect node.
+const SUSPECT_TURN: Duration = Duration::from_secs(15);
 
 /// Tells the other nodes when this one begins to stop.
 pub(crate) async fn leave_on_stop(node: Rc<Node>) {
@@ -84,7 +86,9 @@
         listed.or_else(|| self.fleet.borrow().member(node).map(|member| member.addr))
     }
 
-    /// The nodes to keep links to. Suspect ones are chosen only if there are too few others.
+    /// The nodes to keep links to: some healthy ones, and one suspect one. Without the latter two
+    /// regions that have lost contact would never find each other again, because each suspects
+    /// all nodes of the other.
     fn choose_peers(&self) -> Vec<Target> {
         let nodes = self.other_nodes();
         let table = self.fleet.borrow();
@@ -93,8 +97,9 @@
         });
         let own = &self.settings.name;
         let mut chosen = fleet::choose(own, healthy, PEERS);
-        let missing = PEERS - chosen.len();
-        chosen.extend(fleet::choose(own, suspect, missing));
+        // A suspect node may be gone for good, so that another one is tried after a while.
+        let turn = self.clock.unix_millis() / SUSPECT_TURN.as_millis() as u64;
+        chosen.extend(fleet::choose(&format!("{own}/{turn}"), suspect, 1));
         let target = |node: NodeName| Some(Target { addr: *nodes.get(&node)?, node });
         chosen.into_iter().filter_map(target).collect()
     }
--- a/crates/node/tests/fleet/harness.rs
+++ b/crates/node/tests/fleet/harness.rs
@@ -95,6 +95,22 @@
         vms.filter(|vm| vm.name == name).for_each(|vm| vm.leaving = leaving);
     }
 
+    /// Makes the nodes before `first` and those from it on unable to reach each other, or lets them
+    /// reach each other again.
+    pub fn partition(&self, first: usize, cut: bool) {
+        for (index, list) in self.lists.iter().enumerate() {
+            let mut vms = self.vms.clone();
+            for (other, vm) in vms.iter_mut().enumerate() {
+                if cut && (other < first) != (index < first) {
+                    // Nothing listens there.
+                    vm.addr = SocketAddr::from(([127, 0, 0, 1], 1));
+                }
+            }
+            let version = list.snapshot.borrow().version + 1;
+            list.snapshot.replace(VmSnapshot { version, vms });
+        }
+    }
+
     pub fn all_at(&self, revision: u64) -> bool {
         self.nodes.iter().all(|node| node.status().revision == revision)
     }
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -114,6 +114,32 @@
     });
 }
 
+/// Regions lose contact several times a year. Each side then suspects the other one, and must
+/// still find it when the contact is back.
+#[test]
+fn two_halves_find_each_other_after_a_partition() {
+    run(async {
+        let mut fleet = Fleet::new();
+        fleet.store.put_revision(1);
+        fleet.add_nodes(10).await;
+        fleet
+            .wait(START_LIMIT, |fleet| fleet.nodes.iter().all(|node| node.link_count() >= 3))
+            .await;
+        fleet.partition(5, true);
+        fleet.clock.sleep(Duration::from_secs(15)).await;
+        let request = Digest(5);
+        fleet.nodes[0].record_crash(request, &"engine-0".into());
+        fleet.clock.sleep(Duration::from_secs(3)).await;
+        let known = |fleet: &Fleet| {
+            fleet.nodes.iter().filter(|node| node.is_crash_suspect(request)).count()
+        };
+        assert_eq!(known(&fleet), 5, "nodes that know of the crash during the partition");
+        fleet.partition(5, false);
+        let took = fleet.wait(START_LIMIT, |fleet| known(fleet) == 10).await;
+        println!("the halves had the same facts {took:?} after the partition");
+    });
+}
+
 /// The budget is 4 KB/s per node at 400 nodes, so the traffic at rest must not grow with the fleet.
 #[test]
 fn traffic_at_rest_stays_within_the_budget() {
--- a/crates/peers/src/outgoing.rs
+++ b/crates/peers/src/outgoing.rs
@@ -32,7 +32,8 @@
             return;
         }
         let now = peers.clock.now();
-        let heard = peers.last_heard(&target.node).unwrap_or(started);
+        // What was heard before this task began says nothing about its attempts.
+        let heard = peers.last_heard(&target.node).unwrap_or(started).max(started);
         if now.since(heard) >= SUSPECT_AFTER
             && let Some(handler) = peers.handler()
         {
