Make the partition long enough in its test

Cause: after 15 s not all nodes of the other half were suspected, so the test passed with the link to a suspect node removed. Change: the partition lasts 30 s.

--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -126,7 +126,8 @@
             .wait(START_LIMIT, |fleet| fleet.nodes.iter().all(|node| node.link_count() >= 3))
             .await;
         fleet.partition(5, true);
-        fleet.clock.sleep(Duration::from_secs(15)).await;
+        // A node suspects three others every 6 s; after this time all of the other half.
+        fleet.clock.sleep(Duration::from_secs(30)).await;
         let request = Digest(5);
         fleet.nodes[0].record_crash(request, &"engine-0".into());
         fleet.clock.sleep(Duration::from_secs(3)).await;
