Add the fault matrix on real processes

Cause: nothing checked the requirements while processes, links and the key-value service fail.

Change: `cargo xtask faults` starts the processes of each case, injects one fault and checks what callers and upstreams saw: claims (R3, R4), stages (R1, R2), links (F2, F9) and drains (R5, R6). The cluster can kill, pause, resume and restart processes. A relay test double disturbs links. The service test double now runs a call that has arrived although its caller has gone away: dropping the join handle cancelled it, which hid late runs. It also keeps the keys of organisations apart.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,5 @@
 //! Test doubles of the outside systems: a model engine, a plain service, the key-value service,
-//! the list of VMs and the weight store.
+//! the list of VMs and the weight store; and a relay that disturbs the links between processes.
 //!
 //! Purpose: let demos, fault tests and benchmarks run the router against real processes. Each
 //! double is one process; its faults are switched by `POST /control`.
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod keyvalue;
 pub mod reference;
+pub mod relay;
 mod server;
 pub mod service;
 pub mod vms;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -9,17 +9,21 @@
 };
 
 use clock::Clock;
+use futures_channel::oneshot;
 use futures_util::{
     FutureExt,
     future::{LocalBoxFuture, pending},
 };
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use transport::{Body, ConnectionId, Handler, RequestBody, json_response};
 
 use crate::server::{self, bad_request, reply};
 
+/// Header that names the organisation of a caller.
+const ORGANISATION: &str = "x-organisation";
+
 /// Settings of a service.
 #[derive(Clone, Debug, clap::Args)]
 pub struct ServiceArgs {
@@ -62,6 +66,7 @@
 #[derive(Clone, Debug, Serialize)]
 struct Filing {
     id: u64,
+    organisation: String,
     key: String,
     text: String,
 }
@@ -110,13 +115,20 @@
         match (&head.method, path) {
             (&Method::GET, "/healthz") => reply(Ok("ok")),
             (&Method::POST, "/filings") => {
-                let key = head.headers.get("idempotency-key");
-                let key = key.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+                let key = text(&head.headers, "idempotency-key");
+                let organisation = text(&head.headers, ORGANISATION);
                 // A call that has arrived runs, even when its caller goes away.
-                let run = compio::runtime::spawn(self.file(key, body));
-                run.await.unwrap_or_else(|_| reply::<()>(Err(internal())))
+                // Dropping a join handle would cancel the task, hence the channel.
+                let (sender, receiver) = oneshot::channel();
+                compio::runtime::spawn(async move {
+                    let response = self.file(key, organisation, body).await;
+                    // The caller may have gone away.
+                    let _ = sender.send(response);
+                })
+                .detach();
+                receiver.await.unwrap_or_else(|_| reply::<()>(Err(internal())))
             }
-            (&Method::GET, path) => reply(self.lookup(path)),
+            (&Method::GET, path) => reply(self.lookup(path, &text(&head.headers, ORGANISATION))),
             _ => reply::<()>(Err((StatusCode::NOT_FOUND, "no such path".into()))),
         }
     }
@@ -130,7 +142,12 @@
         Ok(())
     }
 
-    async fn file(self: Rc<Self>, key: String, body: RequestBody) -> Response<Body> {
+    async fn file(
+        self: Rc<Self>,
+        key: String,
+        organisation: String,
+        body: RequestBody,
+    ) -> Response<Body> {
         if self.faults.borrow().refuse {
             return reply::<()>(Err((StatusCode::SERVICE_UNAVAILABLE, "refused".into())));
         }
@@ -142,7 +159,7 @@
         self.clock.sleep(Duration::from_millis(delay)).await;
         *self.runs.borrow_mut().entry(key.clone()).or_default() += 1;
         let id = self.filings.borrow().len() as u64 + 1;
-        self.filings.borrow_mut().insert(id, Filing { id, key: key.clone(), text });
+        self.filings.borrow_mut().insert(id, Filing { id, organisation, key: key.clone(), text });
         if self.loses_answer() {
             return pending().await;
         }
@@ -162,10 +179,13 @@
         loses
     }
 
-    fn lookup(&self, path: &str) -> Result<Filing, (StatusCode, String)> {
+    /// Keys of different organisations are independent.
+    fn lookup(&self, path: &str, organisation: &str) -> Result<Filing, (StatusCode, String)> {
         let filings = self.filings.borrow();
         let found = match path.strip_prefix("/filings/by-key/") {
-            Some(key) => filings.values().find(|filing| filing.key == key),
+            Some(key) => filings
+                .values()
+                .find(|filing| filing.key == key && filing.organisation == organisation),
             None => path
                 .strip_prefix("/filings/")
                 .and_then(|id| id.parse::<u64>().ok())
@@ -175,6 +195,11 @@
     }
 }
 
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
 fn internal() -> (StatusCode, String) {
     (StatusCode::INTERNAL_SERVER_ERROR, "call failed".into())
 }
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -20,6 +20,7 @@
     Check { name: "build", args: &["build", "--workspace", "--bins"] },
     Check { name: "tests", args: &["test", "--workspace", "--quiet"] },
     Check { name: "demo", args: &["run", "--quiet", "--package", "xtask", "--", "demo"] },
+    Check { name: "faults", args: &["run", "--quiet", "--package", "xtask", "--", "faults"] },
 ];
 
 /// Runs all checks. Returns whether they passed.
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -25,6 +25,10 @@
 
 /// Deadlines of calls that control a test double.
 pub(crate) const CONTROL_TIMEOUTS: Timeouts = Timeouts::from_millis(1000, 5000);
+/// Name of the key-value service's process.
+pub(crate) const KEYVALUE: &str = "keyvalue";
+/// Name of the process of the list of VMs.
+pub(crate) const VMS: &str = "vms";
 /// Key of the configuration in the key-value service.
 const CONFIG_KEY: &str = "config/current";
 /// Time that a cluster has to become ready.
@@ -48,6 +52,12 @@
     pub(crate) services: Vec<Process>,
     pub(crate) engines: Vec<Process>,
     pub(crate) nodes: Vec<Process>,
+    /// Relays that stand in for the addresses of other processes.
+    pub(crate) relays: Vec<Process>,
+    /// Relay before the key-value service, if there is one.
+    pub(crate) keyvalue_relay: Option<SocketAddr>,
+    /// Relay before the list of VMs, if there is one.
+    pub(crate) vms_relay: Option<SocketAddr>,
 }
 
 impl Cluster {
@@ -58,8 +68,8 @@
         let standin = |name: &str, args: &[&str]| {
             Process::spawn(&binary("standins"), name, args.iter().copied(), &directory)
         };
-        let keyvalue = standin("keyvalue", &["keyvalue"]);
-        let vms = standin("vms", &["vms"]);
+        let keyvalue = standin(KEYVALUE, &["keyvalue"]);
+        let vms = standin(VMS, &["vms"]);
         let weights = standin("weights", &["weights"]);
         let clock = Rc::new(RuntimeClock::new());
         Cluster {
@@ -70,6 +80,9 @@
             services: Vec::new(),
             engines: Vec::new(),
             nodes: Vec::new(),
+            relays: Vec::new(),
+            keyvalue_relay: None,
+            vms_relay: None,
             directory,
         }
     }
@@ -94,28 +107,45 @@
     /// Starts a node and puts it on the list of VMs.
     pub(crate) async fn add_node(&mut self, name: &str, domain: &str) {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let settings = NodeSettings {
-            name: name.into(),
-            domain: domain.into(),
-            region: "demo".into(),
-            drain_ms: 10_000,
-            listen: Listen { callers: any, operators: any, peers: any },
-            platform: Platform {
-                keyvalue: self.keyvalue.addr(),
-                vms: self.vms.addr(),
-                weights: self.weights.addr(),
-            },
-            log: Log::default(),
-        };
-        let file = self.directory.join(format!("{name}.toml"));
-        let text = toml::to_string(&settings).expect("settings are serializable");
-        std::fs::write(&file, text).expect("settings file can be written");
-        let file = file.to_string_lossy().into_owned();
+        let file = self.write_settings(name, domain, [any; 3]);
         let args = ["serve".into(), "--settings".into(), file];
         let process = Process::spawn(&binary("gypsumrack"), name, args, &self.directory);
         self.nodes.push(process);
     }
 
+    /// Starts an ended node again at its old addresses.
+    pub(crate) fn restart_node(&self, index: usize, domain: &str) {
+        let node = &self.nodes[index];
+        node.kill();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let ports = ["callers", "operators", "peers"].map(|n| node.find_port(n).unwrap_or(any));
+        self.write_settings(&node.name, domain, ports);
+        node.relaunch(&[]);
+    }
+
+    /// Starts a relay before the key-value service and the list of VMs, and from now on before
+    /// each engine and service that is listed.
+    pub(crate) fn add_relays(&mut self) {
+        self.keyvalue_relay = Some(self.add_relay(KEYVALUE, self.keyvalue.addr()));
+        self.vms_relay = Some(self.add_relay(VMS, self.vms.addr()));
+    }
+
+    /// The relay before a process.
+    pub(crate) fn relay(&self, name: &str) -> &Process {
+        let name = relay_name(name);
+        let found = self.relays.iter().find(|relay| relay.name == name);
+        found.unwrap_or_else(|| panic!("there is no {name}"))
+    }
+
+    fn add_relay(&mut self, name: &str, target: SocketAddr) -> SocketAddr {
+        let args = ["relay".into(), format!("--target={target}")];
+        let name = relay_name(name);
+        let process = Process::spawn(&binary("standins"), &name, args, &self.directory);
+        let addr = process.port("relay");
+        self.relays.push(process);
+        addr
+    }
+
     /// Writes the first configuration.
     pub(crate) async fn configure(&self, config: &FleetConfig) {
         let store = self.store();
@@ -152,6 +182,28 @@
         client.post_json("/control", message, CONTROL_TIMEOUTS).await
     }
 
+    /// Writes the settings file of a node that listens for callers, operators and peers.
+    fn write_settings(&self, name: &str, domain: &str, ports: [SocketAddr; 3]) -> String {
+        let [callers, operators, peers] = ports;
+        let settings = NodeSettings {
+            name: name.into(),
+            domain: domain.into(),
+            region: "demo".into(),
+            drain_ms: 10_000,
+            listen: Listen { callers, operators, peers },
+            platform: Platform {
+                keyvalue: self.keyvalue_relay.unwrap_or(self.keyvalue.addr()),
+                vms: self.vms_relay.unwrap_or(self.vms.addr()),
+                weights: self.weights.addr(),
+            },
+            log: Log::default(),
+        };
+        let file = self.directory.join(format!("{name}.toml"));
+        let text = toml::to_string(&settings).expect("settings are serializable");
+        std::fs::write(&file, text).expect("settings file can be written");
+        file.to_string_lossy().into_owned()
+    }
+
     /// The state of a node, if it answers.
     pub(crate) async fn status(&self, node: &Process) -> Option<NodeStatus> {
         let client = HttpClient::new(self.clock.clone(), node.port("operators"));
@@ -166,7 +218,8 @@
         status.engines.iter().filter(|engine| engine.available).count()
     }
 
-    async fn list(&self, name: &str, addr: SocketAddr, domain: &str, role: VmRole) {
+    async fn list(&mut self, name: &str, addr: SocketAddr, domain: &str, role: VmRole) {
+        let addr = if self.vms_relay.is_some() { self.add_relay(name, addr) } else { addr };
         let vm = Vm { name: name.into(), addr, domain: domain.into(), role, leaving: false };
         let listed = self.control(&self.vms, &VmsControl::Put(vm)).await;
         assert!(listed.is_ok(), "VM was listed: {listed:?}");
@@ -179,6 +232,10 @@
     manifest.parent().unwrap_or(manifest).to_path_buf()
 }
 
+fn relay_name(name: &str) -> String {
+    format!("relay-{name}")
+}
+
 /// Path of a binary of the workspace, which is built beside this one.
 fn binary(name: &str) -> PathBuf {
     let own = std::env::current_exe().expect("own path is known");
--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -1,9 +1,10 @@
 use std::{
+    cell::RefCell,
     collections::BTreeMap,
-    fs::File,
+    fs::{File, OpenOptions},
     io::{BufRead, BufReader},
     net::SocketAddr,
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
 
@@ -12,10 +13,18 @@
 /// A process that this one has started. It is killed when it is dropped.
 pub(crate) struct Process {
     pub(crate) name: String,
-    child: Child,
+    launch: Launch,
+    child: RefCell<Child>,
     ports: BTreeMap<String, SocketAddr>,
 }
 
+/// How a process is started.
+struct Launch {
+    binary: PathBuf,
+    args: Vec<String>,
+    log: PathBuf,
+}
+
 impl Process {
     /// Starts a process and reads the addresses that it prints.
     pub(crate) fn spawn<A: AsRef<str>>(
@@ -24,20 +33,12 @@
         args: impl IntoIterator<Item = A>,
         directory: &Path,
     ) -> Process {
-        let log = File::create(directory.join(format!("{name}.log"))).expect("log can be created");
-        let mut command = Command::new(binary);
-        for arg in args {
-            command.arg(arg.as_ref());
-        }
-        let mut child = command
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(log)
-            .spawn()
-            .unwrap_or_else(|error| panic!("{} cannot be started: {error}", binary.display()));
-        let stdout = child.stdout.take().expect("standard output is piped");
-        let ports = read_ports(BufReader::new(stdout), name);
-        Process { name: name.into(), child, ports }
+        let log = directory.join(format!("{name}.log"));
+        File::create(&log).expect("log can be created");
+        let args = args.into_iter().map(|arg| arg.as_ref().to_owned()).collect();
+        let launch = Launch { binary: binary.into(), args, log };
+        let (child, ports) = launch.start(name, &[]);
+        Process { name: name.into(), launch, child: RefCell::new(child), ports }
     }
 
     /// The address of a test double.
@@ -47,17 +48,23 @@
 
     /// One of the addresses of a node.
     pub(crate) fn port(&self, name: &str) -> SocketAddr {
-        match self.ports.get(name) {
-            Some(addr) => *addr,
+        match self.find_port(name) {
+            Some(addr) => addr,
             None => panic!("{} has no address {name}", self.name),
         }
     }
 
+    /// One of the addresses of a node, if it printed it.
+    pub(crate) fn find_port(&self, name: &str) -> Option<SocketAddr> {
+        self.ports.get(name).copied()
+    }
+
     /// Kills the process without warning.
-    pub(crate) fn kill(&mut self) {
+    pub(crate) fn kill(&self) {
+        let mut child = self.child.borrow_mut();
         // The process may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 
     /// Asks the process to stop.
@@ -65,14 +72,37 @@
         self.signal(Signal::TERM);
     }
 
+    /// Stops the process from running; its connections stay open.
+    pub(crate) fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a paused process run again.
+    pub(crate) fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Starts an ended test double again at its old address.
+    pub(crate) fn restart(&self) {
+        self.relaunch(&[format!("--listen={}", self.addr())]);
+    }
+
+    /// Starts an ended process again with further arguments. It has to use its old addresses.
+    pub(crate) fn relaunch(&self, args: &[String]) {
+        self.kill();
+        let (child, ports) = self.launch.start(&self.name, args);
+        assert_eq!(ports, self.ports, "{} kept its addresses", self.name);
+        *self.child.borrow_mut() = child;
+    }
+
     /// The exit code if the process has ended.
-    pub(crate) fn exit_code(&mut self) -> Option<i32> {
-        let status = self.child.try_wait().ok().flatten()?;
+    pub(crate) fn exit_code(&self) -> Option<i32> {
+        let status = self.child.borrow_mut().try_wait().ok().flatten()?;
         Some(status.code().unwrap_or(-1))
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id().cast_signed());
+        let pid = Pid::from_raw(self.child.borrow().id().cast_signed());
         // The process may have ended by itself.
         let _ = pid.map(|pid| kill_process(pid, signal));
     }
@@ -84,6 +114,23 @@
     }
 }
 
+impl Launch {
+    fn start(&self, name: &str, more: &[String]) -> (Child, BTreeMap<String, SocketAddr>) {
+        let log = OpenOptions::new().append(true).open(&self.log).expect("log can be opened");
+        let mut child = Command::new(&self.binary)
+            .args(&self.args)
+            .args(more)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{} cannot be started: {error}", self.binary.display()));
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let ports = read_ports(BufReader::new(stdout), name);
+        (child, ports)
+    }
+}
+
 /// Reads lines of a name and an address. A node prints several, a test double only one.
 fn read_ports(output: impl BufRead, name: &str) -> BTreeMap<String, SocketAddr> {
     let mut ports = BTreeMap::new();
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -57,7 +57,7 @@
     if !ready {
         return checks.finish();
     }
-    let mut victim = cluster.engines.remove(0);
+    let victim = cluster.engines.remove(0);
     let clients: Rc<Vec<CallerClient>> = Rc::new(
         cluster
             .nodes
@@ -83,7 +83,7 @@
     if let Some(time) = repaired {
         println!("     it was loaded {:.1} s after the load ended", time.as_secs_f64());
     }
-    let stopped = stop_nodes(&mut cluster).await;
+    let stopped = stop_nodes(&cluster).await;
     checks.check(stopped, format!("{NODES} nodes shut down gracefully when asked to"));
     checks.finish()
 }
@@ -110,11 +110,11 @@
 }
 
 /// Asks the nodes to stop. Returns whether all of them end with success in time.
-async fn stop_nodes(cluster: &mut Cluster) -> bool {
+async fn stop_nodes(cluster: &Cluster) -> bool {
     cluster.nodes.iter().for_each(Process::terminate);
     let deadline = cluster.clock.now() + STOP_LIMIT;
     while cluster.clock.now() < deadline {
-        let codes: Vec<_> = cluster.nodes.iter_mut().map(Process::exit_code).collect();
+        let codes: Vec<_> = cluster.nodes.iter().map(Process::exit_code).collect();
         if codes.iter().all(Option::is_some) {
             return codes.iter().all(|code| *code == Some(0));
         }
--- /dev/null
+++ b/xtask/src/faults/drafts.rs
@@ -0,0 +1,235 @@
+//! Drafts through the cluster of a case, and what callers saw of each of them.
+
+use std::{cell::Cell, time::Duration};
+
+use clock::Timestamp;
+use futures_util::future::join_all;
+use loadgen::{Draft, DraftOutcome};
+use standins::EngineFaults;
+use transport::HttpClient;
+use types::Class;
+
+use crate::{
+    cluster::{CONTROL_TIMEOUTS, EngineSpec, Process},
+    faults::bench::{Bench, ORGANISATION},
+    workload::{self, RANGES},
+};
+
+/// Model of the drafts.
+pub(crate) const MODEL: &str = "permits";
+/// Tokens of a draft; with the time of a step it streams for about half a second.
+pub(crate) const TOKENS: u32 = 48;
+/// Time of one step of an engine. It leaves time to inject a fault into a running stream.
+const STEP_MICROS: u32 = 3000;
+/// Deadline of a draft.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Time that a case waits for something that has to happen.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+/// Interval of the looks at another process.
+const POLL: Duration = Duration::from_millis(5);
+/// Drafts that run at once while a fault is injected.
+const CONCURRENT_DRAFTS: u32 = 4;
+
+/// What the callers of a load saw.
+#[derive(Debug, Default)]
+pub(crate) struct Load {
+    pub(crate) drafts: u32,
+    /// Drafts that were not whole or not correct.
+    pub(crate) wrong: u32,
+    /// Drafts that needed more than one attempt.
+    pub(crate) retried: u32,
+    /// Longest wait for a token of each draft.
+    pub(crate) stalls: Vec<Duration>,
+    /// Whole time of each draft.
+    pub(crate) totals: Vec<Duration>,
+}
+
+/// Position of a stage in a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Position {
+    First,
+    Middle,
+    Last,
+}
+
+/// Engines that hold each layer range of the drafts' model `replicas` times.
+pub(crate) fn engine_specs(replicas: u32) -> Vec<EngineSpec> {
+    let mut specs = workload::engine_specs(replicas);
+    specs.retain(|spec| spec.name.starts_with(MODEL));
+    for spec in &mut specs {
+        spec.args.push(format!("--step-micros={STEP_MICROS}"));
+    }
+    specs
+}
+
+/// The draft with a number.
+pub(crate) fn draft(number: u32) -> Draft {
+    Draft {
+        id: String::new(),
+        organisation: ORGANISATION.into(),
+        class: Class::Interactive,
+        model: MODEL.into(),
+        prompt: format!("Draft {number} about gravel from the bar at kilometre {number}"),
+        max_tokens: TOKENS,
+        deadline: DEADLINE,
+    }
+}
+
+impl Position {
+    /// Name of an engine at this position.
+    pub(crate) fn engine(self, replica: u32) -> String {
+        let range = match self {
+            Position::First => 0,
+            Position::Middle => 1,
+            Position::Last => RANGES - 1,
+        };
+        format!("{MODEL}-{range}-{replica}")
+    }
+}
+
+impl Load {
+    /// Adds what a caller saw of a draft.
+    pub(crate) fn add(&mut self, outcome: &DraftOutcome, correct: bool) {
+        self.drafts += 1;
+        self.wrong += u32::from(!correct);
+        self.retried += u32::from(outcome.attempts > 1);
+        self.stalls.push(stall(outcome));
+        self.totals.push(outcome.total);
+    }
+
+    /// The time that 95 of 100 drafts did not exceed.
+    pub(crate) fn total_p95(&self) -> Duration {
+        let mut totals = self.totals.clone();
+        totals.sort();
+        totals.get(totals.len() * 95 / 100).copied().unwrap_or_default()
+    }
+}
+
+impl Bench {
+    /// Requests a draft and checks that it is whole and correct.
+    pub(crate) async fn draft(&self, node: usize, draft: &Draft) -> DraftOutcome {
+        let (outcome, correct) = self.try_draft(node, draft).await;
+        self.check(correct, || format!("draft is not whole and correct: {outcome:?}"));
+        outcome
+    }
+
+    /// Requests a draft. Also returns whether it is whole and correct.
+    pub(crate) async fn try_draft(&self, node: usize, draft: &Draft) -> (DraftOutcome, bool) {
+        let outcome = self.callers[node].draft(draft).await;
+        let correct = outcome.is_correct(&workload::expected_text(draft));
+        (outcome, correct)
+    }
+
+    /// Runs some drafts at once through a node and checks them. The longest wait of a caller for
+    /// a token is the recovery time.
+    pub(crate) async fn drafts(&self, node: usize) -> Load {
+        let mut load = Load::default();
+        let all = (0..CONCURRENT_DRAFTS).map(|number| async move {
+            let outcome = self.draft(node, &draft(number)).await;
+            outcome
+        });
+        for outcome in join_all(all).await {
+            load.add(&outcome, true);
+        }
+        if let Some(longest) = load.stalls.iter().max() {
+            self.recovered(*longest);
+        }
+        load
+    }
+
+    /// Runs drafts through all nodes, each as soon as the one before has ended, until `stop`.
+    pub(crate) async fn load(&self, stop: &Cell<bool>, most: u32) -> Load {
+        let next = Cell::new(0);
+        let callers = (0..CONCURRENT_DRAFTS).map(|caller| {
+            let next = &next;
+            async move {
+                let mut outcomes = Vec::new();
+                while !stop.get() && next.get() < most {
+                    next.set(next.get() + 1);
+                    let node = (caller as usize + outcomes.len()) % self.callers.len();
+                    outcomes.push(self.try_draft(node, &draft(next.get())).await);
+                }
+                outcomes
+            }
+        });
+        let mut load = Load::default();
+        for (outcome, correct) in join_all(callers).await.into_iter().flatten() {
+            if !correct && load.wrong < 2 {
+                self.problem(format!("draft is not whole and correct: {outcome:?}"));
+            }
+            load.add(&outcome, correct);
+        }
+        load
+    }
+
+    /// Waits until a node runs a draft on an engine at the position, and returns the engine.
+    pub(crate) async fn busy_engine(&self, node: usize, position: Position) -> &Process {
+        let deadline = self.now() + WAIT_LIMIT;
+        loop {
+            for replica in 0.. {
+                let Some(engine) = self.find_engine(&position.engine(replica)) else { break };
+                if self.engine_status(node, &engine.name, "outstanding").await >= Some(1) {
+                    return engine;
+                }
+            }
+            if self.now() > deadline {
+                self.problem(format!("no {position} stage is busy"));
+                return self.engine(&position.engine(0));
+            }
+            self.cluster.clock.sleep(POLL).await;
+        }
+    }
+
+    /// Waits until a node regards an engine as available or not.
+    pub(crate) async fn wait_available(&self, node: usize, engine: &str, available: bool) {
+        let deadline = self.now() + WAIT_LIMIT;
+        while self.engine_status(node, engine, "available").await != Some(u64::from(available)) {
+            if self.now() > deadline {
+                let state = if available { "available" } else { "unavailable" };
+                return self.problem(format!("node-{node} does not see {engine} as {state}"));
+            }
+            self.sleep(20).await;
+        }
+    }
+
+    /// Positions that an engine has run.
+    pub(crate) async fn tokens_run(&self, engine: &Process) -> u64 {
+        let client = HttpClient::new(self.cluster.clock.clone(), engine.addr());
+        client.get_json("/control/tokens", CONTROL_TIMEOUTS).await.unwrap_or_default()
+    }
+
+    /// Sets the faults of an engine.
+    pub(crate) async fn engine_faults(&self, engine: &Process, faults: EngineFaults) {
+        self.control(engine, &faults).await;
+    }
+
+    pub(crate) fn engine(&self, name: &str) -> &Process {
+        self.find_engine(name).unwrap_or_else(|| panic!("there is no engine {name}"))
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.cluster.clock.now()
+    }
+
+    fn find_engine(&self, name: &str) -> Option<&Process> {
+        self.cluster.engines.iter().find(|engine| engine.name == name)
+    }
+
+    /// A value of a node's view of an engine.
+    async fn engine_status(&self, node: usize, engine: &str, value: &str) -> Option<u64> {
+        let addr = self.cluster.nodes[node].port("operators");
+        let client = HttpClient::new(self.cluster.clock.clone(), addr);
+        let status: serde_json::Value = client.get_json("/status", CONTROL_TIMEOUTS).await.ok()?;
+        let engines = status["engines"].as_array()?;
+        let found = engines.iter().find(|found| found["engine"] == engine)?;
+        let value = &found[value];
+        value.as_u64().or_else(|| value.as_bool().map(u64::from))
+    }
+}
+
+/// Longest wait of a caller for a token.
+pub(crate) fn stall(outcome: &DraftOutcome) -> Duration {
+    let intervals = outcome.intervals.iter().copied();
+    intervals.chain([outcome.first_token]).max().unwrap_or_default()
+}
--- /dev/null
+++ b/xtask/src/faults/filings.rs
@@ -0,0 +1,271 @@
+//! Filings through the cluster of a case, and what callers saw of each of them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use clock::{Timestamp, timeout};
+use http::StatusCode;
+use keyvalue::KeyValue;
+use loadgen::{Filing, FilingOutcome};
+use transport::HttpClient;
+use types::Verdict;
+
+use crate::{
+    cluster::{CONTROL_TIMEOUTS, Process},
+    faults::{
+        Report,
+        bench::{Bench, ORGANISATION},
+    },
+};
+
+/// Deadline of a filing unless a case sets another one.
+pub(crate) const DEADLINE: Duration = Duration::from_millis(1500);
+/// Time beyond its deadline within which a filing has to be answered.
+const DEADLINE_GRACE: Duration = Duration::from_millis(1000);
+/// Interval of the looks at another process.
+const POLL: Duration = Duration::from_millis(5);
+/// Time that a case waits for something that has to happen.
+const WAIT_LIMIT: Duration = Duration::from_secs(15);
+
+/// One send of a filing.
+pub(crate) struct SendRecord {
+    key: String,
+    start: Timestamp,
+    deadline: Duration,
+    /// When the caller got its answer or hung up.
+    end: Option<Timestamp>,
+    /// What the caller saw; none if it has hung up.
+    outcome: Option<FilingOutcome>,
+    /// Runs of the key right after the answer.
+    runs: u32,
+}
+
+/// A filing whose caller does not say that it is the first send.
+pub(crate) fn filing(key: &str) -> Filing {
+    Filing {
+        id: String::new(),
+        organisation: ORGANISATION.into(),
+        key: key.into(),
+        text: format!("Claim of {key}"),
+        first_send: false,
+        deadline: DEADLINE,
+    }
+}
+
+/// A filing whose caller says that it is the first send.
+pub(crate) fn first_filing(key: &str) -> Filing {
+    Filing { first_send: true, ..filing(key) }
+}
+
+impl Bench {
+    /// Sends a filing through a node and records the outcome.
+    pub(crate) async fn send(&self, node: usize, filing: &Filing) -> FilingOutcome {
+        let index = self.open_record(filing);
+        let outcome = self.callers[node].file(filing).await;
+        let end = self.cluster.clock.now();
+        let runs = if outcome.verdict == Some(Verdict::NotRun) {
+            self.runs().await.get(&filing.key).copied().unwrap_or_default()
+        } else {
+            0
+        };
+        let record = &mut self.sends.borrow_mut()[index];
+        record.end = Some(end);
+        record.outcome = Some(outcome.clone());
+        record.runs = runs;
+        outcome
+    }
+
+    /// Sends a filing through a node and hangs up after a time.
+    pub(crate) async fn send_and_hang_up(&self, node: usize, filing: &Filing, after: Duration) {
+        let index = self.open_record(filing);
+        let send = self.callers[node].file(filing);
+        // Whether the answer came before the caller hung up does not matter.
+        let _ = timeout(&*self.cluster.clock, after, send).await;
+        self.sends.borrow_mut()[index].end = Some(self.cluster.clock.now());
+    }
+
+    /// Sends a filing until it is answered with `ran`; the time that takes is the recovery time.
+    pub(crate) async fn send_until_ran(&self, node: usize, filing: &Filing) {
+        let started = self.cluster.clock.now();
+        loop {
+            let outcome = self.send(node, filing).await;
+            let waited = self.cluster.clock.now().since(started);
+            if outcome.verdict == Some(Verdict::Ran) {
+                self.recovered(waited);
+                return;
+            }
+            if waited > WAIT_LIMIT {
+                self.problem(format!("{} did not run within {waited:?}: {outcome:?}", filing.key));
+                return;
+            }
+            self.sleep(50).await;
+        }
+    }
+
+    /// Notes a problem unless the verdict is the expected one.
+    pub(crate) fn expect(&self, what: &str, outcome: &FilingOutcome, verdict: Verdict) {
+        if outcome.verdict != Some(verdict) {
+            self.problem(format!("{what}: expected {verdict}, got {outcome:?}"));
+        }
+    }
+
+    /// Notes a problem unless the key ran this often.
+    pub(crate) async fn expect_runs(&self, key: &str, expected: u32) {
+        let runs = self.runs().await.get(key).copied().unwrap_or_default();
+        if runs != expected {
+            self.problem(format!("{key} ran {runs} times, expected {expected}"));
+        }
+    }
+
+    /// Notes a problem unless both answers are equal.
+    pub(crate) fn expect_equal(&self, what: &str, one: &FilingOutcome, other: &FilingOutcome) {
+        if (one.status, &one.body) != (other.status, &other.body) {
+            self.problem(format!("{what}: {one:?} and {other:?} differ"));
+        }
+    }
+
+    /// Kills a replica of the service and keeps its counts.
+    pub(crate) async fn kill_service(&self, service: usize) {
+        let counts = self.runs_of(&self.cluster.services[service]).await;
+        self.cluster.services[service].kill();
+        for (key, count) in counts {
+            *self.past_runs.borrow_mut().entry(key).or_default() += count;
+        }
+    }
+
+    /// Counts a run of a service that ended by itself and can no longer be asked.
+    pub(crate) fn add_past_run(&self, key: &str) {
+        *self.past_runs.borrow_mut().entry(key.into()).or_default() += 1;
+    }
+
+    /// Waits until the key has a claim in the key-value service.
+    pub(crate) async fn wait_claim(&self, key: &str) {
+        let store = self.cluster.store();
+        let store_key = format!("claims/{ORGANISATION}/{key}");
+        let deadline = self.cluster.clock.now() + WAIT_LIMIT;
+        while !matches!(store.get(&store_key).await, Ok(Some(_))) {
+            if self.cluster.clock.now() > deadline {
+                return self.problem(format!("{key} was not claimed"));
+            }
+            self.cluster.clock.sleep(POLL).await;
+        }
+    }
+
+    /// Waits until the key has run.
+    pub(crate) async fn wait_run(&self, key: &str) {
+        let deadline = self.cluster.clock.now() + WAIT_LIMIT;
+        while !self.runs().await.contains_key(key) {
+            if self.cluster.clock.now() > deadline {
+                return self.problem(format!("{key} did not run"));
+            }
+            self.cluster.clock.sleep(POLL).await;
+        }
+    }
+
+    /// Runs of each key on all replicas.
+    pub(crate) async fn runs(&self) -> BTreeMap<String, u32> {
+        let mut runs = self.past_runs.borrow().clone();
+        for service in &self.cluster.services {
+            for (key, count) in self.runs_of(service).await {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        runs
+    }
+
+    /// Checks what holds for every filing and returns the report.
+    pub(crate) async fn finish(self) -> Report {
+        let runs = self.runs().await;
+        let keys: BTreeSet<String> =
+            self.sends.borrow().iter().map(|send| send.key.clone()).collect();
+        for key in keys.iter().filter(|key| !key.is_empty()) {
+            self.check_key(key, runs.get(key).copied().unwrap_or_default());
+        }
+        self.check_answered();
+        self.report.take()
+    }
+
+    fn open_record(&self, filing: &Filing) -> usize {
+        let mut sends = self.sends.borrow_mut();
+        sends.push(SendRecord {
+            key: filing.key.clone(),
+            start: self.cluster.clock.now(),
+            deadline: filing.deadline,
+            end: None,
+            outcome: None,
+            runs: 0,
+        });
+        sends.len() - 1
+    }
+
+    /// A killed replica counts through `past_runs`, a paused one not at all.
+    async fn runs_of(&self, service: &Process) -> BTreeMap<String, u32> {
+        let client = HttpClient::new(self.cluster.clock.clone(), service.addr());
+        client.get_json("/control/runs", CONTROL_TIMEOUTS).await.unwrap_or_default()
+    }
+
+    fn check_key(&self, key: &str, runs: u32) {
+        let sends = self.sends.borrow();
+        let sends: Vec<&SendRecord> = sends.iter().filter(|send| send.key == key).collect();
+        if runs > 1 {
+            self.problem(format!("{key} ran {runs} times"));
+        }
+        for send in &sends {
+            let Some(outcome) = &send.outcome else { continue };
+            let verdict = outcome.verdict;
+            if verdict == Some(Verdict::Ran) && runs == 0 {
+                self.problem(format!("{key} was answered with ran, but it did not run"));
+            }
+            let refused_content = outcome.status == StatusCode::UNPROCESSABLE_ENTITY.as_u16();
+            if verdict != Some(Verdict::NotRun) || refused_content {
+                continue;
+            }
+            let ran_before = send.runs > 0 && !sends.iter().any(|other| send.overlaps(other));
+            let ran_later = runs > 0 && !sends.iter().any(|other| send.may_explain(other));
+            if ran_before || ran_later {
+                self.problem(format!("{key} was answered with not-run, but it ran"));
+            }
+        }
+        let answers: BTreeSet<(u16, &str)> = sends
+            .iter()
+            .filter_map(|send| send.outcome.as_ref())
+            .filter(|outcome| outcome.status == StatusCode::CREATED.as_u16())
+            .map(|outcome| (outcome.status, outcome.body.as_str()))
+            .collect();
+        if answers.len() > 1 {
+            self.problem(format!("{key} got different answers: {answers:?}"));
+        }
+    }
+
+    /// Allows answers to come this much later, because a node is paused.
+    pub(crate) fn allow_late(&self, time: Duration) {
+        self.late.set(time);
+    }
+
+    fn check_answered(&self) {
+        for send in self.sends.borrow().iter() {
+            let (Some(end), Some(outcome)) = (send.end, &send.outcome) else { continue };
+            let took = end.since(send.start);
+            // Callers of a node that was killed or paused see a broken connection.
+            if outcome.verdict.is_some() && took > send.deadline + DEADLINE_GRACE + self.late.get()
+            {
+                self.problem(format!("{} was answered only after {took:?}", send.key));
+            }
+        }
+    }
+}
+
+impl SendRecord {
+    /// Whether another send ran at the same time.
+    fn overlaps(&self, other: &SendRecord) -> bool {
+        let ended = |send: &SendRecord, at: Timestamp| send.end.is_some_and(|end| end <= at);
+        !std::ptr::eq(self, other) && !ended(self, other.start) && !ended(other, self.start)
+    }
+
+    /// Whether another send can have run the key after this one was refused.
+    fn may_explain(&self, other: &SendRecord) -> bool {
+        !std::ptr::eq(self, other) && (self.overlaps(other) || other.start > self.start)
+    }
+}
--- /dev/null
+++ b/xtask/src/faults/mod.rs
@@ -0,0 +1,102 @@
+//! The fault matrix: each case starts the processes that it needs, injects a fault and checks
+//! what callers and upstreams saw.
+
+mod at_most_once;
+mod bench;
+mod case;
+mod drafts;
+mod drains;
+mod filings;
+mod links;
+mod report;
+mod sequences;
+mod service_faults;
+mod store_faults;
+mod whole_answers;
+
+use std::{panic::AssertUnwindSafe, path::PathBuf, rc::Rc, time::Duration};
+
+use clock::{Clock, RuntimeClock, timeout};
+use futures_util::{FutureExt, StreamExt, stream};
+
+pub(crate) use case::{Case, Context, Report};
+use report::{Row, Rows};
+
+/// Cases that run at once. More would distort the times on a small machine.
+const PARALLEL_CASES: usize = 3;
+/// Longest time of one case.
+const CASE_LIMIT: Duration = Duration::from_secs(90);
+
+/// Options of `cargo xtask faults`.
+#[derive(Clone, Debug, clap::Args)]
+pub(crate) struct FaultsArgs {
+    /// Seed of the times and of the random sequences.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Runs only the cases whose names start with this text.
+    #[arg(long, default_value = "")]
+    only: String,
+    /// Runs random sequences of faults under load.
+    #[arg(long)]
+    long: bool,
+    /// Random sequences to run, one for each seed from the first one on.
+    #[arg(long, default_value_t = 10)]
+    count: u64,
+    /// File to write the results to, as a table.
+    #[arg(long)]
+    markdown: Option<PathBuf>,
+}
+
+/// Runs the matrix. Returns whether no case failed unexpectedly.
+pub(crate) fn run(args: &FaultsArgs) -> bool {
+    let runtime = compio::runtime::Runtime::new().expect("runtime can be created");
+    let rows = runtime.block_on(run_cases(args));
+    if let Some(file) = &args.markdown {
+        std::fs::write(file, rows.markdown()).expect("table can be written");
+    }
+    rows.finish()
+}
+
+async fn run_cases(args: &FaultsArgs) -> Rows {
+    let runs: Vec<(Case, u64)> = if args.long {
+        let seeds = args.seed..args.seed + args.count;
+        seeds.map(|seed| (sequences::case(), seed)).collect()
+    } else {
+        short_cases().into_iter().map(|case| (case, args.seed)).collect()
+    };
+    let chosen = runs.into_iter().filter(|(case, _)| case.name.starts_with(&args.only));
+    let mut rows = Rows::new();
+    let mut running = stream::iter(chosen)
+        .map(|(case, seed)| run_case(case, seed))
+        .buffer_unordered(PARALLEL_CASES);
+    while let Some(row) = running.next().await {
+        rows.add(row);
+    }
+    drop(running);
+    rows
+}
+
+fn short_cases() -> Vec<Case> {
+    let mut cases = at_most_once::cases();
+    cases.extend(service_faults::cases());
+    cases.extend(store_faults::cases());
+    cases.extend(whole_answers::cases());
+    cases.extend(links::cases());
+    cases.extend(drains::cases());
+    cases
+}
+
+async fn run_case(case: Case, seed: u64) -> Row {
+    let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
+    let directory = format!("faults/{}-{seed}", case.name.replace('/', "-"));
+    let run = AssertUnwindSafe(case.scenario.run(Context { directory, seed })).catch_unwind();
+    let report = match timeout(&*clock, CASE_LIMIT, run).await {
+        Ok(Ok(report)) => report,
+        Ok(Err(_)) => Report { problems: vec!["the case panicked".into()], ..Report::default() },
+        Err(_) => {
+            let problem = format!("the case did not end within {} s", CASE_LIMIT.as_secs());
+            Report { problems: vec![problem], ..Report::default() }
+        }
+    };
+    Row { case, seed, report }
+}
--- /dev/null
+++ b/xtask/src/faults/whole_answers.rs
@@ -0,0 +1,249 @@
+//! Whole answers while stages fail.
+
+use std::time::Duration;
+
+use futures_util::{FutureExt, future::LocalBoxFuture, join};
+use standins::{EngineFaults, reference};
+use strum::IntoEnumIterator;
+use transport::HttpClient;
+
+use crate::{
+    cluster::{CONTROL_TIMEOUTS, Process},
+    faults::{
+        Case, Context, Report,
+        bench::{Bench, Setup},
+        case::Scenario,
+        drafts::{Position, TOKENS, draft},
+    },
+};
+
+/// Longest stall of a stream that loses a stage: the wait for the first token of an attempt
+/// (2 s) may pass once before the failure is noticed, and a new attempt follows.
+const STALL_LIMIT: Duration = Duration::from_secs(4);
+/// Drafts within which one has to run on an engine that fails in its first run.
+const MAX_TRIES: u32 = 24;
+
+/// A fault of one stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+enum StageFault {
+    Kill,
+    Pause,
+    Hang,
+    SilentConnections,
+    Slow,
+    Stalled,
+    DropsHandoffs,
+    DuplicatesHandoffs,
+    CrashInPrefill,
+    CrashMidStream,
+    CrashNearEnd,
+    WrongReceipt,
+}
+
+/// A fault of a stage at a position.
+struct StageCase {
+    position: Position,
+    fault: StageFault,
+}
+
+/// The cases of this module.
+pub(crate) fn cases() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for fault in StageFault::iter() {
+        for position in Position::iter() {
+            let (requirement, class) = (fault.requirement(), fault.class());
+            let name = format!("stages/{fault}-{position}");
+            cases.push(Case::new(name, requirement, class, StageCase { position, fault }));
+        }
+    }
+    cases.push(Case::new("stages/skipped-layer", "R1", "wrong answer", skipped_layer));
+    cases.push(Case::new("stages/no-spare", "R2 R3", "F1", no_spare));
+    cases.push(Case::new("stages/replaced", "R2", "F1", replaced));
+    cases
+}
+
+impl StageFault {
+    fn requirement(self) -> &'static str {
+        match self {
+            StageFault::WrongReceipt | StageFault::DuplicatesHandoffs => "R1 R2",
+            _ => "R2",
+        }
+    }
+
+    fn class(self) -> &'static str {
+        match self {
+            StageFault::Pause | StageFault::Hang | StageFault::Stalled => "stage stands still",
+            StageFault::SilentConnections => "F9",
+            StageFault::Slow => "stage slow",
+            StageFault::DropsHandoffs | StageFault::DuplicatesHandoffs => {
+                "handoffs lost or doubled"
+            }
+            StageFault::WrongReceipt => "wrong answer",
+            _ => "F1",
+        }
+    }
+
+    /// The control message of the fault, unless it is done to the process from outside.
+    fn control(self) -> Option<EngineFaults> {
+        let none = EngineFaults::default();
+        let prompt = reference::tokenize(&draft(0).prompt).len() as u32;
+        match self {
+            StageFault::Kill | StageFault::Pause => None,
+            StageFault::Hang => Some(EngineFaults { hang: true, ..none }),
+            StageFault::SilentConnections => Some(EngineFaults { silence_open: true, ..none }),
+            // A token then takes about 150 ms, less than the progress deadline of 400 ms.
+            StageFault::Slow => Some(EngineFaults { slowdown: 40, ..none }),
+            // A step then takes about 3 s.
+            StageFault::Stalled => Some(EngineFaults { slowdown: 1000, ..none }),
+            StageFault::DropsHandoffs => Some(EngineFaults { drop_every: 10, ..none }),
+            StageFault::DuplicatesHandoffs => Some(EngineFaults { duplicate: true, ..none }),
+            StageFault::CrashInPrefill => Some(EngineFaults { crash_after: Some(1), ..none }),
+            StageFault::CrashMidStream => Some(EngineFaults { crash_after: Some(8), ..none }),
+            StageFault::CrashNearEnd => {
+                Some(EngineFaults { crash_after: Some(prompt + TOKENS - 2), ..none })
+            }
+            StageFault::WrongReceipt => Some(EngineFaults { wrong_receipt: true, ..none }),
+        }
+    }
+
+    /// Whether a draft that meets the fault needs another attempt.
+    fn ends_attempts(self) -> bool {
+        !matches!(self, StageFault::Slow | StageFault::DuplicatesHandoffs)
+    }
+
+    /// Whether the fault is set before a draft is sent.
+    fn is_early(self) -> bool {
+        matches!(
+            self,
+            StageFault::CrashInPrefill | StageFault::CrashNearEnd | StageFault::WrongReceipt
+        )
+    }
+}
+
+impl Scenario for StageCase {
+    fn run(&self, context: Context) -> LocalBoxFuture<'static, Report> {
+        let (position, fault) = (self.position, self.fault);
+        async move {
+            let setup = Setup { nodes: 1, services: 0, replicas: 2, ..Setup::default() };
+            let bench = Bench::start(&context, setup).await;
+            if fault.is_early() {
+                early_fault(&bench, position, fault).await;
+            } else {
+                let drafts = bench.drafts(0);
+                let (load, ()) = join!(drafts, late_fault(&bench, &context, position, fault));
+                let longest = load.stalls.iter().max().copied().unwrap_or_default();
+                bench.check(longest < STALL_LIMIT, || format!("a caller waited {longest:?}"));
+                bench.check(load.retried > 0 || !fault.ends_attempts(), || {
+                    "no draft met the fault".into()
+                });
+                bench.note(format!("{} of {} drafts retried", load.retried, load.drafts));
+            }
+            bench.finish().await
+        }
+        .boxed_local()
+    }
+}
+
+/// Injects a fault into a stage that runs drafts.
+async fn late_fault(bench: &Bench, context: &Context, position: Position, fault: StageFault) {
+    let engine = bench.busy_engine(0, position).await;
+    bench.cluster.clock.sleep(context.around(120)).await;
+    match fault.control() {
+        Some(faults) => bench.engine_faults(engine, faults).await,
+        None if fault == StageFault::Kill => engine.kill(),
+        None => engine.pause(),
+    }
+}
+
+/// Sets a fault that a stage shows in its first run, and runs drafts until one has met it.
+async fn early_fault(bench: &Bench, position: Position, fault: StageFault) {
+    let engine = bench.engine(&position.engine(0));
+    let Some(faults) = fault.control() else { return };
+    bench.engine_faults(engine, faults).await;
+    for number in 0..MAX_TRIES {
+        let outcome = bench.draft(0, &draft(number)).await;
+        let met = match fault {
+            StageFault::WrongReceipt => outcome.attempts > 1,
+            _ => engine.exit_code().is_some(),
+        };
+        if met {
+            let longest = super::drafts::stall(&outcome);
+            bench.check(longest < STALL_LIMIT, || format!("a caller waited {longest:?}"));
+            bench.recovered(longest);
+            if fault == StageFault::WrongReceipt {
+                let counted = violations(bench, &bench.cluster.nodes[0]).await;
+                bench.check(counted, || "the violation was not counted".into());
+            }
+            return;
+        }
+    }
+    bench.problem(format!("no draft of {MAX_TRIES} met the fault"));
+}
+
+/// Whether a node has counted tokens with wrong receipts.
+async fn violations(bench: &Bench, node: &Process) -> bool {
+    let client = HttpClient::new(bench.cluster.clock.clone(), node.port("operators"));
+    let request = http::Request::get("/metrics")
+        .header("host", "gypsumrack")
+        .body(transport::Body::empty())
+        .expect("request is valid");
+    let Ok(response) = client.send_fresh(request, CONTROL_TIMEOUTS).await else { return false };
+    let Ok(body) = response.collect(1 << 20, CONTROL_TIMEOUTS.progress).await else { return false };
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let line = text.lines().find(|line| line.starts_with("gypsumrack_layer_violations_total "));
+    line.is_some_and(|line| !line.ends_with(" 0"))
+}
+
+/// The check of the answers notices a layer that an engine skipped without saying so.
+async fn skipped_layer(context: Context) -> Report {
+    let setup = Setup { nodes: 1, services: 0, replicas: 1, ..Setup::default() };
+    let bench = Bench::start(&context, setup).await;
+    for position in Position::iter() {
+        let engine = bench.engine(&position.engine(0));
+        bench.engine_faults(engine, EngineFaults { skip_layer: true, ..Default::default() }).await;
+        let (outcome, correct) = bench.try_draft(0, &draft(0)).await;
+        bench.check(!correct, || format!("a skipped layer was not noticed: {outcome:?}"));
+        bench.engine_faults(engine, EngineFaults::default()).await;
+    }
+    bench.draft(0, &draft(1)).await;
+    bench.finish().await
+}
+
+/// Without a spare the caller is told that its answer is not whole.
+async fn no_spare(context: Context) -> Report {
+    let setup = Setup { nodes: 1, services: 0, replicas: 1, ..Setup::default() };
+    let bench = Bench::start(&context, setup).await;
+    let impatient = loadgen::Draft { deadline: Duration::from_secs(3), ..draft(0) };
+    let kill = async {
+        let engine = bench.busy_engine(0, Position::Middle).await;
+        bench.cluster.clock.sleep(context.around(120)).await;
+        engine.kill();
+        engine
+    };
+    let ((outcome, correct), engine) = join!(bench.try_draft(0, &impatient), kill);
+    bench.check(!correct && outcome.error.is_some() && outcome.verdict.is_some(), || {
+        format!("expected an error with a verdict, got {outcome:?}")
+    });
+    engine.restart();
+    let restarted = bench.now();
+    bench.draft(0, &draft(1)).await;
+    bench.recovered(bench.now().since(restarted));
+    bench.finish().await
+}
+
+/// An engine that was killed and started again gets new work.
+async fn replaced(context: Context) -> Report {
+    let setup = Setup { nodes: 1, services: 0, replicas: 1, ..Setup::default() };
+    let bench = Bench::start(&context, setup).await;
+    for position in Position::iter() {
+        let engine = bench.engine(&position.engine(0));
+        engine.kill();
+        bench.wait_available(0, &engine.name, false).await;
+        engine.restart();
+        let restarted = bench.now();
+        bench.draft(0, &draft(0)).await;
+        bench.recovered(bench.now().since(restarted));
+    }
+    bench.finish().await
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod ci;
 mod cluster;
 mod demo;
+mod faults;
 mod workload;
 
 use std::process::ExitCode;
@@ -22,12 +23,15 @@
     Ci,
     /// Starts the test doubles and three nodes and sends real requests through them.
     Demo,
+    /// Injects faults into real processes and checks what callers and upstreams see.
+    Faults(faults::FaultsArgs),
 }
 
 fn main() -> ExitCode {
     let passed = match Cli::parse().command {
         Command::Ci => ci::run(),
         Command::Demo => demo::run(),
+        Command::Faults(args) => faults::run(&args),
     };
     if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
