Bound lookups and send silent repeatable calls again

Cause: the lookup of an outcome had no deadline, so that a caller of a service that hangs got no verdict at all. It also went without the caller's organisation, so that a service could find the call of another organisation with the same key. A call that may be repeated waited for a silent connection until its deadline.

Change: a lookup takes at most 500 ms and carries the caller's headers. A repeatable call that is not answered within 2 s is sent once more; the first answer counts.

Conclusion: callers of a service that hangs get their verdict in time.

--- a/crates/node/src/service_call.rs
+++ b/crates/node/src/service_call.rs
@@ -1,10 +1,11 @@
 //! Runs a call to a plain service. Idempotent calls are retried; others are sent at most once.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use callers::{ServiceReply, ServiceRequest};
 use claims::{Admission, Answer, Claim, ClaimKey, ClaimRequest};
 use clock::{Timestamp, timeout};
+use futures_util::future::{Either, select};
 use operators::api::Decision;
 use services::{ServiceAnswer, ServiceCall};
 use settings::{Policy, ServiceConfig};
@@ -12,6 +13,12 @@
 
 use crate::{state::Node, trace::TraceWriter};
 
+/// Time without an answer after which a call that may be repeated is sent a second time.
+const SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Time of a lookup. It may start when the request's deadline has just passed, because the
+/// service did not answer, and the caller still has to be told so.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A call on its way to a replica.
 pub(crate) struct CallRun {
     pub(crate) node: Rc<Node>,
@@ -40,7 +47,7 @@
     async fn run_idempotent(&self) -> Result<ServiceReply, Failure> {
         let mut last = None;
         for _ in 0..self.policy.attempt_limit {
-            match self.send_once().await {
+            match self.send_repeatable().await {
                 Ok(answer) => return Ok(reply(answer)),
                 Err(failure) if failure.kind == FailureKind::Upstream => last = Some(failure),
                 Err(failure) => return Err(failure),
@@ -49,6 +56,21 @@
         Err(last.unwrap_or_else(|| no_replica(&self.request)))
     }
 
+    /// Sends a call that may be repeated, and once more if it is not answered for a while: its
+    /// connection may be silent while new ones work.
+    async fn send_repeatable(&self) -> Result<ServiceAnswer, Failure> {
+        let first = pin!(self.send_once());
+        let first = match select(first, self.node.clock.sleep(SILENT_AFTER)).await {
+            Either::Left((outcome, _)) => return outcome,
+            Either::Right(((), first)) => first,
+        };
+        match select(first, pin!(self.send_once())).await {
+            Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
+            Either::Left((Err(_), second)) => second.await,
+            Either::Right((Err(_), first)) => first.await,
+        }
+    }
+
     async fn run_claimed(&self, key: ClaimKey) -> Result<ServiceReply, Failure> {
         let request = &self.request;
         let digest = Digest::of(&[
@@ -165,10 +187,12 @@
         let call = ServiceCall {
             method: http::Method::GET,
             path,
-            headers: http::HeaderMap::new(),
+            // The organisation and its authorisation: keys of organisations are independent.
+            headers: self.request.headers.clone(),
             body: bytes::Bytes::new(),
         };
-        let answer = client.call(call).await.ok()?;
+        let found = timeout(&*self.node.clock, LOOKUP_TIMEOUT, client.call(call)).await;
+        let answer = found.ok()?.ok()?;
         answer.status.is_success().then_some(answer)
     }
 
