Release claims that are written late or given back while others wait

Cause: a refused request whose lost write took effect more than about 0.7 s later kept its key for ever if its holder could not be asked. A request that waited for a claim did not notice its release, because a watch does not report a deletion, and got may-have-run.

Change: a release looks for a late record for about 20 s. A waiting request asks the holder and reads the record every 250 ms.

--- a/crates/claims/src/admit.rs
+++ b/crates/claims/src/admit.rs
@@ -13,6 +13,8 @@
 
 /// Pause before a failed watch is tried again.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
+/// Interval at which the holder of a claim is asked again and its record is read.
+const HOLDER_POLL: Duration = Duration::from_millis(250);
 /// Rounds of claiming and conflicting before the request is refused.
 const MAX_ROUNDS: u32 = 8;
 
@@ -146,19 +148,19 @@
                     "an earlier send of this idempotency key has not finished",
                 )));
             }
-            let left = limit.since(now);
+            let left = limit.since(now).min(HOLDER_POLL);
             let watch = self.store.watch(&entry.key, entry.version);
             match timeout(&*self.clock, left, watch).await {
                 Ok(Ok(Some(changed))) => {
                     let changed = ClaimRecord::decode(&changed.value)?;
                     return decide(&changed, request.digest);
                 }
-                Ok(Ok(None)) => match self.store.get(&entry.key).await {
+                // A watch does not report that the record was deleted.
+                Ok(Ok(None)) | Err(_) => match self.store.get(&entry.key).await {
                     Ok(None) => return None,
                     Ok(Some(_)) | Err(_) => self.clock.sleep(WATCH_PAUSE).await,
                 },
                 Ok(Err(_)) => self.clock.sleep(WATCH_PAUSE).await,
-                Err(_) => {}
             }
         }
     }
--- a/crates/claims/src/settle.rs
+++ b/crates/claims/src/settle.rs
@@ -17,6 +17,10 @@
 /// Tries before a claim is left as it is; with the pauses this is about an hour.
 const MAX_TRIES: u32 = 360;
 
+/// Looks that find no record before a release ends. With the pauses they cover about 20 s, in
+/// which a write whose answer was lost may still take effect.
+const ABSENT_CHECKS: u32 = 8;
+
 /// Writes the final record of a claim. Returns after the first try; further ones go on in the
 /// background.
 pub(crate) async fn write(claims: Rc<Claims>, key: ClaimKey, record: ClaimRecord, version: u64) {
@@ -56,7 +60,7 @@
                 Ok(false) => absent += 1,
                 Err(_) => {}
             }
-            if absent == 3 {
+            if absent == ABSENT_CHECKS {
                 return;
             }
         }
