--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -102,8 +102,12 @@
     }
 
     fn signal(&self, signal: Signal) {
+        // The id of an ended process may belong to another one by now.
+        if self.exit_code().is_some() {
+            return;
+        }
         let pid = Pid::from_raw(self.child.borrow().id().cast_signed());
-        // The process may have ended by itself.
+        // The process may end in this moment.
         let _ = pid.map(|pid| kill_process(pid, signal));
     }
 }
--- a/xtask/src/faults/drains.rs
+++ b/xtask/src/faults/drains.rs
@@ -151,11 +151,14 @@
         bench.expect("filing while a replica leaves", &outcome, Verdict::Ran);
     }
     bench.cluster.clock.sleep(LEAVE_LIMIT).await;
-    bench.kill_service(0).await;
+    let left = &bench.cluster.services[0];
+    let before = bench.runs_of(left).await.len();
     for number in 0..20 {
         let outcome = bench.send(number % 2, &first_filing(&format!("late-{number}"))).await;
         bench.expect("filing after a replica has left", &outcome, Verdict::Ran);
     }
+    let late = bench.runs_of(left).await.len() - before;
+    bench.check(late == 0, || format!("a replica got {late} filings after it had left"));
     bench.finish().await
 }
 
--- a/xtask/src/faults/filings.rs
+++ b/xtask/src/faults/filings.rs
@@ -201,7 +201,7 @@
     }
 
     /// A killed replica counts through `past_runs`, a paused one not at all.
-    async fn runs_of(&self, service: &Process) -> BTreeMap<String, u32> {
+    pub(crate) async fn runs_of(&self, service: &Process) -> BTreeMap<String, u32> {
         let client = HttpClient::new(self.cluster.clock.clone(), service.addr());
         client.get_json("/control/runs", CONTROL_TIMEOUTS).await.unwrap_or_default()
     }
