--- a/crates/claims/src/admit.rs
+++ b/crates/claims/src/admit.rs
@@ -158,6 +158,11 @@
                 // A watch does not report that the record was deleted.
                 Ok(Ok(None)) | Err(_) => match self.store.get(&entry.key).await {
                     Ok(None) => return None,
+                    // A slow service answers no watch within the interval.
+                    Ok(Some(read)) if read.version != entry.version => {
+                        let changed = ClaimRecord::decode(&read.value)?;
+                        return decide(&changed, request.digest);
+                    }
                     Ok(Some(_)) | Err(_) => self.clock.sleep(WATCH_PAUSE).await,
                 },
                 Ok(Err(_)) => self.clock.sleep(WATCH_PAUSE).await,
