--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -86,7 +86,10 @@
             let (head, body) = request.into_parts();
             match (&head.method, head.uri.path()) {
                 (&Method::POST, "/control") => match body.json().await {
-                    Ok(faults) => reply(Ok(self.control(faults))),
+                    Ok(faults) => {
+                        self.control(faults);
+                        reply(Ok(()))
+                    }
                     Err(message) => reply::<()>(Err(bad_request(message))),
                 },
                 _ => reply::<()>(Err((StatusCode::NOT_FOUND, "no such path".into()))),
