Queue completions per model and limit retries

Cause: every request was sent to an engine at once, whatever its load, and retries were bounded only per request.

Change: crates/routing gets a bounded admission queue (weighted deficit round robin over organisations, interactive before batch with every ninth place for batch, refusal when the predicted wait passes the deadline) and a retry budget. The node enters first attempts into the queue of their model and admits them when an attempt ends or a load report arrives. An engine's sessions are estimated as the node's own count plus the part of the reports that the node's own mean count does not explain. The setting slot_percent limits sessions per engine; zero turns the limit off.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -94,6 +94,8 @@
             attempt: 0,
             avoid: Vec::new(),
             progress,
+            allowed: 0,
+            resumed: false,
         };
         run.run(sink).await
     }
--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -11,6 +11,7 @@
 use weights::{HttpWeightStore, WeightStore};
 
 use crate::{
+    admission::Admission,
     metered::Metered,
     metrics::Metrics,
     peering::NoPeers,
@@ -130,6 +131,7 @@
             claims: Rc::new(claims),
             config: RefCell::default(),
             view: RefCell::default(),
+            admission: Admission::default(),
             engines: RefCell::default(),
             replicas: RefCell::default(),
             policy: RefCell::new((kind, new_policy(kind, incarnation))),
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -7,7 +7,7 @@
 mod recover;
 mod transfer;
 
-use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{pin::pin, rc::Rc, sync::Arc};
 
 use callers::{Completion, Summary, TokenSink};
 use clock::Timestamp;
@@ -23,9 +23,6 @@
 pub(crate) use progress::Progress;
 pub(crate) use recover::UNREACHABLE_TIME;
 
-/// Pause before a request without a route looks for one again.
-const ROUTE_PAUSE: Duration = Duration::from_millis(50);
-
 /// A completion on its way.
 pub(crate) struct CompletionRun {
     pub(crate) node: Rc<Node>,
@@ -43,6 +40,10 @@
     pub(crate) avoid: Vec<UpstreamName>,
     /// What the attempts so far have shown.
     pub(crate) progress: Progress,
+    /// Failures after which the budget has allowed another attempt.
+    pub(crate) allowed: u32,
+    /// Whether the request has used the one retry that needs no budget.
+    pub(crate) resumed: bool,
 }
 
 /// How the next attempt starts.
@@ -102,33 +103,7 @@
         }
     }
 
-    /// Waits for a route until the deadline.
-    async fn find_route(&self) -> Result<Arc<[Stage]>, Failure> {
-        let mut recorded = false;
-        loop {
-            let now = self.node.clock.now();
-            if now >= self.deadline {
-                let kind = if recorded { FailureKind::Unavailable } else { FailureKind::Deadline };
-                return Err(
-                    self.failure(kind, "the deadline passed before a route was found".into())
-                );
-            }
-            let wanted = self.route_request();
-            let route = self.node.with_policy(self.policy.route, |policy| {
-                policy.choose(&self.node.view.borrow(), &wanted, now)
-            });
-            if let Some(route) = route {
-                return Ok(route.into());
-            }
-            if !recorded {
-                self.trace.record(Decision::NoRoute);
-                recorded = true;
-            }
-            self.node.clock.sleep(ROUTE_PAUSE).await;
-        }
-    }
-
-    fn route_request(&self) -> RouteRequest {
+    pub(crate) fn route_request(&self) -> RouteRequest {
         let words = self.request.prompt.split_whitespace().count();
         RouteRequest {
             model: self.request.model.clone(),
@@ -138,10 +113,11 @@
             output_tokens: self.request.max_tokens - self.given.len() as u32,
             home: self.node.settings.domain.clone(),
             avoid: self.avoid.clone(),
+            slot_percent: self.policy.slot_percent,
         }
     }
 
-    fn failure(&self, kind: FailureKind, message: String) -> Failure {
+    pub(crate) fn failure(&self, kind: FailureKind, message: String) -> Failure {
         let verdict = if self.attempt == 0 { Verdict::NotRun } else { Verdict::MayHaveRun };
         Failure::new(kind, verdict, message)
     }
--- a/crates/node/src/completion/attempt.rs
+++ b/crates/node/src/completion/attempt.rs
@@ -38,8 +38,8 @@
 impl CompletionRun {
     pub(super) async fn run_attempt(&mut self, plan: &Plan, sink: &mut dyn TokenSink) -> Outcome {
         let session = self.progress.session.clone();
-        let mut guard =
-            AttemptGuard::new(self.node.clone(), plan.route.clone(), session, self.attempt);
+        let (node, model) = (self.node.clone(), self.request.model.clone());
+        let mut guard = AttemptGuard::new(node, model, plan.route.clone(), session, self.attempt);
         let head = &plan.route[0].engine;
         let Some(engine) = self.node.engine(head) else {
             return Outcome::Failed(Cause::new(
--- a/crates/node/src/completion/guard.rs
+++ b/crates/node/src/completion/guard.rs
@@ -2,33 +2,36 @@
 
 use clock::timeout;
 use engines::{Engine, api::Cancel};
-use types::Stage;
+use types::{ModelName, Stage};
 
-use crate::state::Node;
+use crate::{admission::LoadGuard, state::Node};
 
 /// Time after which a cancel call is given up. The engine then learns of the end from the closed
 /// stream or from a newer attempt.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Counts a running attempt in the load view and cancels it at its engines when it is dropped
-/// before its end.
+/// Counts a running attempt in the load view, cancels it at its engines when it is dropped before
+/// its end, and then gives its engines to waiting requests.
 pub(super) struct AttemptGuard {
     node: Rc<Node>,
     route: Arc<[Stage]>,
     session: Arc<str>,
     attempt: u32,
     ended: bool,
+    /// Dropped after the cancel calls are on their way.
+    _load: LoadGuard,
 }
 
 impl AttemptGuard {
     pub(super) fn new(
         node: Rc<Node>,
+        model: ModelName,
         route: Arc<[Stage]>,
         session: Arc<str>,
         attempt: u32,
     ) -> AttemptGuard {
-        node.view.borrow_mut().start(&route);
-        AttemptGuard { node, route, session, attempt, ended: false }
+        let load = LoadGuard::new(node.clone(), model, route.clone());
+        AttemptGuard { node, route, session, attempt, ended: false, _load: load }
     }
 
     /// The engines have ended the attempt, so that there is nothing to cancel.
@@ -53,7 +56,6 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.node.view.borrow_mut().finish(&self.route);
         if !self.ended {
             self.cancel();
         }
--- a/crates/node/src/completion/progress.rs
+++ b/crates/node/src/completion/progress.rs
@@ -15,7 +15,7 @@
     /// identifier, which a caller may use twice.
     pub(super) session: Arc<str>,
     /// Attempts that have failed.
-    pub(super) failures: u32,
+    pub(crate) failures: u32,
     /// Time of the last token, or of the start of the attempt.
     pub(super) last: Timestamp,
     /// Mean time between the tokens of an attempt.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,8 +1,8 @@
 use std::{cell::RefCell, collections::BTreeSet};
 
 use prometheus::{
-    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector,
+    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, core::Collector,
 };
 use strum::IntoStaticStr;
 use types::Organisation;
@@ -36,6 +36,9 @@
     pub(crate) refusals: IntCounterVec,
     pub(crate) first_token: HistogramVec,
     pub(crate) token_interval: HistogramVec,
+    pub(crate) queue_length: IntGaugeVec,
+    pub(crate) queue_wait: HistogramVec,
+    pub(crate) queue_refusals: IntCounterVec,
     pub(crate) attempts: IntCounter,
     pub(crate) attempts_failed: IntCounter,
     pub(crate) layer_violations: IntCounter,
@@ -88,6 +91,20 @@
                 "Time between two tokens.",
                 &["organisation", "class"],
             ),
+            queue_length: registrar.add(IntGaugeVec::new(
+                Opts::new("gypsumrack_queue_length", "Requests that wait for a route."),
+                &["model"],
+            )),
+            queue_wait: registrar.histogram_vec(
+                "gypsumrack_queue_wait_seconds",
+                "Time from arrival to the first route.",
+                &["organisation", "class"],
+            ),
+            queue_refusals: registrar.counter_vec(
+                "gypsumrack_queue_refusals_total",
+                "Requests that got no route, by reason.",
+                &["reason"],
+            ),
             attempts: registrar
                 .counter("gypsumrack_attempts_total", "Attempts to run a completion on a route."),
             attempts_failed: registrar.counter(
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -16,7 +16,9 @@
 use vms::VmList;
 use weights::WeightStore;
 
-use crate::{builder::Connector, metrics::Metrics, replicas::Replicas, trace::Traces};
+use crate::{
+    admission::Admission, builder::Connector, metrics::Metrics, replicas::Replicas, trace::Traces,
+};
 
 /// One node of the router. All its tasks share it; they run on one thread.
 pub struct Node {
@@ -31,6 +33,7 @@
     pub(crate) claims: Rc<Claims>,
     pub(crate) config: RefCell<ConfigState>,
     pub(crate) view: RefCell<LoadView>,
+    pub(crate) admission: Admission,
     pub(crate) engines: RefCell<BTreeMap<UpstreamName, Rc<dyn Engine>>>,
     pub(crate) replicas: RefCell<Replicas>,
     pub(crate) policy: RefCell<(RouteKind, Box<dyn RoutePolicy>)>,
--- a/crates/node/src/tasks/engine.rs
+++ b/crates/node/src/tasks/engine.rs
@@ -26,7 +26,7 @@
         {
             let mut view = node.view.borrow_mut();
             match (load, view.engines.get_mut(&name)) {
-                (Ok(load), Some(state)) => state.record(report(load), now.since(start)),
+                (Ok(load), Some(state)) => state.record(report(load), now.since(start), now),
                 (Err(error), Some(_)) => {
                     tracing::debug!(upstream = %name, %error, "load report cannot be read");
                     view.unreachable(&name, now + UNREACHABLE_TIME);
@@ -34,6 +34,7 @@
                 (_, None) => return,
             }
         }
+        node.admit_waiting();
         node.clock.sleep(POLL_INTERVAL).await;
     }
 }
--- /dev/null
+++ b/crates/routing/src/budget.rs
@@ -0,0 +1,61 @@
+use std::{collections::VecDeque, time::Duration};
+
+use clock::Timestamp;
+
+/// Time over which requests and retries are counted.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Time that one counter of the window covers.
+const SLICE: Duration = Duration::from_secs(1);
+/// Retries that the window allows however few requests there were: one per second.
+const MIN_RETRIES: u64 = WINDOW.as_secs();
+
+/// Limits retries to a share of the requests, so that a failing upstream adds little load.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    slices: VecDeque<Slice>,
+}
+
+#[derive(Debug)]
+struct Slice {
+    start: Timestamp,
+    requests: u64,
+    retries: u64,
+}
+
+impl RetryBudget {
+    /// Counts a request.
+    pub fn count_request(&mut self, now: Timestamp) {
+        self.current(now).requests += 1;
+    }
+
+    /// Takes one retry if at most `percent` of the requests are retries with it.
+    pub fn take(&mut self, now: Timestamp, percent: u64) -> bool {
+        self.current(now);
+        let counted = self.slices.iter().filter(|slice| now.since(slice.start) < WINDOW);
+        let requests: u64 = counted.map(|slice| slice.requests).sum();
+        let retries: u64 = self.slices.iter().map(|slice| slice.retries).sum();
+        let allowed = (requests * percent / 100).max(MIN_RETRIES);
+        if retries >= allowed {
+            return false;
+        }
+        self.current(now).retries += 1;
+        true
+    }
+
+    /// Time until the oldest counter leaves the window, when a retry may become free.
+    pub fn next_change(&self, now: Timestamp) -> Duration {
+        let oldest = self.slices.front().map_or(now, |slice| slice.start);
+        (oldest + WINDOW + SLICE).since(now).clamp(Duration::from_millis(10), SLICE)
+    }
+
+    fn current(&mut self, now: Timestamp) -> &mut Slice {
+        // A slice with retries stays until its last moment has left the window.
+        self.slices.retain(|slice| now.since(slice.start) < WINDOW + SLICE);
+        let fresh = self.slices.back().is_some_and(|slice| now.since(slice.start) < SLICE);
+        if !fresh {
+            self.slices.push_back(Slice { start: now, requests: 0, retries: 0 });
+        }
+        let last = self.slices.len() - 1;
+        &mut self.slices[last]
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,19 +8,24 @@
 //! encodings or the key-value service.
 
 mod baseline;
+mod budget;
 mod estimate;
+mod lanes;
 mod pace;
 mod path;
+mod queue;
 mod replace;
 mod stall;
 mod version;
 mod view;
 
 pub use baseline::{LeastOutstanding, RoundRobin};
+pub use budget::RetryBudget;
 pub use estimate::Estimate;
 pub use pace::Pace;
+pub use queue::{AdmissionQueue, Arrival, Entry, Refusal, Ticket};
 pub use stall::{Blame, StallRecord};
-pub use view::{EngineState, LoadView, Report};
+pub use view::{EngineState, LoadView, Report, Usage};
 
 use std::sync::Arc;
 
@@ -44,6 +49,8 @@
     pub home: Domain,
     /// Engines that have failed this request and are used only if there is no other.
     pub avoid: Vec<UpstreamName>,
+    /// Sessions that an engine may have, as a percentage of its slots; zero means no limit.
+    pub slot_percent: u64,
 }
 
 /// Chooses routes.
--- a/crates/routing/src/path.rs
+++ b/crates/routing/src/path.rs
@@ -28,7 +28,8 @@
     let mut ranges: BTreeMap<LayerRange, Vec<Candidate<'a>>> = BTreeMap::new();
     for (name, state) in &view.engines {
         let Some(report) = &state.report else { continue };
-        if state.is_available(now) && state.serves(request) {
+        if state.is_available(now) && state.serves(request) && state.has_slot(request.slot_percent)
+        {
             let layers = report.layers;
             ranges.entry(layers).or_default().push(Candidate { name, state, layers });
         }
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -39,10 +39,10 @@
     pub report: Option<Report>,
     /// Requests of this node that run now.
     pub outstanding: u32,
-    /// Requests that this node has started since the last report.
-    pub started: u32,
-    /// Requests of this node that have ended since the last report.
-    pub finished: u32,
+    /// Mean number of requests of this node that ran between the last two reports.
+    pub usage: Usage,
+    /// Sessions of other nodes, estimated from the reports.
+    pub foreign: f64,
     /// Whether the list of VMs or an operator says that the engine is leaving.
     pub leaving: bool,
     /// The engine failed and is not used before this time.
@@ -62,6 +62,32 @@
     pub engines: BTreeMap<UpstreamName, EngineState>,
 }
 
+/// Mean of a count over time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    since: Timestamp,
+    last: Timestamp,
+    /// Sum of the count over time, in seconds.
+    sum: f64,
+}
+
+impl Usage {
+    /// Counts the time up to now with the value that the count had.
+    fn advance(&mut self, now: Timestamp, count: u32) {
+        self.sum += f64::from(count) * now.since(self.last).as_secs_f64();
+        self.last = now;
+    }
+
+    /// The mean since the last restart.
+    fn restart(&mut self, now: Timestamp, count: u32) -> f64 {
+        self.advance(now, count);
+        let seconds = now.since(self.since).as_secs_f64();
+        let mean = if seconds > 0.0 { self.sum / seconds } else { f64::from(count) };
+        *self = Usage { since: now, last: now, sum: 0.0 };
+        mean
+    }
+}
+
 impl EngineState {
     /// Creates the state of an engine that has not reported yet.
     pub fn new(addr: SocketAddr, domain: Domain) -> EngineState {
@@ -70,8 +96,8 @@
             domain,
             report: None,
             outstanding: 0,
-            started: 0,
-            finished: 0,
+            usage: Usage::default(),
+            foreign: 0.0,
             leaving: false,
             suspect_until: None,
             unreachable_until: None,
@@ -81,24 +107,34 @@
     }
 
     /// Takes a new report. A restart clears the suspicion of the earlier process.
-    pub fn record(&mut self, report: Report, round_trip: Duration) {
+    pub fn record(&mut self, report: Report, round_trip: Duration, now: Timestamp) {
         let restarted = self.report.as_ref().is_some_and(|r| r.incarnation != report.incarnation);
         if restarted {
             self.suspect_until = None;
             self.stalls = StallRecord::default();
         }
         self.unreachable_until = None;
+        // The report is older than the node's own count, so it is compared with the mean of that
+        // count. The rest is the load of other nodes, smoothed because the two differ in time.
+        let own = self.usage.restart(now, self.outstanding);
+        let foreign = (f64::from(report.running) - own).max(0.0);
+        self.foreign = if self.report.is_none() { foreign } else { (self.foreign + foreign) / 2.0 };
         self.report = Some(report);
-        self.started = 0;
-        self.finished = 0;
         self.round_trip = round_trip;
     }
 
-    /// Estimates how many sessions run on the engine now: those of the last report, corrected by
-    /// what this node has started and ended since.
+    /// Estimates how many sessions run on the engine now: those of this node, and those of other
+    /// nodes according to the reports.
     pub fn estimated_sessions(&self) -> u32 {
-        let reported = self.report.as_ref().map_or(0, |report| report.running);
-        (reported + self.started).saturating_sub(self.finished).max(self.outstanding)
+        self.foreign.round() as u32 + self.outstanding
+    }
+
+    /// Whether the engine has a free slot, where `percent` of its slots may be used and zero means
+    /// that there is no limit.
+    pub fn has_slot(&self, percent: u64) -> bool {
+        let slots = self.report.as_ref().map_or(0, |report| u64::from(report.slots));
+        let limit = (slots * percent / 100).max(1);
+        percent == 0 || u64::from(self.estimated_sessions()) < limit
     }
 
     /// Whether new work may go to the engine.
@@ -125,21 +161,21 @@
 
 impl LoadView {
     /// Counts the start of a request on a route.
-    pub fn start(&mut self, route: &[Stage]) {
+    pub fn start(&mut self, route: &[Stage], now: Timestamp) {
         for stage in route {
             if let Some(engine) = self.engines.get_mut(&stage.engine) {
+                engine.usage.advance(now, engine.outstanding);
                 engine.outstanding += 1;
-                engine.started += 1;
             }
         }
     }
 
     /// Counts the end of a request on a route.
-    pub fn finish(&mut self, route: &[Stage]) {
+    pub fn finish(&mut self, route: &[Stage], now: Timestamp) {
         for stage in route {
             if let Some(engine) = self.engines.get_mut(&stage.engine) {
+                engine.usage.advance(now, engine.outstanding);
                 engine.outstanding = engine.outstanding.saturating_sub(1);
-                engine.finished += 1;
             }
         }
     }
--- /dev/null
+++ b/crates/routing/tests/budget.rs
@@ -0,0 +1,42 @@
+//! Retry budget.
+
+use std::time::Duration;
+
+use clock::{Clock, ManualClock};
+use proptest::prelude::*;
+use routing::RetryBudget;
+
+/// Guards against an idle node that may not retry at all.
+#[test]
+fn allows_one_retry_per_second_without_requests() {
+    let clock = ManualClock::new();
+    let mut budget = RetryBudget::default();
+    let taken = (0..100).filter(|_| budget.take(clock.now(), 10)).count();
+    assert_eq!(taken, 10);
+    clock.advance(Duration::from_secs(11));
+    assert!(budget.take(clock.now(), 10), "the window has passed");
+}
+
+proptest! {
+    /// Guards against retries that multiply the load of a failing upstream.
+    #[test]
+    fn retries_stay_within_their_share(gaps in prop::collection::vec((0u64..40, 0u8..4), 1..2000)) {
+        let clock = ManualClock::new();
+        let mut budget = RetryBudget::default();
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for (gap, kind) in gaps {
+            clock.advance(Duration::from_millis(gap));
+            let now = clock.now();
+            if kind == 0 {
+                budget.count_request(now);
+                requests.push(now);
+            } else if budget.take(now, 10) {
+                retries.push(now);
+                let window = Duration::from_secs(10);
+                let recent = requests.iter().filter(|time| now.since(**time) < window).count();
+                let used = retries.iter().filter(|time| now.since(**time) < window);
+                prop_assert!(used.count() <= (recent / 10).max(10));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/queue.rs
@@ -0,0 +1,142 @@
+//! Admission queue: order, refusals and bounds.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use clock::{Clock, ManualClock, Timestamp};
+use proptest::prelude::*;
+use routing::{AdmissionQueue, Arrival, Entry, Refusal, Ticket};
+use types::Class;
+
+const DEPTH: usize = 64;
+
+fn arrival(organisation: &str, class: Class, weight: u64) -> Arrival {
+    let arrived = Timestamp::default();
+    Arrival {
+        organisation: organisation.into(),
+        class,
+        weight,
+        work: 32,
+        arrived,
+        deadline: arrived + Duration::from_secs(10),
+        depth: DEPTH,
+    }
+}
+
+fn enter(queue: &mut AdmissionQueue, arrival: &Arrival) -> Ticket {
+    match queue.enter(arrival, 1) {
+        Entry::Waiting(ticket) => ticket,
+        other => panic!("request was not queued: {other:?}"),
+    }
+}
+
+/// Guards against an organisation with many requests taking the places of the others.
+#[test]
+fn weights_set_the_share_of_places() {
+    let mut queue = AdmissionQueue::default();
+    let mut owner = BTreeMap::new();
+    for (name, weight) in [("heavy", 3), ("light", 1)] {
+        for _ in 0..30 {
+            let ticket = enter(&mut queue, &arrival(name, Class::Interactive, weight));
+            owner.insert(ticket, name);
+        }
+    }
+    let admitted: Vec<_> = (0..32).filter_map(|_| queue.admit()).collect();
+    let heavy = admitted.iter().filter(|ticket| owner[ticket] == "heavy").count();
+    assert_eq!(heavy, 24, "weights 3 and 1 give 24 and 8 of 32 places");
+}
+
+/// Guards against interactive load keeping batch requests waiting for ever.
+#[test]
+fn batch_is_not_starved() {
+    let mut queue = AdmissionQueue::default();
+    let batch = enter(&mut queue, &arrival("b", Class::Batch, 1));
+    let mut position = None;
+    for index in 0..20 {
+        enter(&mut queue, &arrival("a", Class::Interactive, 1));
+        if queue.admit() == Some(batch) {
+            position = Some(index);
+            break;
+        }
+    }
+    assert_eq!(position, Some(8), "the ninth place goes to the batch class");
+}
+
+/// Guards against batch requests delaying interactive ones.
+#[test]
+fn interactive_goes_first() {
+    let mut queue = AdmissionQueue::default();
+    enter(&mut queue, &arrival("a", Class::Batch, 1));
+    let interactive = enter(&mut queue, &arrival("a", Class::Interactive, 1));
+    assert_eq!(queue.admit(), Some(interactive));
+}
+
+/// Guards against a request waiting although its answer would come too late.
+#[test]
+fn refuses_at_once_when_the_wait_passes_the_deadline() {
+    let clock = ManualClock::new();
+    let mut queue = AdmissionQueue::default();
+    queue.observe_service(Duration::from_secs(1));
+    clock.advance(Duration::from_secs(100));
+    let mut request = arrival("a", Class::Interactive, 1);
+    request.arrived = clock.now();
+    request.deadline = clock.now() + Duration::from_millis(3500);
+    for _ in 0..4 {
+        enter(&mut queue, &request);
+    }
+    let refusal = Entry::Refused(Refusal::Late(Duration::from_secs(4)));
+    assert_eq!(queue.enter(&request, 1), refusal);
+    // Another organisation is served in turn, so its first request does not wait that long.
+    let other = Arrival { organisation: "b".into(), ..request };
+    assert!(matches!(queue.enter(&other, 1), Entry::Waiting(_)));
+}
+
+/// Guards against a full queue refusing everyone because of one organisation.
+#[test]
+fn full_queue_refuses_the_newest_of_the_largest() {
+    let mut queue = AdmissionQueue::default();
+    let tickets: Vec<_> =
+        (0..DEPTH).map(|_| enter(&mut queue, &arrival("large", Class::Interactive, 1))).collect();
+    match queue.enter(&arrival("small", Class::Interactive, 1), 1) {
+        Entry::Replaced { refused, .. } => assert_eq!(Some(&refused), tickets.last()),
+        other => panic!("the large organisation keeps its place: {other:?}"),
+    }
+    let again = queue.enter(&arrival("large", Class::Interactive, 1), 1);
+    assert_eq!(again, Entry::Refused(Refusal::Full));
+    assert_eq!(queue.len(), DEPTH);
+}
+
+proptest! {
+    /// Guards against lost, doubled or unbounded waiting requests, and against a free place
+    /// being given to nobody while a request waits.
+    #[test]
+    fn every_request_is_admitted_once(
+        requests in prop::collection::vec((0u8..6, any::<bool>(), 1u64..5, 1u64..2000), 1..200),
+    ) {
+        let mut queue = AdmissionQueue::default();
+        let mut waiting = Vec::new();
+        for (organisation, batch, weight, work) in requests {
+            let class = if batch { Class::Batch } else { Class::Interactive };
+            let request = Arrival { work, ..arrival(&organisation.to_string(), class, weight) };
+            match queue.enter(&request, 1) {
+                Entry::Waiting(ticket) => waiting.push(ticket),
+                Entry::Replaced { ticket, refused } => {
+                    waiting.retain(|known| *known != refused);
+                    waiting.push(ticket);
+                }
+                Entry::Refused(_) => {}
+            }
+            prop_assert!(queue.len() <= DEPTH);
+        }
+        let mut admitted = Vec::new();
+        while !queue.is_empty() {
+            let next = queue.peek();
+            let ticket = queue.admit();
+            prop_assert_eq!(next, ticket);
+            admitted.extend(ticket);
+            prop_assert!(ticket.is_some());
+        }
+        admitted.sort();
+        waiting.sort();
+        prop_assert_eq!(admitted, waiting);
+    }
+}
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -49,6 +49,9 @@
     pub retry_percent: u64,
     /// Requests that wait for one model on one node.
     pub queue_depth: u64,
+    /// Sessions that an engine may have, as a percentage of its slots. Zero means no limit, a
+    /// baseline for measurements.
+    pub slot_percent: u64,
     /// Share of an organisation relative to others.
     pub weight: u64,
     /// Time for which finished idempotency keys are kept, in hours.
@@ -67,6 +70,7 @@
             crash_limit: 2,
             retry_percent: 10,
             queue_depth: 256,
+            slot_percent: 100,
             weight: 1,
             retention_hours: 24,
         }
@@ -104,6 +108,9 @@
     /// See [`Policy::queue_depth`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub queue_depth: Option<u64>,
+    /// See [`Policy::slot_percent`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slot_percent: Option<u64>,
     /// See [`Policy::weight`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub weight: Option<u64>,
@@ -129,6 +136,7 @@
         set(&mut self.crash_limit, change.crash_limit);
         set(&mut self.retry_percent, change.retry_percent);
         set(&mut self.queue_depth, change.queue_depth);
+        set(&mut self.slot_percent, change.slot_percent);
         set(&mut self.weight, change.weight);
         set(&mut self.retention_hours, change.retention_hours);
     }
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -134,6 +134,7 @@
     integer("crash_limit", "crashes", (1, 16), "2"),
     integer("retry_percent", "percent", (0, 100), "10"),
     integer("queue_depth", "requests", (0, 10_000), "256"),
+    integer("slot_percent", "percent", (0, 400), "100"),
     integer("weight", "shares", (1, 1000), "1"),
     integer("retention_hours", "hours", (1, 8760), "24"),
 ];
