Add cargo xtask bench with the rows route and limit

Cause: there was no measurement of decisions under load.

Change: loadgen gets open-loop Poisson arrivals with a seed and hdrhistogram percentiles; xtask gets the bench, which runs the variants of a row at the same time on their own test doubles. The bound of the row route is the rate of the engines of one stage with full steps.

--- a/crates/loadgen/src/lib.rs
+++ b/crates/loadgen/src/lib.rs
@@ -4,7 +4,11 @@
 //! how the router works inside.
 
 mod client;
+mod open_loop;
 mod outcome;
+mod percentiles;
 
 pub use client::{CallerClient, Draft, Filing};
+pub use open_loop::{Planned, Sample, poisson, run_open_loop};
 pub use outcome::{DraftOutcome, FilingOutcome};
+pub use percentiles::Percentiles;
--- /dev/null
+++ b/xtask/src/bench/mod.rs
@@ -0,0 +1,29 @@
+//! Measures decisions under load on test doubles, each against its baseline in the same run.
+
+mod fleet;
+mod limit;
+mod report;
+mod route;
+
+use std::path::Path;
+
+use report::Report;
+
+/// Seed of all arrivals.
+const SEED: u64 = 7;
+
+/// Runs all rows, or the one named `only`. Returns whether every target was hit.
+pub(crate) fn run(json: Option<&Path>, only: Option<&str>) -> bool {
+    let runtime = compio::runtime::Runtime::new().expect("runtime can be created");
+    let mut report = Report::default();
+    let wanted = |name: &str| only.is_none_or(|only| only == name);
+    runtime.block_on(async {
+        if wanted("route") {
+            route::run(&mut report).await;
+        }
+        if wanted("limit") {
+            limit::run(&mut report).await;
+        }
+    });
+    report.finish(json)
+}
--- /dev/null
+++ b/xtask/src/bench/report.rs
@@ -0,0 +1,74 @@
+use std::path::Path;
+
+use serde::Serialize;
+
+/// A figure that a target applies to.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Row {
+    pub(crate) name: String,
+    pub(crate) unit: &'static str,
+    pub(crate) figure: f64,
+    /// What the figure is compared with.
+    pub(crate) baseline: f64,
+    pub(crate) baseline_name: String,
+    pub(crate) target: Target,
+}
+
+/// How a figure has to relate to its baseline.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Target {
+    /// At least this multiple of the baseline.
+    AtLeast(f64),
+    /// Lower than the baseline.
+    Lower,
+}
+
+/// All figures of a run.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct Report {
+    rows: Vec<Row>,
+}
+
+impl Row {
+    fn is_hit(&self) -> bool {
+        match self.target {
+            Target::AtLeast(factor) => self.figure >= factor * self.baseline,
+            Target::Lower => self.figure < self.baseline,
+        }
+    }
+}
+
+impl Report {
+    /// Prints a row and keeps it.
+    pub(crate) fn add(&mut self, row: Row) {
+        let target = match row.target {
+            Target::AtLeast(factor) => format!("at least {factor} of it"),
+            Target::Lower => "lower".into(),
+        };
+        println!(
+            "{} {}: {:.1} {}; {}: {:.1}; target: {target}",
+            if row.is_hit() { "hit " } else { "MISS" },
+            row.name,
+            row.figure,
+            row.unit,
+            row.baseline_name,
+            row.baseline,
+        );
+        self.rows.push(row);
+    }
+
+    /// Writes the figures and prints the totals. Returns whether every target was hit.
+    pub(crate) fn finish(&self, json: Option<&Path>) -> bool {
+        if let Some(path) = json {
+            let text = serde_json::to_string_pretty(self).expect("figures are serializable");
+            if let Err(error) = std::fs::write(path, text) {
+                println!("{} cannot be written: {error}", path.display());
+                return false;
+            }
+        }
+        let hits = self.rows.iter().filter(|row| row.is_hit()).count();
+        println!("{hits} of {} targets hit", self.rows.len());
+        hits == self.rows.len()
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,11 +1,12 @@
 //! Chores of the workspace. Unlike the product, these start processes.
 
+mod bench;
 mod ci;
 mod cluster;
 mod demo;
 mod workload;
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Parser, Subcommand};
 
@@ -22,12 +23,22 @@
     Ci,
     /// Starts the test doubles and three nodes and sends real requests through them.
     Demo,
+    /// Measures decisions under load against their baselines.
+    Bench {
+        /// Writes all figures to this file.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Runs only the row with this name.
+        #[arg(long)]
+        only: Option<String>,
+    },
 }
 
 fn main() -> ExitCode {
     let passed = match Cli::parse().command {
         Command::Ci => ci::run(),
         Command::Demo => demo::run(),
+        Command::Bench { json, only } => bench::run(json.as_deref(), only.as_deref()),
     };
     if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
