Estimate routes over the whole pipeline and reuse prefixes

Cause: the policy estimate drew each stage by itself, knew no link costs, and its load factor was too flat; it was worse than both baselines. Prefix caches were not used.

Change: estimate compares whole chains of up to 8 random replicas per layer range. A chain's time is that of the steps at the estimated load, of the prefill that the prefix table does not save, and of the links. Link costs are learned from token intervals per pair of domains (at most 64 pairs). Cache events feed a bounded prefix table. Random jitter of 20 % keeps nodes with equal reports apart. estimate-by-reports is a baseline without own counts. Engines report the time of a step with one session. The bench gets the rows fairness, lag, prefix and retry; the row route fills the queues at 2.0 of the bound before it measures throughput at 1.3.

--- a/crates/engines/src/api.rs
+++ b/crates/engines/src/api.rs
@@ -175,7 +175,7 @@
     pub slots: u32,
     /// Sessions that ran when the report was made.
     pub running: u32,
-    /// Time that one decoding step took, in microseconds.
+    /// Time that a decoding step with one session takes, in microseconds.
     pub step_micros: u64,
     /// Time that the prefill of one token took, in microseconds.
     pub prefill_micros: u64,
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -139,6 +139,7 @@
             if self.progress.failures > self.allowed {
                 self.wait_for_budget().await?;
                 self.allowed = self.progress.failures;
+                self.node.metrics.retries.inc();
             }
             return self.wait_for_grant(None).await;
         }
@@ -218,6 +219,12 @@
         Ok(Some(Place { node: self.node.clone(), model: model.clone(), ticket }))
     }
 
+    /// Learns from the token intervals of the last attempt.
+    pub(crate) fn observe_interval(&self, route: &[Stage]) {
+        let Some(interval) = self.progress.mean_interval() else { return };
+        self.node.view.borrow_mut().observe_interval(route, interval);
+    }
+
     fn arrival(&self) -> Arrival {
         let words = self.request.prompt.split_whitespace().count() as u32;
         Arrival {
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -11,6 +11,7 @@
 
 use callers::{Completion, Summary, TokenSink};
 use clock::Timestamp;
+use engines::api::{PREFIX_BLOCK_BYTES, prefix_hashes};
 use futures_util::future::{Either, select};
 use operators::api::Decision;
 use routing::RouteRequest;
@@ -86,7 +87,9 @@
             let stages = plan.route.iter().map(|stage| stage.engine.clone()).collect();
             let (attempt, given) = (self.attempt, self.given.len() as u32);
             self.trace.record(Decision::Routed { attempt, stages, given });
-            match self.run_attempt(&plan, sink).await {
+            let outcome = self.run_attempt(&plan, sink).await;
+            self.observe_interval(&plan.route);
+            match outcome {
                 Outcome::Whole => {
                     return Ok(Summary { tokens: self.given.len() as u32, attempts: self.attempt });
                 }
@@ -104,7 +107,9 @@
     }
 
     pub(crate) fn route_request(&self) -> RouteRequest {
-        let words = self.request.prompt.split_whitespace().count();
+        let prompt = &self.request.prompt;
+        let words = prompt.split_whitespace().count();
+        let blocks = prompt.len().div_ceil(PREFIX_BLOCK_BYTES).max(1);
         RouteRequest {
             model: self.request.model.clone(),
             version: self.model.version.clone(),
@@ -114,6 +119,8 @@
             home: self.node.settings.domain.clone(),
             avoid: self.avoid.clone(),
             slot_percent: self.policy.slot_percent,
+            prefixes: prefix_hashes(&self.request.model, prompt).into(),
+            block_tokens: (words / blocks) as u32,
         }
     }
 
--- a/crates/node/src/completion/progress.rs
+++ b/crates/node/src/completion/progress.rs
@@ -28,6 +28,8 @@
     last_token: Option<Timestamp>,
     /// Tokens in the running attempt.
     fresh: u32,
+    /// Time of the running attempt's first token.
+    first: Timestamp,
 }
 
 impl Progress {
@@ -41,6 +43,7 @@
             gap: None,
             last_token: None,
             fresh: 0,
+            first: now,
         }
     }
 
@@ -64,6 +67,12 @@
         Ok(())
     }
 
+    /// Mean time between the tokens of the running attempt, if it has several.
+    pub(crate) fn mean_interval(&self) -> Option<Duration> {
+        let intervals = self.fresh.checked_sub(1).filter(|intervals| *intervals > 0)?;
+        Some(self.last.since(self.first) / intervals)
+    }
+
     /// Number of positions that every stage has run after `given` tokens.
     pub(super) fn positions(&self, given: u32) -> Option<u32> {
         Some(self.prompt? + given.checked_sub(1)?)
@@ -99,6 +108,9 @@
                 (progress.interval * (INTERVAL_WEIGHT - 1) + newest) / INTERVAL_WEIGHT
             };
         }
+        if progress.fresh == 0 {
+            progress.first = now;
+        }
         progress.fresh += 1;
         progress.last = now;
         progress.last_token = Some(now);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -41,6 +41,7 @@
     pub(crate) queue_refusals: IntCounterVec,
     pub(crate) attempts: IntCounter,
     pub(crate) attempts_failed: IntCounter,
+    pub(crate) retries: IntCounter,
     pub(crate) layer_violations: IntCounter,
     pub(crate) transfers_failed: IntCounter,
     pub(crate) stream_gap: HistogramVec,
@@ -111,6 +112,10 @@
                 "gypsumrack_attempts_failed_total",
                 "Attempts that ended before the answer was whole.",
             ),
+            retries: registrar.counter(
+                "gypsumrack_retries_total",
+                "Attempts that were made because an earlier one had failed.",
+            ),
             layer_violations: registrar.counter(
                 "gypsumrack_layer_violations_total",
                 "Tokens whose receipts did not prove that every layer ran once, in order.",
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -98,6 +98,7 @@
 pub(crate) fn new_policy(kind: RouteKind, seed: u64) -> Box<dyn RoutePolicy> {
     match kind {
         RouteKind::Estimate => Box::new(Estimate::new(seed)),
+        RouteKind::EstimateByReports => Box::new(Estimate::by_reports(seed)),
         RouteKind::RoundRobin => Box::new(RoundRobin::default()),
         RouteKind::LeastOutstanding => Box::new(LeastOutstanding),
     }
--- a/crates/node/src/tasks/engine.rs
+++ b/crates/node/src/tasks/engine.rs
@@ -15,6 +15,7 @@
 
 /// Reads the load reports of one engine for as long as it is in the fleet.
 pub(crate) async fn poll_engine(node: Rc<Node>, name: UpstreamName, engine: Rc<dyn Engine>) {
+    let mut seen = CacheCursor::default();
     loop {
         let same = node.engine(&name).is_some_and(|current| Rc::ptr_eq(&current, &engine));
         if !same || node.stop.is_raised() && node.running.get() == 0 {
@@ -35,6 +36,7 @@
             }
         }
         node.admit_waiting();
+        follow_cache(&node, &name, &*engine, &mut seen).await;
         node.clock.sleep(POLL_INTERVAL).await;
     }
 }
@@ -51,6 +53,39 @@
     Err(CallError::Timeout)
 }
 
+/// Position in the cache events of one engine.
+#[derive(Default)]
+struct CacheCursor {
+    incarnation: u64,
+    sequence: u64,
+}
+
+/// Takes in the cache events that have come since the last call.
+async fn follow_cache(
+    node: &Node,
+    name: &UpstreamName,
+    engine: &dyn Engine,
+    seen: &mut CacheCursor,
+) {
+    let report = node.view.borrow().engines.get(name).and_then(|state| state.report.clone());
+    let Some(report) = report else { return };
+    if report.incarnation != seen.incarnation {
+        *seen = CacheCursor { incarnation: report.incarnation, sequence: 0 };
+        node.view.borrow_mut().prefixes.forget(name);
+    }
+    let Ok(changes) = engine.cache_events(seen.sequence).await else { return };
+    let now = node.clock.now();
+    let mut view = node.view.borrow_mut();
+    for event in changes.events {
+        seen.sequence = seen.sequence.max(event.sequence);
+        if event.stored {
+            view.prefixes.store(event.prefix, name, now);
+        } else {
+            view.prefixes.evict(event.prefix, name);
+        }
+    }
+}
+
 fn report(load: Load) -> Report {
     Report {
         incarnation: load.incarnation,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,8 +11,10 @@
 mod budget;
 mod estimate;
 mod lanes;
+mod links;
 mod pace;
 mod path;
+mod prefix;
 mod queue;
 mod replace;
 mod stall;
@@ -22,7 +24,9 @@
 pub use baseline::{LeastOutstanding, RoundRobin};
 pub use budget::RetryBudget;
 pub use estimate::Estimate;
+pub use links::LinkTable;
 pub use pace::Pace;
+pub use prefix::PrefixTable;
 pub use queue::{AdmissionQueue, Arrival, Entry, Refusal, Ticket};
 pub use stall::{Blame, StallRecord};
 pub use view::{EngineState, LoadView, Report, Usage};
@@ -51,6 +55,10 @@
     pub avoid: Vec<UpstreamName>,
     /// Sessions that an engine may have, as a percentage of its slots; zero means no limit.
     pub slot_percent: u64,
+    /// Hashes of the prompt's prefixes, shortest first.
+    pub prefixes: Arc<[u64]>,
+    /// Approximate number of tokens in one prefix block.
+    pub block_tokens: u32,
 }
 
 /// Chooses routes.
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -3,7 +3,7 @@
 use clock::Timestamp;
 use types::{Domain, LayerRange, ModelName, Stage, UpstreamName};
 
-use crate::{RouteRequest, StallRecord};
+use crate::{LinkTable, PrefixTable, RouteRequest, StallRecord};
 
 /// What an engine reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,7 +20,7 @@
     pub slots: u32,
     /// Sessions that ran when the report was made.
     pub running: u32,
-    /// Time of one decoding step.
+    /// Time of a decoding step with one session.
     pub step: Duration,
     /// Time of the prefill of one token.
     pub prefill: Duration,
@@ -60,6 +60,10 @@
 pub struct LoadView {
     /// Engines by name.
     pub engines: BTreeMap<UpstreamName, EngineState>,
+    /// Costs of links between domains.
+    pub links: LinkTable,
+    /// Prompt prefixes that engines hold.
+    pub prefixes: PrefixTable,
 }
 
 /// Mean of a count over time.
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -21,6 +21,8 @@
     /// Smallest estimated time over the whole pipeline.
     #[default]
     Estimate,
+    /// Like `estimate`, but without the node's own counts; a baseline for measurements.
+    EstimateByReports,
     /// Each replica in turn; a baseline for measurements.
     RoundRobin,
     /// Fewest of the node's own outstanding requests; a baseline for measurements.
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -164,7 +164,7 @@
             layers: loaded.as_ref().map_or(empty, |l| l.layers),
             slots: self.args.slots,
             running: self.sessions.borrow().values().filter(|s| s.is_active()).count() as u32,
-            step_micros: self.args.step_micros * slowdown,
+            step_micros: (self.args.step_micros + self.args.item_micros) * slowdown,
             prefill_micros: self.args.prefill_micros * slowdown,
             leaving: self.faults.borrow().leaving,
             order_token: self.order_token.get(),
--- a/xtask/src/bench/fleet.rs
+++ b/xtask/src/bench/fleet.rs
@@ -14,6 +14,8 @@
 const LAYERS: u32 = 24;
 /// Layer ranges of the model.
 pub(crate) const STAGES: u32 = 3;
+/// Repetitions of the sentence that a shared prefix consists of.
+const PREFIX_REPEATS: usize = 80;
 /// Tokens of each answer.
 pub(crate) const TOKENS: u32 = 12;
 
@@ -36,6 +38,10 @@
     pub(crate) slots: u32,
     /// Delay of a handoff within a domain and between domains.
     pub(crate) links: (Duration, Duration),
+    /// Time of the prefill of one token, in microseconds.
+    pub(crate) prefill: u64,
+    /// Blocks that an engine's prefix cache holds.
+    pub(crate) cache_blocks: u32,
     /// Age of load reports.
     pub(crate) lag: Duration,
     pub(crate) policy: Policy,
@@ -50,6 +56,8 @@
     pub(crate) rate: f64,
     pub(crate) organisation: &'static str,
     pub(crate) deadline: Duration,
+    /// Different prefixes that the prompts begin with; zero for short prompts.
+    pub(crate) prefixes: u32,
 }
 
 /// A running fleet.
@@ -58,6 +66,35 @@
     clients: Vec<CallerClient>,
 }
 
+impl Default for FleetSpec {
+    fn default() -> FleetSpec {
+        let link = Duration::from_micros(200);
+        FleetSpec {
+            engines: Vec::new(),
+            nodes: 1,
+            slots: 16,
+            links: (link, link),
+            prefill: 20,
+            cache_blocks: 4096,
+            lag: Duration::from_millis(200),
+            policy: Policy::default(),
+        }
+    }
+}
+
+impl Default for Phase {
+    fn default() -> Phase {
+        Phase {
+            start: Duration::ZERO,
+            length: Duration::ZERO,
+            rate: 1.0,
+            organisation: "users",
+            deadline: Duration::from_secs(10),
+            prefixes: 0,
+        }
+    }
+}
+
 impl FleetSpec {
     /// Tokens per second that the engines of one stage run when each step is full. All stages are
     /// alike, so this bounds the pipeline.
@@ -109,6 +146,23 @@
         Fleet { cluster, clients }
     }
 
+    /// Switches the faults of an engine.
+    pub(crate) async fn set_faults(&self, engine: usize, faults: &EngineFaults) {
+        let set = self.cluster.control(&self.cluster.engines[engine], faults).await;
+        assert!(set.is_ok(), "faults were set: {set:?}");
+    }
+
+    /// Sum of a metric without labels over all nodes.
+    pub(crate) async fn metric(&self, name: &str) -> f64 {
+        let mut sum = 0.0;
+        for node in &self.cluster.nodes {
+            let text = self.cluster.metrics(node).await;
+            let lines = text.lines().filter_map(|line| line.strip_prefix(name));
+            sum += lines.filter_map(|value| value.trim().parse::<f64>().ok()).sum::<f64>();
+        }
+        sum
+    }
+
     /// Sends the load of all phases.
     pub(crate) async fn run(&self, phases: &[Phase]) -> Vec<Sample> {
         let mut plan = Vec::new();
@@ -116,7 +170,7 @@
             let arrivals = poisson(SEED + index as u64, phase.rate, phase.length);
             plan.extend(arrivals.into_iter().enumerate().map(|(number, at)| Planned {
                 at: phase.start + at,
-                draft: draft(phase, format!("{index}-{number}")),
+                draft: draft(phase, number, format!("{index}-{number}")),
             }));
         }
         plan.sort_by_key(|planned| planned.at);
@@ -139,10 +193,15 @@
     let sent = samples.iter().filter(|sample| {
         (phase.start..end).contains(&sample.at) && sample.draft.organisation == phase.organisation
     });
-    Percentiles::of(sent.map(|sample| match sample.outcome.tokens {
+    Percentiles::of(sent.map(first_token))
+}
+
+/// Time to the first token; the deadline if there was none.
+pub(crate) fn first_token(sample: &Sample) -> Duration {
+    match sample.outcome.tokens {
         0 => sample.draft.deadline,
         _ => sample.outcome.first_token,
-    }))
+    }
 }
 
 /// Whether an answer is whole, correct and in time.
@@ -169,13 +228,15 @@
             format!("--slots={}", spec.slots),
             format!("--step-micros={}", engine.step),
             format!("--item-micros={}", engine.item),
+            format!("--prefill-micros={}", spec.prefill),
+            format!("--cache-blocks={}", spec.cache_blocks),
             format!("--report-lag-millis={}", spec.lag.as_millis()),
         ],
     }
 }
 
 fn config(policy: &Policy) -> FleetConfig {
-    let model = ModelConfig { version: "1".into(), layers: LAYERS, replicas: 2 };
+    let model = ModelConfig { version: "1".into(), layers: LAYERS, replicas: 2, stages: STAGES };
     FleetConfig {
         revision: 1,
         author: "xtask".into(),
@@ -185,9 +246,17 @@
     }
 }
 
-fn draft(phase: &Phase, id: String) -> Draft {
+fn draft(phase: &Phase, number: usize, id: String) -> Draft {
+    let prefix = match phase.prefixes {
+        0 => String::new(),
+        prefixes => {
+            // Multiplying by an odd number mixes the prefixes; every fourth draft has the first.
+            let prefix = if number.is_multiple_of(4) { 0 } else { number * 37 % prefixes as usize };
+            format!("Guideline {prefix} for permits. ").repeat(PREFIX_REPEATS)
+        }
+    };
     Draft {
-        prompt: format!("Draft {id} about gravel from the river bar at kilometre {id}"),
+        prompt: format!("{prefix}Draft {id} about gravel from the river bar at kilometre {id}"),
         id,
         organisation: phase.organisation.into(),
         class: Class::Interactive,
--- a/xtask/src/bench/limit.rs
+++ b/xtask/src/bench/limit.rs
@@ -42,11 +42,10 @@
     let spec = spec(slot_percent);
     let fleet = Fleet::start(name, &spec).await;
     let phase = Phase {
-        start: Duration::ZERO,
         length: Duration::from_secs(10),
         rate: LOAD * spec.request_bound(),
-        organisation: "users",
         deadline: Duration::from_secs(2),
+        ..Phase::default()
     };
     let samples = fleet.run(std::slice::from_ref(&phase)).await;
     let good = samples.iter().filter(|sample| is_good(sample)).count();
@@ -59,18 +58,16 @@
 
 fn spec(slot_percent: u64) -> FleetSpec {
     let engine = Engine { domain: "north", step: 2000, item: 4000 };
-    let link = Duration::from_micros(200);
     FleetSpec {
         engines: vec![engine; 2],
         nodes: 2,
         slots: 12,
-        links: (link, link),
-        lag: Duration::from_millis(200),
         policy: Policy {
             slot_percent,
             first_token_ms: 10_000,
             progress_ms: 10_000,
             ..Policy::default()
         },
+        ..FleetSpec::default()
     }
 }
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,8 +1,12 @@
 //! Measures decisions under load on test doubles, each against its baseline in the same run.
 
+mod fairness;
 mod fleet;
+mod lag;
 mod limit;
+mod prefix;
 mod report;
+mod retry;
 mod route;
 
 use std::path::Path;
@@ -24,6 +28,18 @@
         if wanted("limit") {
             limit::run(&mut report).await;
         }
+        if wanted("fairness") {
+            fairness::run(&mut report).await;
+        }
+        if wanted("lag") {
+            lag::run(&mut report).await;
+        }
+        if wanted("prefix") {
+            prefix::run(&mut report).await;
+        }
+        if wanted("retry") {
+            retry::run(&mut report).await;
+        }
     });
     report.finish(json)
 }
--- a/xtask/src/bench/report.rs
+++ b/xtask/src/bench/report.rs
@@ -20,6 +20,8 @@
 pub(crate) enum Target {
     /// At least this multiple of the baseline.
     AtLeast(f64),
+    /// At most this multiple of the baseline.
+    AtMost(f64),
     /// Lower than the baseline.
     Lower,
 }
@@ -34,6 +36,7 @@
     fn is_hit(&self) -> bool {
         match self.target {
             Target::AtLeast(factor) => self.figure >= factor * self.baseline,
+            Target::AtMost(factor) => self.figure <= factor * self.baseline,
             Target::Lower => self.figure < self.baseline,
         }
     }
@@ -44,6 +47,7 @@
     pub(crate) fn add(&mut self, row: Row) {
         let target = match row.target {
             Target::AtLeast(factor) => format!("at least {factor} of it"),
+            Target::AtMost(factor) => format!("at most {factor} of it"),
             Target::Lower => "lower".into(),
         };
         println!(
--- a/xtask/src/bench/route.rs
+++ b/xtask/src/bench/route.rs
@@ -12,6 +12,8 @@
 const STEADY_LOAD: f64 = 0.8;
 /// Rate of the throughput measurement relative to the bound.
 const FULL_LOAD: f64 = 1.3;
+/// Rate at which the slots and queues are filled before that measurement.
+const FILL_LOAD: f64 = 2.0;
 
 /// Compares route policies over engines with speeds 1:5 and links 1:100.
 pub(crate) async fn run(report: &mut Report) {
@@ -62,15 +64,14 @@
         start: Duration::from_secs(start),
         length: Duration::from_secs(seconds),
         rate: load * spec.request_bound(),
-        organisation: "users",
-        deadline: Duration::from_secs(10),
+        ..Phase::default()
     };
-    // The first phase lets the nodes learn, the third fills the pipelines.
+    // The first phase lets the nodes learn.
     let phases = [
         phase(0, 3, 0.5),
         phase(3, 6, STEADY_LOAD),
-        phase(9, 2, FULL_LOAD),
-        phase(11, 4, FULL_LOAD),
+        phase(9, 3, FILL_LOAD),
+        phase(12, 5, FULL_LOAD),
     ];
     let samples = fleet.run(&phases).await;
     let first = first_tokens(&samples, &phases[1]);
@@ -94,7 +95,6 @@
         nodes: 2,
         slots: 24,
         links: (Duration::from_micros(200), Duration::from_millis(20)),
-        lag: Duration::from_millis(200),
         policy: Policy {
             route: kind,
             // Slow engines with full batches must not look dead.
@@ -102,5 +102,6 @@
             progress_ms: 10_000,
             ..Policy::default()
         },
+        ..FleetSpec::default()
     }
 }
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 use settings::{FleetConfig, Listen, Log, NodeSettings, Platform};
 use standins::vms::VmsControl;
-use transport::{CallError, HttpClient, Timeouts};
+use transport::{Body, CallError, HttpClient, Timeouts};
 use vms::api::{Vm, VmRole};
 
 pub(crate) use process::Process;
@@ -27,6 +27,8 @@
 pub(crate) const CONTROL_TIMEOUTS: Timeouts = Timeouts::from_millis(1000, 5000);
 /// Key of the configuration in the key-value service.
 const CONFIG_KEY: &str = "config/current";
+/// Largest text with metrics that is read, in bytes.
+const MAX_METRICS_BYTES: usize = 1 << 20;
 /// Time that a cluster has to become ready.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -152,6 +154,18 @@
         client.post_json("/control", message, CONTROL_TIMEOUTS).await
     }
 
+    /// The metrics of a node in the Prometheus text format; empty if they cannot be read.
+    pub(crate) async fn metrics(&self, node: &Process) -> String {
+        let client = HttpClient::new(self.clock.clone(), node.port("operators"));
+        let request = http::Request::get("/metrics").header("host", "gypsumrack");
+        let request = request.body(Body::empty()).expect("request is valid");
+        let Ok(response) = client.send(request, CONTROL_TIMEOUTS).await else {
+            return String::new();
+        };
+        let body = response.collect(MAX_METRICS_BYTES, CONTROL_TIMEOUTS.progress).await;
+        String::from_utf8_lossy(&body.unwrap_or_default()).into_owned()
+    }
+
     /// The state of a node, if it answers.
     pub(crate) async fn status(&self, node: &Process) -> Option<NodeStatus> {
         let client = HttpClient::new(self.clock.clone(), node.port("operators"));
