--- a/xtask/src/bench/fleet.rs
+++ b/xtask/src/bench/fleet.rs
@@ -16,7 +16,8 @@
 pub(crate) const STAGES: u32 = 3;
 /// Repetitions of the sentence that a shared prefix consists of.
 const PREFIX_REPEATS: usize = 80;
-/// Tokens of each answer.
+/// Mean number of tokens of an answer. Lengths are spread from half of it to one and a half of it,
+/// since answers of equal length make all sessions of an engine end at the same time.
 pub(crate) const TOKENS: u32 = 12;
 
 /// Speed of an engine and the domain that it is in.
@@ -262,7 +263,7 @@
         organisation: phase.organisation.into(),
         class: Class::Interactive,
         model: MODEL.into(),
-        max_tokens: TOKENS,
+        max_tokens: TOKENS / 2 + number as u32 * 7 % (TOKENS + 1),
         deadline: phase.deadline,
     }
 }
