--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -129,6 +129,6 @@
         config = config.with_default(key, value).unwrap();
     }
     assert_eq!(config, FleetConfig::default());
-    assert_eq!(settings::schema::policy_defaults().count(), 11);
+    assert_eq!(settings::schema::policy_defaults().count(), 12);
     assert_eq!(FleetConfig::parse(&config.to_toml()).unwrap(), config);
 }
--- a/xtask/src/bench/fleet.rs
+++ b/xtask/src/bench/fleet.rs
@@ -238,7 +238,8 @@
 }
 
 fn config(policy: &Policy) -> FleetConfig {
-    let model = ModelConfig { version: "1".into(), layers: LAYERS, replicas: 2, stages: STAGES };
+    let model =
+        ModelConfig { version: "1".into(), layers: LAYERS, replicas: 2, stages: Some(STAGES) };
     FleetConfig {
         revision: 1,
         author: "xtask".into(),
