--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -18,6 +18,7 @@
 use weights::{HttpWeightStore, WeightStore};
 
 use crate::{
+    admission::Admission,
     metered::Metered,
     metrics::Metrics,
     peering::PeerHolders,
@@ -149,6 +150,7 @@
             last_pull: Default::default(),
             next_crash: Default::default(),
             view: RefCell::default(),
+            admission: Admission::default(),
             engines: RefCell::default(),
             replicas: RefCell::default(),
             policy: RefCell::new((kind, new_policy(kind, incarnation))),
--- a/crates/node/src/completion/attempt.rs
+++ b/crates/node/src/completion/attempt.rs
@@ -15,6 +15,7 @@
     limits,
     recover::{Blamed, Cause},
 };
+use crate::admission::LoadGuard;
 
 /// A stream that is expected to end within this time is not moved from a leaving engine.
 const FINISH_SOON: Duration = Duration::from_secs(1);
@@ -40,8 +41,9 @@
         let session = self.progress.session.clone();
         let words = self.request.prompt.split_whitespace().count();
         let positions = if plan.resume { 1 } else { words + self.given.len() };
-        let (node, route) = (self.node.clone(), plan.route.clone());
-        let mut guard = AttemptGuard::new(node, route, session, self.attempt, positions as u32);
+        let load =
+            LoadGuard::new(self.node.clone(), self.request.model.clone(), plan.route.clone());
+        let mut guard = AttemptGuard::new(load, session, self.attempt, positions as u32);
         let head = &plan.route[0].engine;
         let Some(engine) = self.node.engine(head) else {
             return Outcome::Failed(Cause::new(
--- a/crates/node/src/completion/guard.rs
+++ b/crates/node/src/completion/guard.rs
@@ -1,15 +1,14 @@
-use std::{rc::Rc, sync::Arc};
+use std::sync::Arc;
 
 use engines::api::Cancel;
-use types::Stage;
 
-use crate::state::Node;
+use crate::admission::LoadGuard;
 
-/// Counts a running attempt in the load view and cancels it at its engines when it is dropped
-/// before its end.
+/// Counts a running attempt in the load view, cancels it at its engines when it is dropped before
+/// its end, and then gives its engines to waiting requests.
 pub(super) struct AttemptGuard {
-    node: Rc<Node>,
-    route: Arc<[Stage]>,
+    /// Dropped after the cancel calls are on their way.
+    load: LoadGuard,
     session: Arc<str>,
     attempt: u32,
     /// Positions whose prefill is counted in the load view.
@@ -19,25 +18,21 @@
 
 impl AttemptGuard {
     pub(super) fn new(
-        node: Rc<Node>,
-        route: Arc<[Stage]>,
+        load: LoadGuard,
         session: Arc<str>,
         attempt: u32,
         prefilling: u32,
     ) -> AttemptGuard {
-        {
-            let mut view = node.view.borrow_mut();
-            view.start(&route);
-            view.start_prefill(&route, prefilling);
-        }
-        AttemptGuard { node, route, session, attempt, prefilling, ended: false }
+        load.node.view.borrow_mut().start_prefill(&load.route, prefilling);
+        AttemptGuard { load, session, attempt, prefilling, ended: false }
     }
 
     /// The first token has come, so that the prefill has ended.
     pub(super) fn prefilled(&mut self) {
         let positions = std::mem::take(&mut self.prefilling);
         if positions > 0 {
-            self.node.view.borrow_mut().finish_prefill(&self.route, positions);
+            let mut view = self.load.node.view.borrow_mut();
+            view.finish_prefill(&self.load.route, positions);
         }
     }
 
@@ -48,9 +43,9 @@
 
     /// Tells every stage, because the first one may not be able to tell the others any more.
     fn cancel(&self) {
-        for stage in self.route.iter() {
+        for stage in self.load.route.iter() {
             let (session, attempt) = (self.session.clone(), self.attempt);
-            self.node.cancel(&stage.engine, Cancel { session, attempt, at_step_end: false });
+            self.load.node.cancel(&stage.engine, Cancel { session, attempt, at_step_end: false });
         }
     }
 }
@@ -58,7 +53,6 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.prefilled();
-        self.node.view.borrow_mut().finish(&self.route);
         if !self.ended {
             self.cancel();
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -20,7 +20,8 @@
 use weights::WeightStore;
 
 use crate::{
-    builder::Connector, metrics::Metrics, replicas::Replicas, tasks::CancelOrder, trace::Traces,
+    admission::Admission, builder::Connector, metrics::Metrics, replicas::Replicas,
+    tasks::CancelOrder, trace::Traces,
 };
 
 /// One node of the router. All its tasks share it; they run on one thread.
@@ -48,6 +49,7 @@
     pub(crate) last_pull: Cell<Option<Timestamp>>,
     pub(crate) next_crash: Cell<u64>,
     pub(crate) view: RefCell<LoadView>,
+    pub(crate) admission: Admission,
     pub(crate) engines: RefCell<BTreeMap<UpstreamName, Rc<dyn Engine>>>,
     pub(crate) replicas: RefCell<Replicas>,
     pub(crate) policy: RefCell<(RouteKind, Box<dyn RoutePolicy>)>,
@@ -123,6 +125,7 @@
 pub(crate) fn new_policy(kind: RouteKind, seed: u64) -> Box<dyn RoutePolicy> {
     match kind {
         RouteKind::Estimate => Box::new(Estimate::new(seed)),
+        RouteKind::EstimateByReports => Box::new(Estimate::by_reports(seed)),
         RouteKind::RoundRobin => Box::new(RoundRobin::default()),
         RouteKind::LeastOutstanding => Box::new(LeastOutstanding),
     }
--- a/crates/node/tests/daemon.rs
+++ b/crates/node/tests/daemon.rs
@@ -32,14 +32,26 @@
         .spawn()
         .unwrap();
     let lines = BufReader::new(node.stdout.take().unwrap()).lines();
-    let mut addrs = lines.map(|line| line.unwrap().split_once(' ').unwrap().1.to_owned());
-    let (callers, operators) = (addrs.next().unwrap(), addrs.next().unwrap());
+    let mut addrs = std::collections::BTreeMap::new();
+    for line in lines {
+        let line = line.unwrap();
+        let (name, addr) = line.split_once(' ').unwrap();
+        addrs.insert(name.to_owned(), addr.to_owned());
+        if name == "operators" {
+            break;
+        }
+    }
+    let (callers, operators) = (&addrs["callers"], &addrs["operators"]);
     let mut caller = TcpStream::connect(callers).unwrap();
     let request = "GET /services/registry/x HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\
                    x-organisation: cauce\r\nx-request-id: r-1\r\n\r\n";
     caller.write_all(request.as_bytes()).unwrap();
     caller.read_to_string(&mut String::new()).unwrap();
-    let drain = Command::new(binary).args(["drain", "--node", &operators]).status().unwrap();
+    let drain = Command::new(binary).args(["drain", "--node", operators]).status().unwrap();
+    if !drain.success() {
+        // A node that was not told to stop would never end, and the test with it.
+        node.kill().unwrap();
+    }
     let output = node.wait_with_output().unwrap();
     std::fs::remove_file(&file).unwrap();
     assert!(drain.success() && output.status.success());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,18 +8,27 @@
 //! encodings or the key-value service.
 
 mod baseline;
+mod budget;
 mod estimate;
+mod lanes;
+mod links;
 mod pace;
 mod path;
+mod prefix;
+mod queue;
 mod replace;
 mod stall;
 mod version;
 mod view;
 
 pub use baseline::{LeastOutstanding, RoundRobin};
+pub use budget::RetryBudget;
 pub use estimate::Estimate;
+pub use links::LinkTable;
+pub use prefix::PrefixTable;
+pub use queue::{AdmissionQueue, Arrival, Entry, Refusal, Ticket};
 pub use stall::{Blame, StallRecord};
-pub use view::{EngineState, LoadView, Report};
+pub use view::{EngineState, LoadView, Report, Usage};
 
 use std::sync::Arc;
 
@@ -43,6 +52,12 @@
     pub home: Domain,
     /// Engines that have failed this request and are used only if there is no other.
     pub avoid: Vec<UpstreamName>,
+    /// Sessions that an engine may have, as a percentage of its slots; zero means no limit.
+    pub slot_percent: u64,
+    /// Hashes of the prompt's prefixes, shortest first.
+    pub prefixes: Arc<[u64]>,
+    /// Approximate number of tokens in one prefix block.
+    pub block_tokens: u32,
 }
 
 /// Chooses routes.
--- a/crates/routing/tests/stall.rs
+++ b/crates/routing/tests/stall.rs
@@ -21,7 +21,7 @@
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
     let names = ["a0", "a1", "b0", "b1"];
     let engines = names.map(|name| (name.into(), EngineState::new(addr, "d".into())));
-    LoadView { engines: engines.into() }
+    LoadView { engines: engines.into(), ..LoadView::default() }
 }
 
 #[test]
--- a/xtask/src/faults/drafts.rs
+++ b/xtask/src/faults/drafts.rs
@@ -125,10 +125,8 @@
     /// a token is the recovery time.
     pub(crate) async fn drafts(&self, node: usize) -> Load {
         let mut load = Load::default();
-        let all = (0..CONCURRENT_DRAFTS).map(|number| async move {
-            let outcome = self.draft(node, &draft(number)).await;
-            outcome
-        });
+        let all = (0..CONCURRENT_DRAFTS)
+            .map(|number| async move { self.draft(node, &draft(number)).await });
         for outcome in join_all(all).await {
             load.add(&outcome, true);
         }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,12 +1,13 @@
 //! Chores of the workspace. Unlike the product, these start processes.
 
+mod bench;
 mod ci;
 mod cluster;
 mod demo;
 mod faults;
 mod workload;
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Parser, Subcommand};
 
@@ -25,6 +26,15 @@
     Demo,
     /// Injects faults into real processes and checks what callers and upstreams see.
     Faults(faults::FaultsArgs),
+    /// Measures decisions under load against their baselines.
+    Bench {
+        /// Writes all figures to this file.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Runs only the row with this name.
+        #[arg(long)]
+        only: Option<String>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -32,6 +42,7 @@
         Command::Ci => ci::run(),
         Command::Demo => demo::run(),
         Command::Faults(args) => faults::run(&args),
+        Command::Bench { json, only } => bench::run(json.as_deref(), only.as_deref()),
     };
     if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
