End finished claims with a shared lease of the key-value service

Cause: finished records were kept for ever. A sweeper would cost a third write for each key and one node that runs it.

Change: the final write of a claim that is done belongs to a lease that outlasts the retention; a node shares it among the records of an hour. Claimed and unknown records have no lease, so a request whose outcome is unknown never runs again.

Cost: one grant an hour and node instead of a deletion a key.

--- a/crates/claims/src/claim.rs
+++ b/crates/claims/src/claim.rs
@@ -1,4 +1,4 @@
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use types::Digest;
 
@@ -18,14 +18,15 @@
 }
 
 impl Claim {
-    /// Records that the request ran with this answer.
-    pub async fn finish(self, answer: Answer) {
-        self.conclude(ClaimState::Done(answer.bounded())).await;
+    /// Records that the request ran with this answer. The record is kept for `retention`.
+    pub async fn finish(self, answer: Answer, retention: Duration) {
+        self.conclude(ClaimState::Done(answer.bounded()), Some(retention)).await;
     }
 
-    /// Records that the request was sent and that its outcome is unknown.
+    /// Records that the request was sent and that its outcome is unknown. The record is kept
+    /// without an end, since the request may not be sent again at any time.
     pub async fn abandon(self) {
-        self.conclude(ClaimState::Unknown).await;
+        self.conclude(ClaimState::Unknown, None).await;
     }
 
     /// Gives the claim back. The caller must not have sent any byte of the request.
@@ -34,7 +35,7 @@
         settle::release(self.claims.clone(), self.key.clone(), self.id.clone()).await;
     }
 
-    async fn conclude(self, state: ClaimState) {
+    async fn conclude(self, state: ClaimState, retention: Option<Duration>) {
         let record = ClaimRecord {
             id: self.id.clone(),
             digest: self.digest,
@@ -42,7 +43,9 @@
             state,
         };
         self.claims.remember(&self.key, &record);
-        settle::write(self.claims.clone(), self.key.clone(), record, self.version).await;
+        let write =
+            settle::FinalWrite { key: self.key.clone(), record, version: self.version, retention };
+        settle::write(self.claims.clone(), write).await;
     }
 }
 
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -11,6 +11,7 @@
 mod admit;
 mod claim;
 mod record;
+mod retention;
 mod settle;
 
 use std::{
@@ -26,6 +27,8 @@
 use serde::{Deserialize, Serialize};
 use types::NodeName;
 
+use crate::retention::RetentionLeases;
+
 pub use admit::{Admission, ClaimRequest};
 pub use claim::Claim;
 pub use record::{Answer, ClaimId, ClaimKey, ClaimRecord, ClaimState};
@@ -68,6 +71,7 @@
     pub(crate) working: RefCell<HashSet<ClaimId>>,
     pub(crate) relinquished: RefCell<VecDeque<ClaimId>>,
     pub(crate) remembered: RefCell<Remembered>,
+    pub(crate) leases: RefCell<RetentionLeases>,
 }
 
 /// Finished claims, oldest first.
@@ -98,6 +102,7 @@
             working: RefCell::default(),
             relinquished: RefCell::default(),
             remembered: RefCell::default(),
+            leases: RefCell::default(),
         }
     }
 
--- a/crates/claims/src/settle.rs
+++ b/crates/claims/src/settle.rs
@@ -21,10 +21,20 @@
 /// which a write whose answer was lost may still take effect.
 const ABSENT_CHECKS: u32 = 8;
 
+/// The last write of a claim's record.
+pub(crate) struct FinalWrite {
+    pub(crate) key: ClaimKey,
+    pub(crate) record: ClaimRecord,
+    /// Version of the record when it was claimed.
+    pub(crate) version: u64,
+    /// Time for which the record is kept; without an end if absent.
+    pub(crate) retention: Option<Duration>,
+}
+
 /// Writes the final record of a claim. Returns after the first try; further ones go on in the
 /// background.
-pub(crate) async fn write(claims: Rc<Claims>, key: ClaimKey, record: ClaimRecord, version: u64) {
-    if write_once(&claims, &key, &record, version).await.is_ok() {
+pub(crate) async fn write(claims: Rc<Claims>, write: FinalWrite) {
+    if write_once(&claims, &write).await.is_ok() {
         return;
     }
     compio::runtime::spawn(async move {
@@ -32,11 +42,11 @@
         for _ in 0..MAX_TRIES {
             claims.clock.sleep(pause).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
-            if write_once(&claims, &key, &record, version).await.is_ok() {
+            if write_once(&claims, &write).await.is_ok() {
                 return;
             }
         }
-        tracing::error!(key = %key.key, "final record of a claim could not be written");
+        tracing::error!(key = %write.key.key, "final record of a claim could not be written");
     })
     .detach();
 }
@@ -68,19 +78,24 @@
     .detach();
 }
 
-async fn write_once(
-    claims: &Claims,
-    key: &ClaimKey,
-    record: &ClaimRecord,
-    version: u64,
-) -> Result<(), KvError> {
-    let expected = Expected::Version(version);
-    let reply = claims.store.put(&key.store_key(), expected, record.encode(), None).await?;
-    if let PutReply::Conflict(found) = reply {
+async fn write_once(claims: &Claims, write: &FinalWrite) -> Result<(), KvError> {
+    let lease = match write.retention {
+        Some(retention) => claims.retention_lease(retention).await,
+        None => None,
+    };
+    let (store_key, expected) = (write.key.store_key(), Expected::Version(write.version));
+    let put = claims.store.put(&store_key, expected, write.record.encode(), lease).await;
+    if put.is_err()
+        && let Some(retention) = write.retention
+    {
+        // The service also refuses a lease that it no longer knows.
+        claims.forget_lease(retention);
+    }
+    if let PutReply::Conflict(found) = put? {
         let found = found.and_then(|entry| ClaimRecord::decode(&entry.value));
         // An earlier try may have taken effect although its answer was lost.
-        if found.as_ref() != Some(record) {
-            tracing::error!(key = %key.key, ?found, "claim was changed by somebody else");
+        if found.as_ref() != Some(&write.record) {
+            tracing::error!(key = %write.key.key, ?found, "claim was changed by somebody else");
         }
     }
     Ok(())
--- a/crates/claims/tests/claims/admission.rs
+++ b/crates/claims/tests/claims/admission.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use crate::world::{Fault, TestNode, World, request, run};
+use crate::world::{Fault, RETENTION, TestNode, World, request, run};
 use claims::{Admission, Answer, ClaimRequest};
 use types::{Failure, FailureKind, Verdict};
 
@@ -63,7 +63,7 @@
                 Some((FailureKind::OutcomeUnknown, Verdict::MayHaveRun)),
                 "{script:?}"
             );
-            claim.finish(answer("done")).await;
+            claim.finish(answer("done"), RETENTION).await;
             let third = admit(&world, &other, &request(&other, false, LIMIT)).await;
             assert!(matches!(third, Ok(Admission::Replay(found)) if found == answer("done")));
         });
@@ -140,7 +140,7 @@
             let granted = admit(&world, &one, &request(&one, true, LIMIT)).await;
             let Ok(Admission::Run(claim)) = granted else { panic!("not granted") };
             world.script.borrow_mut().push_back(fault);
-            claim.finish(answer("done")).await;
+            claim.finish(answer("done"), RETENTION).await;
             world.pass(LONG).await;
             let outcome = admit(&world, &other, &request(&other, false, LIMIT)).await;
             let replayed =
@@ -149,3 +149,33 @@
         });
     }
 }
+
+/// Guards against records that fill the service for ever, and against a record of an unknown outcome
+/// that ends, after which the request would run again.
+#[test]
+fn only_finished_records_end_with_a_shared_lease() {
+    run(async {
+        let world = World::new([]);
+        let node = world.add_node("a", true);
+        for (index, finishes) in [(0, true), (1, true), (2, false)] {
+            let mut wanted = request(&node, true, LIMIT);
+            wanted.key.key = format!("key-{index}").into();
+            let Ok(Admission::Run(claim)) = admit(&world, &node, &wanted).await else {
+                panic!("key-{index} is free")
+            };
+            assert_eq!(world.last_lease.get(), None, "a claim must not end by itself");
+            let task = compio::runtime::spawn(async move {
+                if finishes {
+                    claim.finish(answer("done"), RETENTION).await;
+                } else {
+                    claim.abandon().await;
+                }
+            });
+            world.pass(Duration::from_secs(1)).await;
+            task.await.expect("the claim ends");
+            assert_eq!(world.last_lease.get(), finishes.then_some(1), "key-{index}");
+        }
+        // One lease serves all records of an hour and outlasts their retention by that hour.
+        assert_eq!(*world.granted.borrow(), [25 * 3600 * 1000]);
+    });
+}
--- a/crates/claims/tests/claims/interleavings.rs
+++ b/crates/claims/tests/claims/interleavings.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use crate::world::{Fault, TICK, TestNode, World, request, run};
+use crate::world::{Fault, RETENTION, TICK, TestNode, World, request, run};
 use claims::{Admission, Answer};
 use clock::Clock;
 use proptest::prelude::*;
@@ -90,7 +90,7 @@
                             let answer =
                                 Answer { status: 201, content_type: None, body: Some(body) };
                             *ledger.answer.borrow_mut() = Some(answer.clone());
-                            claim.finish(answer).await;
+                            claim.finish(answer, RETENTION).await;
                         }
                         Plan::Abandon => claim.abandon().await,
                         _ => drop(claim),
--- a/crates/claims/tests/claims/world.rs
+++ b/crates/claims/tests/claims/world.rs
@@ -49,6 +49,10 @@
     pub(crate) entries: RefCell<BTreeMap<String, Entry>>,
     version: Cell<u64>,
     nodes: RefCell<Vec<Rc<TestNode>>>,
+    /// Lease of the last write.
+    pub(crate) last_lease: Cell<Option<u64>>,
+    /// Lives of the leases that were granted, in milliseconds.
+    pub(crate) granted: RefCell<Vec<u64>>,
 }
 
 /// A node with a clock of its own, which can be paused.
@@ -83,6 +87,8 @@
             entries: RefCell::default(),
             version: Cell::new(0),
             nodes: RefCell::default(),
+            last_lease: Cell::default(),
+            granted: RefCell::default(),
         })
     }
 
@@ -233,10 +239,11 @@
         key: &str,
         expected: Expected,
         value: String,
-        _lease: Option<u64>,
+        lease: Option<u64>,
     ) -> LocalBoxFuture<'_, Result<PutReply, KvError>> {
         let key = key.to_owned();
         async move {
+            self.0.world.last_lease.set(lease);
             self.0.open().await;
             let reply = self.0.world.call(move |world| world.put(key, expected, value)).await;
             self.0.open().await;
@@ -285,8 +292,10 @@
         .boxed_local()
     }
 
-    fn grant(&self, _ttl_millis: u64) -> LocalBoxFuture<'_, Result<u64, KvError>> {
-        async { Err(KvError::Unavailable) }.boxed_local()
+    fn grant(&self, ttl_millis: u64) -> LocalBoxFuture<'_, Result<u64, KvError>> {
+        self.0.world.granted.borrow_mut().push(ttl_millis);
+        let lease = self.0.world.granted.borrow().len() as u64;
+        std::future::ready(Ok(lease)).boxed_local()
     }
 
     fn renew(&self, _lease: u64) -> LocalBoxFuture<'_, Result<bool, KvError>> {
@@ -310,6 +319,9 @@
     }
 }
 
+/// Time for which finished records are kept.
+pub(crate) const RETENTION: Duration = Duration::from_secs(24 * 3600);
+
 /// A request with a key that asks to run on a node, with a deadline of `limit` from now.
 pub(crate) fn request(node: &TestNode, first_send: bool, limit: Duration) -> ClaimRequest {
     ClaimRequest {
--- a/crates/node/src/service_call.rs
+++ b/crates/node/src/service_call.rs
@@ -13,6 +13,8 @@
 
 use crate::{state::Node, trace::TraceWriter};
 
+/// Seconds in an hour.
+const SECONDS_PER_HOUR: u64 = 3600;
 /// Time without an answer after which a call that may be repeated is sent a second time.
 const SILENT_AFTER: Duration = Duration::from_secs(2);
 /// Time of a lookup. It may start when the request's deadline has just passed, because the
@@ -110,7 +112,7 @@
         }
         match self.send_once().await {
             Ok(answer) => {
-                claim.finish(stored(&answer)).await;
+                claim.finish(stored(&answer), self.retention()).await;
                 Ok(reply(answer))
             }
             Err(failure) if failure.verdict == Verdict::NotRun => {
@@ -119,7 +121,7 @@
             }
             Err(failure) => match self.look_up(key).await {
                 Some(answer) => {
-                    claim.finish(stored(&answer)).await;
+                    claim.finish(stored(&answer), self.retention()).await;
                     Ok(reply(answer))
                 }
                 None => {
@@ -196,6 +198,11 @@
         answer.status.is_success().then_some(answer)
     }
 
+    /// Time for which the outcome of a key is kept.
+    fn retention(&self) -> Duration {
+        Duration::from_secs(self.policy.retention_hours * SECONDS_PER_HOUR)
+    }
+
     fn call(&self) -> ServiceCall {
         ServiceCall {
             method: self.request.method.clone(),
