Add fault cases for configuration changes

Cause: no case on real processes tested that a change is in force in time, that racing operators get one winner, and that a revision never goes down.

Operators race from one read version (50 rounds), lose answers and writes, and the key-value service answers stale reads, holds an older record or is down while nodes restart or join. /status of all nodes is polled throughout. leave_under_load and check_load of drains are shared with the new group.

--- /dev/null
+++ b/xtask/src/faults/config_changes.rs
@@ -0,0 +1,312 @@
+//! Changes of the configuration: when they are in force, races, lost answers, outages and
+//! restarts.
+
+use std::{cell::Cell, time::Duration};
+
+use fleet::{CONFIG_KEY, Outcome, edit};
+use futures_util::join;
+use keyvalue::{
+    KeyValue,
+    api::{Expected, PutReply},
+};
+use rand::Rng;
+use settings::FleetConfig;
+use standins::keyvalue::KeyValueFaults;
+
+use crate::{
+    faults::{
+        Case, Context, Report,
+        bench::{Bench, Setup},
+        drafts::Position,
+        drains::{check_load, leave_under_load},
+        revisions::{FORCE_LIMIT, Operator},
+    },
+    workload::DOMAINS,
+};
+
+/// Nodes of a case. Three of them watch the key, the others hear of a change from their peers.
+const NODES: usize = 5;
+/// Rounds of a race between two operators.
+const RACES: u64 = 50;
+/// Time after which a node has met the other members and, if it is chosen, watches the key.
+const SETTLE: Duration = Duration::from_millis(2500);
+/// Delay of a stale read, so that it arrives after the newer revision from a peer.
+const STALE_MILLIS: u64 = 150;
+
+/// The cases of this module.
+pub(crate) fn cases() -> Vec<Case> {
+    vec![
+        Case::new("config/in-force", "R5", "none", in_force),
+        Case::new("config/race", "R5", "F5", race),
+        Case::new("config/answer-lost", "R5", "F5", answer_lost),
+        Case::new("config/write-lost", "R5", "F5", write_lost),
+        Case::new("config/all-writes-lost", "R5", "F5", all_writes_lost),
+        Case::new("config/all-answers-lost", "R5", "F5", all_answers_lost),
+        Case::new("config/stale-reads", "R5", "F5", stale_reads),
+        Case::new("config/older-record", "R5", "F5", older_record),
+        Case::new("config/restart-in-outage", "R5", "F3 F4", restart_in_outage),
+        Case::new("config/join-in-outage", "R5", "F4", join_in_outage),
+        Case::new("config/nodes-in-turn", "R5", "F3", nodes_in_turn),
+        Case::new("config/engine-drained", "R5 R6", "planned stop", engine_drained),
+    ]
+}
+
+async fn nodes(context: &Context) -> Bench {
+    let setup = Setup { nodes: NODES, services: 0, ..Setup::default() };
+    let bench = Bench::start(context, setup).await;
+    bench.cluster.clock.sleep(SETTLE).await;
+    bench
+}
+
+fn refusing() -> KeyValueFaults {
+    KeyValueFaults { refuse: true, ..KeyValueFaults::default() }
+}
+
+async fn in_force(context: Context) -> Report {
+    let bench = nodes(&context).await;
+    let operator = bench.operator("operator");
+    let mut longest = Duration::ZERO;
+    for round in 0..10 {
+        let revision = bench.change(&operator, |config| with_depth(config, 1000 + round)).await;
+        longest = longest.max(bench.wait_revision(revision).await);
+    }
+    bench.note(format!("in force on {NODES} nodes after at most {} ms", longest.as_millis()));
+    bench.finish().await
+}
+
+/// Two operators write from the same read version.
+async fn race(context: Context) -> Report {
+    let bench = nodes(&context).await;
+    let (first, second) = (bench.operator("first"), bench.operator("second"));
+    let mut wins = [0, 0];
+    let mut rng = context.rng();
+    for round in 0..RACES {
+        let read = first.read().await;
+        let same = second.read().await;
+        let depths = [1000 + 2 * round, 1001 + 2 * round];
+        // Without these pauses the same operator would be first in every round.
+        let pauses = [rng.random_range(0..4), rng.random_range(0..4)];
+        let write = async |index: usize, operator: &Operator, read| {
+            bench.sleep(pauses[index]).await;
+            operator.write(read, depths[index]).await.0
+        };
+        let (one, other) = join!(write(0, &first, &read), write(1, &second, &same));
+        let next = read.config.revision + 1;
+        let outcomes = match (one, other) {
+            (won @ Outcome::Accepted { .. }, lost) => Some((0, won, lost)),
+            (lost, won @ Outcome::Accepted { .. }) => Some((1, won, lost)),
+            (one, other) => {
+                bench.problem(format!("nobody won round {round}: {one:?}, {other:?}"));
+                None
+            }
+        };
+        let Some((winner, won, lost)) = outcomes else { continue };
+        wins[winner] += 1;
+        check_race(&bench, ["first", "second"][winner], depths[winner], next, &won, &lost);
+    }
+    let stored = bench.stored_config().await.revision;
+    bench.check(stored == 1 + RACES, || format!("{RACES} changes made revision {stored}"));
+    bench.wait_revision(1 + RACES).await;
+    bench.note(format!("won {} and {} of {RACES} races", wins[0], wins[1]));
+    bench.finish().await
+}
+
+/// The loser has to be told the winner's name, revision and change.
+fn check_race(bench: &Bench, winner: &str, depth: u64, next: u64, won: &Outcome, lost: &Outcome) {
+    let made = matches!(won, Outcome::Accepted { revision, .. } if *revision == next);
+    bench.check(made, || format!("the winner did not make revision {next}: {won:?}"));
+    let told = matches!(lost, Outcome::Lost { revision, author, differences }
+    if *revision == next
+        && author == winner
+        && differences.iter().any(|found| {
+            found.key.contains("queue_depth")
+                && found.after.as_deref() == Some(&depth.to_string())
+        }));
+    bench.check(told, || format!("the loser was not told what changed: {lost:?}"));
+}
+
+async fn answer_lost(context: Context) -> Report {
+    lost(context, KeyValueFaults { lose_answers: 1, ..KeyValueFaults::default() }).await
+}
+
+async fn write_lost(context: Context) -> Report {
+    lost(context, KeyValueFaults { lose_writes: 1, ..KeyValueFaults::default() }).await
+}
+
+async fn all_writes_lost(context: Context) -> Report {
+    lost(context, KeyValueFaults { lose_writes: 1000, ..KeyValueFaults::default() }).await
+}
+
+async fn all_answers_lost(context: Context) -> Report {
+    lost(context, KeyValueFaults { lose_answers: 1000, ..KeyValueFaults::default() }).await
+}
+
+/// Two operators write while answers are lost. What each is told must hold later.
+async fn lost(context: Context, faults: KeyValueFaults) -> Report {
+    let bench = nodes(&context).await;
+    let (first, second) = (bench.operator("first"), bench.operator("second"));
+    let mut rng = context.rng();
+    let (mut accepted, mut unknown) = (0, 0);
+    for round in 0..6 {
+        let read = first.read().await;
+        bench.store_faults(faults.clone()).await;
+        let pause = rng.random_range(0..20);
+        let follow = async {
+            bench.sleep(pause).await;
+            second.write(&read, 3000 + round).await
+        };
+        let outcomes = join!(first.write(&read, 2000 + round), follow);
+        bench.store_faults(KeyValueFaults::default()).await;
+        let stored = bench.stored_config().await;
+        bench.wait_revision(stored.revision).await;
+        for (outcome, change) in [outcomes.0, outcomes.1] {
+            let holds = stored.history.iter().any(|known| known.id == change);
+            match outcome {
+                Outcome::Accepted { .. } => {
+                    accepted += 1;
+                    bench.check(holds, || format!("{change} was accepted but has no effect"));
+                }
+                Outcome::Unknown => unknown += 1,
+                _ => bench.check(!holds, || format!("{change} has an effect: {outcome:?}")),
+            }
+        }
+    }
+    bench.check(accepted + unknown > 0, || "every change was refused".into());
+    bench.note(format!("{accepted} accepted, {unknown} unknown"));
+    bench.finish().await
+}
+
+/// Reads show the record before the last change while changes are made and a node starts.
+async fn stale_reads(context: Context) -> Report {
+    let bench = nodes(&context).await;
+    let operator = bench.operator("operator");
+    let stop = Cell::new(false);
+    let stale = KeyValueFaults {
+        stale_reads: true,
+        delay_millis: STALE_MILLIS,
+        ..KeyValueFaults::default()
+    };
+    let changes = async {
+        for round in 0..4 {
+            let read = operator.read().await;
+            bench.store_faults(stale.clone()).await;
+            let (outcome, _) = operator.write(&read, 1000 + round).await;
+            let accepted = matches!(outcome, Outcome::Accepted { .. });
+            bench.check(accepted, || format!("a change was not accepted: {outcome:?}"));
+            bench.wait_revision(read.config.revision + 1).await;
+            let node = round as usize % NODES;
+            bench.cluster.restart_node(node, DOMAINS[node % DOMAINS.len()]);
+            bench.wait_revision(read.config.revision + 1).await;
+            bench.sleep(2 * STALE_MILLIS).await;
+            bench.store_faults(KeyValueFaults::default()).await;
+        }
+        stop.set(true);
+    };
+    join!(bench.watch_revisions(&stop), changes);
+    bench.finish().await
+}
+
+/// The record is replaced by an older one, as from a backup.
+async fn older_record(context: Context) -> Report {
+    let bench = nodes(&context).await;
+    let operator = bench.operator("operator");
+    let old = bench.stored_config().await;
+    let mut newest = 0;
+    for round in 0..3 {
+        newest = bench.change(&operator, |config| with_depth(config, 1000 + round)).await;
+    }
+    bench.wait_revision(newest).await;
+    let stop = Cell::new(false);
+    let replace = async {
+        let store = bench.cluster.store();
+        let entry = store.get(CONFIG_KEY).await.ok().flatten();
+        let expected = entry.map_or(Expected::Absent, |entry| Expected::Version(entry.version));
+        let put = store.put(CONFIG_KEY, expected, old.to_toml(), None).await;
+        let stored = matches!(put, Ok(PutReply::Stored(_)));
+        bench.check(stored, || format!("the older record was not written: {put:?}"));
+        bench.cluster.clock.sleep(FORCE_LIMIT / 2).await;
+        stop.set(true);
+    };
+    join!(bench.watch_revisions(&stop), replace);
+    bench.wait_revision(newest).await;
+    bench.finish().await
+}
+
+async fn restart_in_outage(context: Context) -> Report {
+    let bench = nodes(&context).await;
+    let revision = bench.change(&bench.operator("operator"), |c| with_depth(c, 1000)).await;
+    bench.wait_revision(revision).await;
+    bench.store_faults(refusing()).await;
+    let node = context.rng().random_range(0..NODES);
+    let started = bench.now();
+    bench.cluster.restart_node(node, DOMAINS[node % DOMAINS.len()]);
+    bench.wait_revision(revision).await;
+    bench.recovered(bench.now().since(started));
+    bench.finish().await
+}
+
+async fn join_in_outage(context: Context) -> Report {
+    let mut bench = nodes(&context).await;
+    let revision = bench.change(&bench.operator("operator"), |c| with_depth(c, 1000)).await;
+    bench.wait_revision(revision).await;
+    bench.store_faults(refusing()).await;
+    let started = bench.now();
+    bench.cluster.add_node("node-late", DOMAINS[0]).await;
+    bench.wait_revision(revision).await;
+    bench.recovered(bench.now().since(started));
+    bench.finish().await
+}
+
+/// Each node in turn is killed and started again while changes are made.
+async fn nodes_in_turn(context: Context) -> Report {
+    let bench = nodes(&context).await;
+    let operator = bench.operator("operator");
+    let (stop, done) = (Cell::new(false), Cell::new(false));
+    let newest = Cell::new(1);
+    let changes = async {
+        while !done.get() {
+            let depth = 1000 + newest.get();
+            newest.set(bench.change(&operator, |config| with_depth(config, depth)).await);
+            bench.sleep(200).await;
+        }
+    };
+    let restarts = async {
+        for node in 0..NODES {
+            bench.cluster.restart_node(node, DOMAINS[node % DOMAINS.len()]);
+            bench.wait_revision(newest.get()).await;
+            // Until the node watches the key again if it is chosen for that.
+            bench.cluster.clock.sleep(SETTLE).await;
+        }
+        done.set(true);
+    };
+    let work = async {
+        join!(changes, restarts);
+        bench.wait_revision(newest.get()).await;
+        stop.set(true);
+    };
+    join!(bench.watch_revisions(&stop), work);
+    bench.note(format!("{} changes during {NODES} restarts", newest.get() - 1));
+    bench.finish().await
+}
+
+/// An operator's exception drains an engine under load through all nodes.
+async fn engine_drained(context: Context) -> Report {
+    let setup = Setup { nodes: 3, services: 0, replicas: 2, ..Setup::default() };
+    let bench = Bench::start(&context, setup).await;
+    bench.cluster.clock.sleep(SETTLE).await;
+    let operator = bench.operator("operator");
+    let engine = bench.engine(&Position::Middle.engine(0));
+    let leave = async {
+        let reason = "its fan is to be replaced";
+        bench.change(&operator, |config| edit::drain(config, &engine.name, reason)).await;
+    };
+    let load = leave_under_load(&bench, engine, leave).await;
+    check_load(&bench, &load);
+    bench.finish().await
+}
+
+fn with_depth(config: &FleetConfig, depth: u64) -> FleetConfig {
+    let mut changed = config.clone();
+    changed.defaults.queue_depth = depth;
+    changed
+}
--- a/xtask/src/faults/drains.rs
+++ b/xtask/src/faults/drains.rs
@@ -74,7 +74,7 @@
 }
 
 /// Runs a load, lets an engine leave, and checks that it gets no new work after the limit.
-async fn leave_under_load(
+pub(super) async fn leave_under_load(
     bench: &Bench,
     engine: &Process,
     leave: impl Future<Output = ()>,
@@ -96,7 +96,7 @@
     join!(bench.load(&stop, MOST_DRAFTS), watch).0
 }
 
-fn check_load(bench: &Bench, load: &Load) {
+pub(super) fn check_load(bench: &Bench, load: &Load) {
     bench.check(load.drafts > 0, || "no draft ran".into());
     bench.check(load.wrong == 0, || format!("{} of {} drafts failed", load.wrong, load.drafts));
     bench.note(format!("{} drafts, {} retried", load.drafts, load.retried));
--- a/xtask/src/faults/mod.rs
+++ b/xtask/src/faults/mod.rs
@@ -4,11 +4,13 @@
 mod at_most_once;
 mod bench;
 mod case;
+mod config_changes;
 mod drafts;
 mod drains;
 mod filings;
 mod links;
 mod report;
+mod revisions;
 mod sequences;
 mod service_faults;
 mod store_faults;
@@ -83,6 +85,7 @@
     cases.extend(whole_answers::cases());
     cases.extend(links::cases());
     cases.extend(drains::cases());
+    cases.extend(config_changes::cases());
     cases
 }
 
