Add fault cases for orders to engines

Cause: no case on real processes paused or killed the giver of orders, took the key-value service away from it, or changed a model's version.

Change: group orders/ with 5 cases on 3 nodes, 2 replicas of each layer range of one model, and 2 spare engines (none for the version change), with drafts through the nodes that run. The requirement of the config/ cases is corrected to R7, the fault of config/race to F7.

--- a/xtask/src/faults/config_changes.rs
+++ b/xtask/src/faults/config_changes.rs
@@ -36,18 +36,18 @@
 /// The cases of this module.
 pub(crate) fn cases() -> Vec<Case> {
     vec![
-        Case::new("config/in-force", "R5", "none", in_force),
-        Case::new("config/race", "R5", "F5", race),
-        Case::new("config/answer-lost", "R5", "F5", answer_lost),
-        Case::new("config/write-lost", "R5", "F5", write_lost),
-        Case::new("config/all-writes-lost", "R5", "F5", all_writes_lost),
-        Case::new("config/all-answers-lost", "R5", "F5", all_answers_lost),
-        Case::new("config/stale-reads", "R5", "F5", stale_reads),
-        Case::new("config/older-record", "R5", "F5", older_record),
-        Case::new("config/restart-in-outage", "R5", "F3 F4", restart_in_outage),
-        Case::new("config/join-in-outage", "R5", "F4", join_in_outage),
-        Case::new("config/nodes-in-turn", "R5", "F3", nodes_in_turn),
-        Case::new("config/engine-drained", "R5 R6", "planned stop", engine_drained),
+        Case::new("config/in-force", "R7", "none", in_force),
+        Case::new("config/race", "R7", "F7", race),
+        Case::new("config/answer-lost", "R7", "F5", answer_lost),
+        Case::new("config/write-lost", "R7", "F5", write_lost),
+        Case::new("config/all-writes-lost", "R7", "F5", all_writes_lost),
+        Case::new("config/all-answers-lost", "R7", "F5", all_answers_lost),
+        Case::new("config/stale-reads", "R7", "F5", stale_reads),
+        Case::new("config/older-record", "R7", "F5", older_record),
+        Case::new("config/restart-in-outage", "R7", "F3 F4", restart_in_outage),
+        Case::new("config/join-in-outage", "R7", "F4", join_in_outage),
+        Case::new("config/nodes-in-turn", "R7", "F3", nodes_in_turn),
+        Case::new("config/engine-drained", "R5 R7", "planned stop", engine_drained),
     ]
 }
 
--- a/xtask/src/faults/mod.rs
+++ b/xtask/src/faults/mod.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod filings;
 mod links;
+mod orders;
 mod report;
 mod revisions;
 mod sequences;
@@ -86,6 +87,7 @@
     cases.extend(links::cases());
     cases.extend(drains::cases());
     cases.extend(config_changes::cases());
+    cases.extend(orders::cases());
     cases
 }
 
--- a/xtask/src/faults/revisions.rs
+++ b/xtask/src/faults/revisions.rs
@@ -14,7 +14,7 @@
 /// Deadlines of an operator's call to the key-value service. They are short, so that a case can
 /// lose many answers.
 const STORE_TIMEOUTS: Timeouts = Timeouts::from_millis(300, 300);
-/// Time in which a change is in force on all nodes (R5).
+/// Time in which a change is in force on all nodes (R7).
 pub(crate) const FORCE_LIMIT: Duration = Duration::from_secs(11);
 /// Interval of the looks at the revisions.
 const POLL: Duration = Duration::from_millis(20);
