--- a/xtask/src/faults/mod.rs
+++ b/xtask/src/faults/mod.rs
@@ -4,11 +4,14 @@
 mod at_most_once;
 mod bench;
 mod case;
+mod config_changes;
 mod drafts;
 mod drains;
 mod filings;
 mod links;
+mod orders;
 mod report;
+mod revisions;
 mod sequences;
 mod service_faults;
 mod store_faults;
@@ -83,6 +86,8 @@
     cases.extend(whole_answers::cases());
     cases.extend(links::cases());
     cases.extend(drains::cases());
+    cases.extend(config_changes::cases());
+    cases.extend(orders::cases());
     cases
 }
 
