Refuse requests that crash engines

Cause: a request that ends the process of every engine that runs it was tried again on the next engine, and again with each send of its caller. Change: a completion has a fingerprint of organisation, model, prompt and max_tokens. A failed attempt records at most one crash, if an engine accepts no connections or has a new incarnation. A success clears the crashes. A request with a crash is sent only after a probe of its route, and avoids engines on which this node runs another suspect.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -8,7 +8,7 @@
 };
 use operators::api::Decision;
 use settings::Policy;
-use types::{Failure, FailureKind, RequestId, Verdict};
+use types::{Digest, Failure, FailureKind, RequestId, Verdict};
 
 use crate::{
     completion::{CompletionRun, Progress},
@@ -97,6 +97,7 @@
         let policy = config.policy(&request.caller.organisation, &request.model);
         let arrived = self.clock.now();
         let progress = Progress::new(self.next_request_id().as_str().into(), arrived);
+        let fingerprint = fingerprint(&request);
         let run = CompletionRun {
             deadline: deadline(arrived, &request.caller, &policy),
             node: self,
@@ -111,6 +112,7 @@
             progress,
             allowed: 0,
             resumed: false,
+            fingerprint,
         };
         run.run(sink).await
     }
@@ -162,6 +164,14 @@
     }
 }
 
+/// Recognises a request that its caller sends again, whatever its identifier.
+fn fingerprint(request: &Completion) -> Digest {
+    let organisation = request.caller.organisation.as_str();
+    let tokens = request.max_tokens.to_le_bytes();
+    let (model, prompt) = (request.model.as_str(), request.prompt.as_bytes());
+    Digest::of(&[organisation.as_bytes(), model.as_bytes(), prompt, &tokens])
+}
+
 fn deadline(arrived: Timestamp, caller: &Caller, policy: &Policy) -> Timestamp {
     arrived + caller.deadline.unwrap_or(Duration::from_millis(policy.deadline_ms))
 }
--- a/crates/node/src/builder.rs
+++ b/crates/node/src/builder.rs
@@ -150,6 +150,7 @@
             listed_nodes: RefCell::default(),
             last_pull: Default::default(),
             next_crash: Default::default(),
+            suspect_runs: RefCell::default(),
             view: RefCell::default(),
             admission: Admission::default(),
             engines: RefCell::default(),
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod guard;
 mod limits;
+mod poison;
 mod progress;
 mod recover;
 mod transfer;
@@ -16,9 +17,9 @@
 use operators::api::Decision;
 use routing::RouteRequest;
 use settings::{ModelConfig, Policy};
-use types::{Failure, FailureKind, Stage, UpstreamName, Verdict};
+use types::{Digest, Failure, FailureKind, Stage, UpstreamName, Verdict};
 
-use crate::{state::Node, trace::TraceWriter};
+use crate::{admission::LoadGuard, state::Node, trace::TraceWriter};
 use attempt::Outcome;
 
 pub(crate) use progress::Progress;
@@ -45,6 +46,8 @@
     pub(crate) allowed: u32,
     /// Whether the request has used the one retry that needs no budget.
     pub(crate) resumed: bool,
+    /// Recognises the request when its caller sends it again.
+    pub(crate) fingerprint: Digest,
 }
 
 /// How the next attempt starts.
@@ -78,19 +81,31 @@
                 let message = format!("{} attempts have failed", self.progress.failures);
                 return Err(self.failure(FailureKind::Upstream, message));
             }
+            self.refuse_poison()?;
             let plan = match prepared.take() {
                 Some(plan) => plan,
                 None => Plan { route: self.find_route().await?, resume: false },
             };
+            let (model, route) = (self.request.model.clone(), plan.route.clone());
+            let load = LoadGuard::new(self.node.clone(), model, route);
+            // Other attempts may have crashed engines while this one waited for a route.
+            self.refuse_poison()?;
+            self.progress.incarnations = self.known_incarnations(&plan.route);
+            let suspect = self.node.run_suspect(self.fingerprint, &plan.route);
+            if suspect.is_some() && !self.confirm_route(&plan.route).await {
+                continue;
+            }
             self.attempt += 1;
             self.node.metrics.attempts.inc();
             let stages = plan.route.iter().map(|stage| stage.engine.clone()).collect();
             let (attempt, given) = (self.attempt, self.given.len() as u32);
             self.trace.record(Decision::Routed { attempt, stages, given });
-            let outcome = self.run_attempt(&plan, sink).await;
+            let outcome = self.run_attempt(&plan, load, sink).await;
+            drop(suspect);
             self.observe_interval(&plan.route);
             match outcome {
                 Outcome::Whole => {
+                    self.node.clear_crashes(self.fingerprint);
                     return Ok(Summary { tokens: self.given.len() as u32, attempts: self.attempt });
                 }
                 Outcome::CallerGone => {
@@ -117,7 +132,7 @@
             prompt_tokens: (words + self.given.len()) as u32,
             output_tokens: self.request.max_tokens - self.given.len() as u32,
             home: self.node.settings.domain.clone(),
-            avoid: self.avoid.clone(),
+            avoid: self.avoided_engines(),
             slot_percent: self.policy.slot_percent,
             prefixes: prefix_hashes(&self.request.model, prompt).into(),
             block_tokens: (words / blocks) as u32,
--- a/crates/node/src/completion/attempt.rs
+++ b/crates/node/src/completion/attempt.rs
@@ -37,12 +37,15 @@
 }
 
 impl CompletionRun {
-    pub(super) async fn run_attempt(&mut self, plan: &Plan, sink: &mut dyn TokenSink) -> Outcome {
+    pub(super) async fn run_attempt(
+        &mut self,
+        plan: &Plan,
+        load: LoadGuard,
+        sink: &mut dyn TokenSink,
+    ) -> Outcome {
         let session = self.progress.session.clone();
         let words = self.request.prompt.split_whitespace().count();
         let positions = if plan.resume { 1 } else { words + self.given.len() };
-        let load =
-            LoadGuard::new(self.node.clone(), self.request.model.clone(), plan.route.clone());
         let mut guard = AttemptGuard::new(load, session, self.attempt, positions as u32);
         let head = &plan.route[0].engine;
         let Some(engine) = self.node.engine(head) else {
@@ -210,7 +213,7 @@
         limits::progress(&self.policy, expected, self.progress.unexplained)
     }
 
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.deadline.since(self.node.clock.now())
     }
 }
--- /dev/null
+++ b/crates/node/src/completion/poison.rs
@@ -0,0 +1,111 @@
+use std::time::Duration;
+
+use clock::timeout;
+use futures_util::future::join_all;
+use transport::CallError;
+use types::{Failure, FailureKind, Stage, UpstreamName, Verdict};
+
+use super::{CompletionRun, recover::UNREACHABLE_TIME};
+
+/// Time that an engine has to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// What a probe of an engine has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Health {
+    /// The engine answered with this incarnation.
+    Alive(u64),
+    /// The engine accepts no connections.
+    Refused,
+    /// The engine did not answer in time, or the connection broke.
+    Silent,
+    /// The engine is no longer in the fleet.
+    Gone,
+}
+
+impl CompletionRun {
+    /// Refuses the request if it has crashed too many engines. Each crash was recorded for an
+    /// attempt that was sent, perhaps of an earlier send of the request, so the verdict is never
+    /// that nothing ran.
+    pub(super) fn refuse_poison(&self) -> Result<(), Failure> {
+        let crashes = self.node.crash_count(self.fingerprint) as u64;
+        if crashes < self.policy.crash_limit {
+            return Ok(());
+        }
+        let message = format!("engines crashed {crashes} times while they ran this request");
+        Err(Failure::new(FailureKind::Poison, Verdict::MayHaveRun, message))
+    }
+
+    /// Engines that failed this request and, if it is a suspect, those that run another one.
+    pub(super) fn avoided_engines(&self) -> Vec<UpstreamName> {
+        let mut avoid = self.avoid.clone();
+        if self.node.is_crash_suspect(self.fingerprint) {
+            avoid.extend(self.node.engines_of_suspects(self.fingerprint));
+        }
+        avoid
+    }
+
+    pub(super) fn known_incarnations(&self, route: &[Stage]) -> Vec<(UpstreamName, u64)> {
+        let view = self.node.view.borrow();
+        let known = |stage: &Stage| {
+            let report = view.engines.get(&stage.engine)?.report.as_ref()?;
+            Some((stage.engine.clone(), report.incarnation))
+        };
+        route.iter().filter_map(known).collect()
+    }
+
+    /// Checks that all engines of a route run before a suspect is sent to them. Without this, an
+    /// engine that had ended before would count as a second crash, and the loss of a domain could
+    /// make the node refuse requests that did no harm.
+    pub(super) async fn confirm_route(&mut self, route: &[Stage]) -> bool {
+        if self.time_left().is_zero() {
+            return true;
+        }
+        let probes = join_all(route.iter().map(|stage| self.probe_engine(&stage.engine))).await;
+        self.progress.incarnations.clear();
+        let mut confirmed = true;
+        let until = self.node.clock.now() + UNREACHABLE_TIME;
+        for (stage, health) in route.iter().zip(&probes) {
+            match health {
+                Health::Alive(incarnation) => {
+                    self.progress.incarnations.push((stage.engine.clone(), *incarnation));
+                }
+                Health::Refused | Health::Silent => {
+                    self.node.view.borrow_mut().unreachable(&stage.engine, until);
+                    confirmed = false;
+                }
+                // The attempt chooses another route without a call.
+                Health::Gone => {}
+            }
+        }
+        confirmed
+    }
+
+    pub(super) async fn probe_engine(&self, name: &UpstreamName) -> Health {
+        let Some(engine) = self.node.engine(name) else { return Health::Gone };
+        // An idle connection may be silent although the engine works.
+        engine.drop_idle();
+        match timeout(&*self.node.clock, PROBE_TIMEOUT, engine.load()).await {
+            Ok(Ok(load)) => Health::Alive(load.incarnation),
+            Ok(Err(CallError::Connect(_))) => Health::Refused,
+            _ => Health::Silent,
+        }
+    }
+
+    /// Records a crash if an engine that the failed attempt used accepts no connections or has
+    /// restarted. An attempt counts once: engines that fail together, as in the loss of a domain,
+    /// are one event.
+    pub(super) fn record_crash(&self, route: &[Stage], probes: &[Health]) {
+        let crashed = route.iter().zip(probes).find(|(stage, health)| match health {
+            Health::Refused => true,
+            Health::Alive(incarnation) => {
+                let mut started = self.progress.incarnations.iter();
+                started.any(|(name, known)| *name == stage.engine && known != incarnation)
+            }
+            Health::Silent | Health::Gone => false,
+        });
+        if let Some((stage, _)) = crashed {
+            self.node.record_crash(self.fingerprint, &stage.engine);
+        }
+    }
+}
--- a/crates/node/src/completion/progress.rs
+++ b/crates/node/src/completion/progress.rs
@@ -2,6 +2,7 @@
 
 use clock::Timestamp;
 use engines::api::Token;
+use types::UpstreamName;
 
 use super::CompletionRun;
 use crate::metrics::Gap;
@@ -24,6 +25,8 @@
     pub(super) interval: Duration,
     /// Positions of the prompt, known from the first token.
     pub(super) prompt: Option<u32>,
+    /// Incarnations of the engines of the route when the attempt started, as far as known.
+    pub(super) incarnations: Vec<(UpstreamName, u64)>,
     /// Why the stream is interrupted, until its next token.
     pub(super) gap: Option<Gap>,
     /// Time of the last token that the caller got.
@@ -43,6 +46,7 @@
             last: now,
             interval: Duration::ZERO,
             prompt: None,
+            incarnations: Vec::new(),
             gap: None,
             last_token: None,
             fresh: 0,
--- a/crates/node/src/completion/recover.rs
+++ b/crates/node/src/completion/recover.rs
@@ -1,17 +1,14 @@
 use std::time::Duration;
 
-use clock::timeout;
 use engines::api::StreamFault;
 use futures_util::future::join_all;
 use operators::api::Decision;
 use routing::Blame;
 use types::{Stage, UpstreamName};
 
-use super::CompletionRun;
+use super::{CompletionRun, poison::Health};
 use crate::metrics::Gap;
 
-/// Time that an engine has to answer a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which an engine that failed gets no new work.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which an engine that could not be reached gets no new work. Its next load
@@ -106,6 +103,11 @@
             }
             Blamed::Suspect(engine) => {
                 view.suspect(&engine, now + SUSPECT_TIME);
+                drop(view);
+                let stage: Vec<_> =
+                    route.iter().filter(|stage| stage.engine == engine).cloned().collect();
+                let health = self.probe_engine(&engine).await;
+                self.record_crash(&stage, &[health]);
                 Blame { avoid: vec![engine.clone()], suspects: vec![engine] }
             }
             Blamed::Unreachable(engine) => {
@@ -126,15 +128,15 @@
     /// Blames the engines of a route that do not answer a probe; if all do, the one that the
     /// stalls of the node's streams point to.
     async fn probe(&mut self, route: &[Stage]) -> Blame {
-        let probes = route.iter().map(|stage| async {
-            let engine = self.node.engine(&stage.engine)?;
-            // An idle connection may be silent although the engine works.
-            engine.drop_idle();
-            let load = timeout(&*self.node.clock, PROBE_TIMEOUT, engine.load()).await;
-            let answered = matches!(load, Ok(Ok(_)));
-            (!answered).then(|| stage.engine.clone())
-        });
-        let silent: Vec<_> = join_all(probes).await.into_iter().flatten().collect();
+        let probes = join_all(route.iter().map(|stage| self.probe_engine(&stage.engine))).await;
+        self.record_crash(route, &probes);
+        let failed = |health: &Health| matches!(health, Health::Refused | Health::Silent);
+        let silent: Vec<_> = route
+            .iter()
+            .zip(&probes)
+            .filter(|(_, health)| failed(health))
+            .map(|(stage, _)| stage.engine.clone())
+            .collect();
         if silent.is_empty() {
             return self.blame_stages(route);
         }
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -1,7 +1,9 @@
 //! Crashes of upstreams by the fingerprint of the request that they ran.
 
+use std::{rc::Rc, sync::Arc};
+
 use fleet::CrashId;
-use types::{Digest, UpstreamName};
+use types::{Digest, Stage, UpstreamName};
 
 use crate::state::Node;
 
@@ -35,4 +37,44 @@
     pub fn is_crash_suspect(&self, fingerprint: Digest) -> bool {
         self.fleet.borrow().is_suspect(fingerprint)
     }
+
+    /// Counts an attempt of a suspect as running on its route until the guard is dropped. `None`
+    /// if the request is not a suspect.
+    pub(crate) fn run_suspect(
+        self: &Rc<Self>,
+        fingerprint: Digest,
+        route: &Arc<[Stage]>,
+    ) -> Option<SuspectGuard> {
+        if !self.is_crash_suspect(fingerprint) {
+            return None;
+        }
+        self.suspect_runs.borrow_mut().push((fingerprint, route.clone()));
+        Some(SuspectGuard { node: self.clone(), fingerprint, route: route.clone() })
+    }
+
+    /// Engines on which this node runs suspects other than this one.
+    pub(crate) fn engines_of_suspects(&self, fingerprint: Digest) -> Vec<UpstreamName> {
+        let runs = self.suspect_runs.borrow();
+        let others = runs.iter().filter(|(other, _)| *other != fingerprint);
+        others.flat_map(|(_, route)| route.iter().map(|stage| stage.engine.clone())).collect()
+    }
+}
+
+/// Counts one attempt of a suspect.
+pub(crate) struct SuspectGuard {
+    node: Rc<Node>,
+    fingerprint: Digest,
+    route: Arc<[Stage]>,
+}
+
+impl Drop for SuspectGuard {
+    fn drop(&mut self) {
+        let mut runs = self.node.suspect_runs.borrow_mut();
+        let own = |run: &(Digest, Arc<[Stage]>)| {
+            run.0 == self.fingerprint && Arc::ptr_eq(&run.1, &self.route)
+        };
+        if let Some(index) = runs.iter().position(own) {
+            runs.swap_remove(index);
+        }
+    }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,6 +3,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
 };
 
 use claims::Claims;
@@ -15,7 +16,7 @@
 use routing::{Estimate, LeastOutstanding, LoadView, RoundRobin, RoutePolicy};
 use settings::{FleetConfig, NodeSettings, RouteKind};
 use transport::Stop;
-use types::{Failure, FailureKind, NodeName, RequestId, UpstreamName};
+use types::{Digest, Failure, FailureKind, NodeName, RequestId, Stage, UpstreamName};
 use vms::VmList;
 use weights::WeightStore;
 
@@ -48,6 +49,8 @@
     /// Last pull of the configuration from a peer.
     pub(crate) last_pull: Cell<Option<Timestamp>>,
     pub(crate) next_crash: Cell<u64>,
+    /// Requests with a crash that run now, and their routes.
+    pub(crate) suspect_runs: RefCell<Vec<(Digest, Arc<[Stage]>)>>,
     pub(crate) view: RefCell<LoadView>,
     pub(crate) admission: Admission,
     pub(crate) engines: RefCell<BTreeMap<UpstreamName, Rc<dyn Engine>>>,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -54,6 +54,10 @@
     pub exports: RefCell<Vec<UpstreamName>>,
     pub imports: RefCell<Vec<(UpstreamName, KvCache)>>,
     pub silent: RefCell<Vec<UpstreamName>>,
+    /// Engines that accept no connections.
+    pub dead: RefCell<Vec<UpstreamName>>,
+    /// Engines that have started anew.
+    pub restarted: RefCell<Vec<UpstreamName>>,
     pub leaving: RefCell<Vec<UpstreamName>>,
     pub refuse_import: Cell<bool>,
 }
@@ -352,9 +356,14 @@
         if self.is_silent() {
             return pending().boxed_local();
         }
+        if self.fleet.dead.borrow().contains(&self.name) {
+            let refused = CallError::Connect("refused".into());
+            return std::future::ready(Err(refused)).boxed_local();
+        }
+        let restarted = self.fleet.restarted.borrow().contains(&self.name);
         let load = Load {
             engine: self.name.clone(),
-            incarnation: 1,
+            incarnation: 1 + u64::from(restarted),
             model: "m".into(),
             version: "1".into(),
             layers: self.layers(),
