Add fault cases for requests that crash engines

Cause: nothing tested that a request that crashes engines is stopped over the whole fleet. Change: poison/sent-again sends such a request nine times in turn through three nodes; poison/beside-others does it while other drafts run.

--- a/xtask/src/faults/mod.rs
+++ b/xtask/src/faults/mod.rs
@@ -8,6 +8,7 @@
 mod drains;
 mod filings;
 mod links;
+mod poison;
 mod report;
 mod sequences;
 mod service_faults;
@@ -83,6 +84,7 @@
     cases.extend(whole_answers::cases());
     cases.extend(links::cases());
     cases.extend(drains::cases());
+    cases.extend(poison::cases());
     cases
 }
 
