Probe a stage that a handoff did not reach before the view is borrowed

Cause: clippy reports a RefCell borrow across an await, and unused parts of the fakes in tests/poison.rs. Change: blame probes the engine first; the test file says that other tests use the rest of the fakes.

--- a/crates/node/src/completion/recover.rs
+++ b/crates/node/src/completion/recover.rs
@@ -88,6 +88,12 @@
     }
 
     async fn blame(&mut self, route: &[Stage], blamed: Blamed) -> Blame {
+        if let Blamed::Suspect(engine) = &blamed
+            && let Some(stage) = route.iter().find(|stage| stage.engine == *engine)
+        {
+            let health = self.probe_engine(engine).await;
+            self.record_crash(std::slice::from_ref(stage), &[health]);
+        }
         let now = self.node.clock.now();
         let node = self.node.clone();
         let mut view = node.view.borrow_mut();
@@ -103,11 +109,6 @@
             }
             Blamed::Suspect(engine) => {
                 view.suspect(&engine, now + SUSPECT_TIME);
-                drop(view);
-                let stage: Vec<_> =
-                    route.iter().filter(|stage| stage.engine == engine).cloned().collect();
-                let health = self.probe_engine(&engine).await;
-                self.record_crash(&stage, &[health]);
                 Blame { avoid: vec![engine.clone()], suspects: vec![engine] }
             }
             Blamed::Unreachable(engine) => {
--- a/crates/node/tests/poison.rs
+++ b/crates/node/tests/poison.rs
@@ -1,6 +1,7 @@
 //! Guards against a request that crashes one engine after the other, and against the refusal of
 //! requests that only shared an engine with it or met another fault.
 
+#[expect(dead_code, reason = "the other tests of the node use the rest")]
 mod support;
 
 use engines::api::Event;
