--- a/crates/node/src/completion/recover.rs
+++ b/crates/node/src/completion/recover.rs
@@ -1,17 +1,14 @@
 use std::time::Duration;
 
-use clock::timeout;
 use engines::api::StreamFault;
 use futures_util::future::join_all;
 use operators::api::Decision;
 use routing::Blame;
 use types::{Stage, UpstreamName};
 
-use super::CompletionRun;
+use super::{CompletionRun, poison::Health};
 use crate::metrics::Gap;
 
-/// Time that an engine has to answer a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which an engine that failed gets no new work.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which an engine that could not be reached gets no new work. Its next load
@@ -91,6 +88,12 @@
     }
 
     async fn blame(&mut self, route: &[Stage], blamed: Blamed) -> Blame {
+        if let Blamed::Suspect(engine) = &blamed
+            && let Some(stage) = route.iter().find(|stage| stage.engine == *engine)
+        {
+            let health = self.probe_engine(engine).await;
+            self.record_crash(std::slice::from_ref(stage), &[health]);
+        }
         let now = self.node.clock.now();
         let node = self.node.clone();
         let mut view = node.view.borrow_mut();
@@ -126,15 +129,15 @@
     /// Blames the engines of a route that do not answer a probe; if all do, the one that the
     /// stalls of the node's streams point to.
     async fn probe(&mut self, route: &[Stage]) -> Blame {
-        let probes = route.iter().map(|stage| async {
-            let engine = self.node.engine(&stage.engine)?;
-            // An idle connection may be silent although the engine works.
-            engine.drop_idle();
-            let load = timeout(&*self.node.clock, PROBE_TIMEOUT, engine.load()).await;
-            let answered = matches!(load, Ok(Ok(_)));
-            (!answered).then(|| stage.engine.clone())
-        });
-        let silent: Vec<_> = join_all(probes).await.into_iter().flatten().collect();
+        let probes = join_all(route.iter().map(|stage| self.probe_engine(&stage.engine))).await;
+        self.record_crash(route, &probes);
+        let failed = |health: &Health| matches!(health, Health::Refused | Health::Silent);
+        let silent: Vec<_> = route
+            .iter()
+            .zip(&probes)
+            .filter(|(_, health)| failed(health))
+            .map(|(stage, _)| stage.engine.clone())
+            .collect();
         if silent.is_empty() {
             return self.blame_stages(route);
         }
--- a/xtask/src/faults/mod.rs
+++ b/xtask/src/faults/mod.rs
@@ -10,6 +10,7 @@
 mod filings;
 mod links;
 mod orders;
+mod poison;
 mod report;
 mod revisions;
 mod sequences;
@@ -88,6 +89,7 @@
     cases.extend(drains::cases());
     cases.extend(config_changes::cases());
     cases.extend(orders::cases());
+    cases.extend(poison::cases());
     cases
 }
 
