Measure the control cost of nodes in the bench

Cause: the targets for two years (2.7 % of a core, 32 MB and 4 KB/s of control cost per node) had no measurement.

Change: the bench row `control` starts fleets without requests and reads CPU and memory of each node from /proc, bytes between nodes from its metrics and the calls of the key-value service from its test double. Fleets run in two groups of three at the same time to stay under 100 s. With `--json` the row also draws an SVG file beside the figures.

--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,13 +1,16 @@
 //! Measures decisions under load on test doubles, each against its baseline in the same run.
 
+mod control;
 mod fairness;
 mod fleet;
 mod lag;
 mod limit;
+mod plot;
 mod prefix;
 mod report;
 mod retry;
 mod route;
+mod usage;
 
 use std::path::Path;
 
@@ -40,6 +43,9 @@
         if wanted("retry") {
             retry::run(&mut report).await;
         }
+        if wanted("control") {
+            control::run(&mut report).await;
+        }
     });
     report.finish(json)
 }
--- a/xtask/src/bench/report.rs
+++ b/xtask/src/bench/report.rs
@@ -2,6 +2,8 @@
 
 use serde::Serialize;
 
+use super::{control::Point, plot, usage};
+
 /// A figure that a target applies to.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Row {
@@ -30,6 +32,12 @@
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct Report {
     rows: Vec<Row>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) control: Vec<Point>,
+    /// Cargo profile of this process and the ones that it starts.
+    build: &'static str,
+    /// Load averages of the machine at the end, over 1, 5 and 15 minutes.
+    load_average: String,
 }
 
 impl Row {
@@ -63,13 +71,20 @@
     }
 
     /// Writes the figures and prints the totals. Returns whether every target was hit.
-    pub(crate) fn finish(&self, json: Option<&Path>) -> bool {
+    pub(crate) fn finish(&mut self, json: Option<&Path>) -> bool {
+        self.build = usage::build();
+        self.load_average = usage::load_average();
+        println!("     {} build; load average {}", self.build, self.load_average);
         if let Some(path) = json {
             let text = serde_json::to_string_pretty(self).expect("figures are serializable");
             if let Err(error) = std::fs::write(path, text) {
                 println!("{} cannot be written: {error}", path.display());
                 return false;
             }
+            if !self.control.is_empty() && !plot::write(&path.with_extension("svg"), &self.control)
+            {
+                return false;
+            }
         }
         let hits = self.rows.iter().filter(|row| row.is_hit()).count();
         println!("{hits} of {} targets hit", self.rows.len());
--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -59,6 +59,11 @@
         self.ports.get(name).copied()
     }
 
+    /// Process id. It belongs to this process until the process has been waited for.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.borrow().id()
+    }
+
     /// Kills the process without warning.
     pub(crate) fn kill(&self) {
         let mut child = self.child.borrow_mut();
