Measure the gap in streams whose engine fails

Cause: the time in which streams recover from a failed engine had no measurement under load.

Change: the bench row `recovery` kills or hangs nine engines in turn, with 3 nodes and 3 stages of 3 replicas, and takes the largest gap between two tokens of each stream that was on the failed engine. The traces of the nodes tell which streams these were. A lost stream counts with its deadline.

--- a/xtask/src/bench/fleet.rs
+++ b/xtask/src/bench/fleet.rs
@@ -59,11 +59,13 @@
     pub(crate) deadline: Duration,
     /// Different prefixes that the prompts begin with; zero for short prompts.
     pub(crate) prefixes: u32,
+    /// Mean number of tokens of an answer.
+    pub(crate) tokens: u32,
 }
 
 /// A running fleet.
 pub(crate) struct Fleet {
-    cluster: Cluster,
+    pub(crate) cluster: Cluster,
     clients: Vec<CallerClient>,
 }
 
@@ -92,6 +94,7 @@
             organisation: "users",
             deadline: Duration::from_secs(10),
             prefixes: 0,
+            tokens: TOKENS,
         }
     }
 }
@@ -264,7 +267,7 @@
         organisation: phase.organisation.into(),
         class: Class::Interactive,
         model: MODEL.into(),
-        max_tokens: TOKENS / 2 + number as u32 * 7 % (TOKENS + 1),
+        max_tokens: phase.tokens / 2 + number as u32 * 7 % (phase.tokens + 1),
         deadline: phase.deadline,
     }
 }
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod plot;
 mod prefix;
+mod recovery;
 mod report;
 mod retry;
 mod route;
@@ -46,6 +47,9 @@
         if wanted("control") {
             control::run(&mut report).await;
         }
+        if wanted("recovery") {
+            recovery::run(&mut report).await;
+        }
     });
     report.finish(json)
 }
--- a/xtask/src/bench/report.rs
+++ b/xtask/src/bench/report.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::{control::Point, plot, usage};
+use super::{control::Point, plot, recovery::Recovery, usage};
 
 /// A figure that a target applies to.
 #[derive(Clone, Debug, Serialize)]
@@ -34,6 +34,8 @@
     rows: Vec<Row>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) control: Vec<Point>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) recovery: Vec<Recovery>,
     /// Cargo profile of this process and the ones that it starts.
     build: &'static str,
     /// Load averages of the machine at the end, over 1, 5 and 15 minutes.
