Do not start a call whose caller went away while it waited for its claim

A send whose caller had hung up went on by itself, waited for the claim of another send, and ran when that claim was released with `not-run`.

Change: the call knows whether its caller has gone and releases a claim that is granted after that.

Result: the new case `claims/caller-gone-before-claim` failed before (the key ran once, expected never) and passes now.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -1,4 +1,4 @@
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use callers::{Backend, Caller, Completion, ServiceReply, ServiceRequest, Summary, TokenSink};
 use clock::Timestamp;
@@ -40,19 +40,22 @@
         request: ServiceRequest,
     ) -> LocalBoxFuture<'static, Result<ServiceReply, Failure>> {
         let cut = self.cut.clone();
-        // The call goes on when its caller goes away, so that its claim ends with the outcome.
+        let gone = Rc::new(Cell::new(false));
+        let caller_gone = gone.clone();
+        // A call that was sent goes on when its caller goes away, so that its claim ends with the
+        // outcome.
         let task = compio::runtime::spawn(async move {
             let _running = self.count_running();
             let caller = request.caller.clone();
             let trace = self.start_trace(&caller, &request.service);
-            let result = self.clone().start_call(request, trace.clone()).await;
+            let result = self.clone().start_call(request, caller_gone, trace.clone()).await;
             let verdict = result.as_ref().map_or_else(|failure| failure.verdict, |_| Verdict::Ran);
             self.conclude(&caller, &trace, verdict, result.as_ref().err());
             result
         });
         let cut = cut.raised();
         async move {
-            let joined = pin!(DetachOnDrop { task: Some(task) }.join());
+            let joined = pin!(DetachOnDrop { task: Some(task), gone }.join());
             match select(joined, pin!(cut)).await {
                 Either::Left((outcome, _)) => outcome,
                 Either::Right(_) => {
@@ -120,6 +123,7 @@
     async fn start_call(
         self: Rc<Self>,
         request: ServiceRequest,
+        gone: Rc<Cell<bool>>,
         trace: TraceWriter,
     ) -> Result<ServiceReply, Failure> {
         let config = self.config()?;
@@ -131,7 +135,7 @@
         let arrived = self.clock.now();
         let limit = arrived + Duration::from_millis(policy.service_ms);
         let deadline = deadline(arrived, &request.caller, &policy).min(limit);
-        let run = CallRun { node: self, request, service, policy, trace, deadline };
+        let run = CallRun { node: self, request, service, policy, trace, deadline, gone };
         run.run().await
     }
 
@@ -179,6 +183,8 @@
 /// Joins a task, or lets it go on by itself when the join is dropped.
 struct DetachOnDrop<T> {
     task: Option<compio::runtime::JoinHandle<Result<T, Failure>>>,
+    /// Set when the join is dropped before the task has ended.
+    gone: Rc<Cell<bool>>,
 }
 
 impl<T> DetachOnDrop<T> {
@@ -196,6 +202,7 @@
 impl<T> Drop for DetachOnDrop<T> {
     fn drop(&mut self) {
         if let Some(task) = self.task.take() {
+            self.gone.set(true);
             task.detach();
         }
     }
--- a/crates/node/src/service_call.rs
+++ b/crates/node/src/service_call.rs
@@ -1,6 +1,6 @@
 //! Runs a call to a plain service. Idempotent calls are retried; others are sent at most once.
 
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use callers::{ServiceReply, ServiceRequest};
 use claims::{Admission, Answer, Claim, ClaimKey, ClaimRequest};
@@ -29,6 +29,8 @@
     pub(crate) policy: Policy,
     pub(crate) trace: TraceWriter,
     pub(crate) deadline: Timestamp,
+    /// Whether the caller has gone away.
+    pub(crate) gone: Rc<Cell<bool>>,
 }
 
 impl CallRun {
@@ -110,6 +112,12 @@
             claim.release().await;
             return Err(Failure::not_run(FailureKind::Deadline, "the deadline has passed"));
         }
+        // While this send waited for its claim, another one of the key may have been answered with
+        // `not-run`, which must stay true.
+        if self.gone.get() {
+            claim.release().await;
+            return Err(Failure::not_run(FailureKind::Invalid, "the caller went away"));
+        }
         match self.send_once().await {
             Ok(answer) => {
                 claim.finish(stored(&answer), self.retention()).await;
--- a/xtask/src/faults/at_most_once.rs
+++ b/xtask/src/faults/at_most_once.rs
@@ -37,6 +37,7 @@
         Case::new("claims/racing-nodes", "R4", "repeated send", racing_nodes),
         Case::new("claims/racing-nodes-slow-service", "R4", "repeated send", racing_slowly),
         Case::new("claims/caller-hangs-up", "R2 R4", "repeated send", caller_hangs_up),
+        Case::new("claims/caller-gone-before-claim", "R3", "repeated send", caller_gone),
         Case::new("claims/other-content", "R3", "repeated send", other_content),
         Case::new("claims/no-key", "R4", "answer lost", no_key),
     ]
@@ -239,6 +240,21 @@
     bench.finish().await
 }
 
+/// A send whose caller went away before its claim was granted must not run: another send of the key
+/// may have been answered with `not-run` in the meantime.
+async fn caller_gone(context: Context) -> Report {
+    let bench = default_bench(&context).await;
+    bench.store_faults(KeyValueFaults { delay_millis: 300, ..KeyValueFaults::default() }).await;
+    bench.send_and_hang_up(0, &first_filing("key"), Duration::from_millis(100)).await;
+    bench.sleep(1500).await;
+    bench.store_faults(KeyValueFaults::default()).await;
+    bench.expect_runs("key", 0).await;
+    let again = bench.send(1, &filing("key")).await;
+    bench.expect("repeated send", &again, Ran);
+    bench.expect_runs("key", 1).await;
+    bench.finish().await
+}
+
 async fn other_content(context: Context) -> Report {
     let bench = default_bench(&context).await;
     let first = bench.send(0, &first_filing("key")).await;
