Say may-have-run when a keyed call is refused before its key was looked up

The sequence kills nodes, and a restarted node without a configuration yet answered `not-run` without knowing what other nodes had done with the key. The same held for an unknown service and for malformed headers.

Change: one rule, `ServiceRequest::refused`, for every refusal before the record was read; the front end uses it too. A problem of the long run now lists all sends of the key.

Result: `node/tests/refusals.rs` failed before and passes now.

--- a/crates/callers/src/front.rs
+++ b/crates/callers/src/front.rs
@@ -36,7 +36,10 @@
         body: RequestBody,
         id: &RequestId,
     ) -> Result<Response<Body>, Failure> {
-        let invalid = |message| Failure::not_run(FailureKind::Invalid, message);
+        let repeats =
+            head.uri.path().starts_with("/services/") && headers::may_repeat(&head.headers);
+        let verdict = if repeats { Verdict::MayHaveRun } else { Verdict::NotRun };
+        let invalid = |message| Failure::new(FailureKind::Invalid, verdict, message);
         let caller = headers::read_caller(&head.headers, id.clone()).map_err(invalid)?;
         if let Some(rest) = head.uri.path().strip_prefix("/services/") {
             let request = self.service_request(head, rest, caller).map_err(invalid)?;
@@ -85,17 +88,11 @@
         body: RequestBody,
         id: &RequestId,
     ) -> Result<Response<Body>, Failure> {
-        let repeatable = request.key.is_some() && !request.first_send;
-        let refused = |failure: Failure| {
-            // An earlier send of the same key may have run, which this node has not looked up.
-            let verdict = if repeatable { Verdict::MayHaveRun } else { Verdict::NotRun };
-            Failure { verdict, ..failure }
-        };
-        self.check_accepting().map_err(refused)?;
+        self.check_accepting().map_err(|failure| request.refused(failure))?;
         request.body = body
             .collect()
             .await
-            .map_err(|message| refused(Failure::not_run(FailureKind::Invalid, message)))?;
+            .map_err(|message| request.refused(Failure::not_run(FailureKind::Invalid, message)))?;
         let reply = self.backend.clone().call_service(request).await?;
         Ok(respond::service_reply(reply, id))
     }
--- a/crates/callers/src/headers.rs
+++ b/crates/callers/src/headers.rs
@@ -58,6 +58,12 @@
     }
 }
 
+/// Whether a send may repeat an earlier one: it has an idempotency key, and the caller does not
+/// state that it is the first send.
+pub(crate) fn may_repeat(headers: &HeaderMap) -> bool {
+    headers.contains_key(KEY) && read_first_send(headers) != Ok(true)
+}
+
 /// The headers that are passed on to a plain service.
 pub(crate) fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let passed = [
--- a/crates/callers/src/request.rs
+++ b/crates/callers/src/request.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Method};
-use types::{Class, ModelName, Organisation, RequestId, ServiceName};
+use types::{Class, Failure, ModelName, Organisation, RequestId, ServiceName, Verdict};
 
 /// Who sent a request, and how it is to be treated.
 #[derive(Clone, Debug)]
@@ -67,6 +67,16 @@
     pub first_send: bool,
 }
 
+impl ServiceRequest {
+    /// The failure of this request when it is refused before its idempotency key was looked up. An
+    /// earlier send of the key may have run, unless the caller states that there was none.
+    pub fn refused(&self, failure: Failure) -> Failure {
+        let sent_before = self.key.is_some() && !self.first_send;
+        let verdict = if sent_before { Verdict::MayHaveRun } else { failure.verdict };
+        Failure { verdict, ..failure }
+    }
+}
+
 /// Answer of a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceReply {
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -126,10 +126,10 @@
         gone: Rc<Cell<bool>>,
         trace: TraceWriter,
     ) -> Result<ServiceReply, Failure> {
-        let config = self.config()?;
+        let config = self.config().map_err(|failure| request.refused(failure))?;
         let service = config.services.get(&request.service).cloned().ok_or_else(|| {
             let message = format!("there is no service {}", request.service);
-            Failure::not_run(FailureKind::NotFound, message)
+            request.refused(Failure::not_run(FailureKind::NotFound, message))
         })?;
         let policy = config.policy(&request.caller.organisation, &request.service);
         let arrived = self.clock.now();
--- /dev/null
+++ b/crates/node/tests/refusals.rs
@@ -0,0 +1,54 @@
+//! Guards the verdict of refusals before an idempotency key was looked up: an earlier send of the key
+//! through another node may have run, so `not-run` would be a guess.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use callers::{Backend, Caller, ServiceRequest};
+use clock::ManualClock;
+use node::NodeBuilder;
+use settings::{Listen, Log, NodeSettings, Platform};
+use types::{Class, Verdict};
+
+fn settings() -> NodeSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    NodeSettings {
+        name: "node-0".into(),
+        domain: "north".into(),
+        region: "home".into(),
+        drain_ms: 1000,
+        listen: Listen { callers: any, operators: any, peers: any },
+        platform: Platform { keyvalue: any, vms: any, weights: any },
+        log: Log::default(),
+    }
+}
+
+fn filing(key: Option<&str>, first_send: bool) -> ServiceRequest {
+    let organisation = "organisation".into();
+    ServiceRequest {
+        caller: Caller { id: "r".into(), organisation, class: Class::Interactive, deadline: None },
+        service: "registry".into(),
+        method: http::Method::POST,
+        path: "/filings".into(),
+        headers: http::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        key: key.map(Into::into),
+        first_send,
+    }
+}
+
+#[test]
+fn node_without_configuration_does_not_guess() {
+    let runtime = compio::runtime::Runtime::new().expect("runtime can be created");
+    runtime.block_on(async {
+        let node = NodeBuilder::new(Rc::new(ManualClock::new()), settings()).build();
+        let sends = [
+            (filing(Some("key"), false), Verdict::MayHaveRun),
+            (filing(Some("key"), true), Verdict::NotRun),
+            (filing(None, false), Verdict::NotRun),
+        ];
+        for (request, expected) in sends {
+            let failure = node.clone().call_service(request).await.expect_err("it is refused");
+            assert_eq!(failure.verdict, expected, "{failure}");
+        }
+    });
+}
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -20,7 +20,19 @@
     Check { name: "build", args: &["build", "--workspace", "--bins"] },
     Check { name: "tests", args: &["test", "--workspace", "--quiet"] },
     Check { name: "demo", args: &["run", "--quiet", "--package", "xtask", "--", "demo"] },
-    Check { name: "faults", args: &["run", "--quiet", "--package", "xtask", "--", "faults"] },
+    Check {
+        name: "faults",
+        args: &[
+            "run",
+            "--quiet",
+            "--package",
+            "xtask",
+            "--",
+            "faults",
+            "--markdown",
+            "target/faults.md",
+        ],
+    },
 ];
 
 /// Runs all checks. Returns whether they passed.
--- a/xtask/src/faults/filings.rs
+++ b/xtask/src/faults/filings.rs
@@ -225,7 +225,11 @@
             let ran_before = send.runs > 0 && !sends.iter().any(|other| send.overlaps(other));
             let ran_later = runs > 0 && !sends.iter().any(|other| send.may_explain(other));
             if ran_before || ran_later {
-                self.problem(format!("{key} was answered with not-run, but it ran"));
+                let sends: Vec<String> = sends.iter().map(|send| send.describe()).collect();
+                let sends = sends.join("; ");
+                self.problem(format!(
+                    "{key} was answered with not-run, but it ran; sends: {sends}"
+                ));
             }
         }
         let answers: BTreeSet<(u16, &str)> = sends
@@ -264,6 +268,19 @@
         !std::ptr::eq(self, other) && !ended(self, other.start) && !ended(other, self.start)
     }
 
+    /// The send with its times, for a problem's report.
+    fn describe(&self) -> String {
+        let millis = |at: Timestamp| at.since(Timestamp::default()).as_millis();
+        let (start, end) = (millis(self.start), self.end.map(millis));
+        match &self.outcome {
+            Some(outcome) => format!(
+                "{start} to {end:?}: {} {:?} {:?} {}",
+                outcome.status, outcome.verdict, outcome.error, outcome.body
+            ),
+            None => format!("{start} to {end:?}: hung up"),
+        }
+    }
+
     /// Whether another send can have run the key after this one was refused.
     fn may_explain(&self, other: &SendRecord) -> bool {
         !std::ptr::eq(self, other) && (self.overlaps(other) || other.start > self.start)
