--- a/crates/peers/tests/links/harness.rs
+++ b/crates/peers/tests/links/harness.rs
@@ -45,7 +45,7 @@
 
 pub fn crash(fingerprint: Digest, number: u64) -> Fact {
     let id = CrashId { at_millis: 1, node: "a".into(), incarnation: 1, number };
-    Fact::Crash(Crash { id, fingerprint, engine: "engine-0".into(), ended: 1, cleared: false })
+    Fact::Crash(Crash { id, fingerprint, engine: "engine-0".into(), ended: number, cleared: false })
 }
 
 pub struct TestNode {
