--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -1,7 +1,8 @@
 //! The peer crate for callers: the HTTP front end.
 //!
 //! Purpose: turn HTTP requests into [`Completion`] and [`ServiceRequest`] values, and answers,
-//! failures and verdicts into HTTP responses.
+//! failures and verdicts into HTTP responses. [`Router`] is the border for front ends of requests
+//! that are routed by host and path.
 //!
 //! Invariants: every response carries a request identifier and a verdict; malformed input is
 //! refused with a sentence that says what is wrong; every part of a request is bounded. This
@@ -12,6 +13,7 @@
 mod headers;
 mod request;
 mod respond;
+mod routed;
 
 use std::rc::Rc;
 
@@ -20,6 +22,7 @@
 
 pub use front::FrontEnd;
 pub use request::{Caller, Completion, ServiceReply, ServiceRequest, Summary, TokenSink};
+pub use routed::{Generation, RoutedFailure, RoutedReply, RoutedRequest, Router};
 
 /// What the front end needs from the rest of a node.
 pub trait Backend {
--- /dev/null
+++ b/crates/catalog/src/beliefs.rs
@@ -0,0 +1,104 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use types::UpstreamName;
+
+use crate::{Table, Upstream};
+
+/// What became of a statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is newer than what was known and replaces it.
+    Adopted,
+    /// It is not newer than what was known.
+    Stale,
+}
+
+/// What a node believes of the configuration and the upstreams.
+#[derive(Default)]
+pub struct Beliefs {
+    table: Option<Arc<Table>>,
+    upstreams: BTreeMap<UpstreamName, Known>,
+    /// Revision up to which the upstreams are known.
+    seen: u64,
+    listed: bool,
+}
+
+struct Known {
+    upstream: Option<Arc<Upstream>>,
+    revision: u64,
+}
+
+impl Beliefs {
+    /// The newest configuration.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// Adopts a configuration if its version is newer than that of the known one.
+    pub fn offer_table(&mut self, table: Table) -> Adoption {
+        if self.table.as_ref().is_some_and(|known| known.version() >= table.version()) {
+            return Adoption::Stale;
+        }
+        self.table = Some(Arc::new(table));
+        Adoption::Adopted
+    }
+
+    /// Whether the registry of upstreams has been read.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Revision up to which the upstreams are known.
+    pub fn seen(&self) -> u64 {
+        self.seen
+    }
+
+    /// All upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.upstreams.values().filter_map(|known| known.upstream.as_ref())
+    }
+
+    /// One upstream.
+    pub fn upstream(&self, name: &str) -> Option<&Arc<Upstream>> {
+        self.upstreams.get(name)?.upstream.as_ref()
+    }
+
+    /// Adopts what was written of an upstream at `revision`. `None` means that its entry is gone
+    /// or unusable.
+    pub fn offer_upstream(
+        &mut self,
+        name: &UpstreamName,
+        upstream: Option<Upstream>,
+        revision: u64,
+    ) -> Adoption {
+        self.seen = self.seen.max(revision);
+        if self.upstreams.get(name).is_some_and(|known| known.revision >= revision) {
+            return Adoption::Stale;
+        }
+        let known = Known { upstream: upstream.map(Arc::new), revision };
+        self.upstreams.insert(name.clone(), known);
+        Adoption::Adopted
+    }
+
+    /// Takes over a whole list that was read at `revision`: what it does not name is gone, unless
+    /// it was written later. Returns the names of those that are gone.
+    pub fn finish_list(&mut self, names: &[UpstreamName], revision: u64) -> Vec<UpstreamName> {
+        self.listed = true;
+        let mut gone = Vec::new();
+        for (name, known) in &mut self.upstreams {
+            if known.upstream.is_some() && known.revision <= revision && !names.contains(name) {
+                known.upstream = None;
+                gone.push(name.clone());
+            }
+        }
+        // Absent entries need no memory once a list is as new as they are.
+        self.upstreams.retain(|_, known| known.upstream.is_some() || known.revision > revision);
+        self.seen = self.seen.max(revision);
+        gone
+    }
+
+    /// Marks everything up to `revision` as seen.
+    pub fn advance(&mut self, revision: u64) {
+        self.seen = self.seen.max(revision);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/main.rs
@@ -0,0 +1,96 @@
+//! The daemon of a node that routes by the operators' published table.
+
+use std::{path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
+
+use clap::{Args, Parser, Subcommand};
+use clock::{Clock, RuntimeClock};
+use gateway::GatewayBuilder;
+use platform::{BalancerChecks, PlatformPublications, RequestFront, StoreClient, WorkerConnector};
+use settings::{EdgeSettings, Log, LogFormat};
+use tracing_subscriber::EnvFilter;
+use transport::{Stop, Timeouts};
+
+/// Deadlines of calls to the key-value service.
+const STORE_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 1200);
+/// Wait of one watch. A connection that fell silent is found this late.
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// Deadlines of orders, and of opening connections to upstreams.
+const UPSTREAM_TIMEOUTS: Timeouts = Timeouts::from_millis(250, 1500);
+
+/// A node that routes requests to pipelines over mixed accelerators.
+#[derive(Parser)]
+#[command(
+    name = "gypsumrack-edge",
+    version,
+    after_help = "Exit codes: 0 success, 1 failure, 2 wrong usage."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a node until it is told to stop.
+    Serve(SettingsArgs),
+    /// Checks a settings file.
+    Check(SettingsArgs),
+}
+
+#[derive(Args)]
+struct SettingsArgs {
+    /// Settings file of the node.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Serve(args) => serve(&args),
+        Command::Check(args) => EdgeSettings::load(&args.settings)
+            .map(|settings| println!("{}: settings are valid", settings.name))
+            .map_err(|error| format!("{error:?}")),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(args: &SettingsArgs) -> Result<(), String> {
+    let settings = EdgeSettings::load(&args.settings).map_err(|error| format!("{error:?}"))?;
+    start_log(&settings.log);
+    let runtime = compio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
+    runtime.block_on(run(clock, settings)).map_err(|error| error.to_string())
+}
+
+async fn run(clock: Rc<dyn Clock>, settings: EdgeSettings) -> std::io::Result<()> {
+    let store =
+        Rc::new(StoreClient::new(clock.clone(), settings.store, STORE_TIMEOUTS, WATCH_WAIT));
+    let connector = Rc::new(WorkerConnector::new(clock.clone(), UPSTREAM_TIMEOUTS));
+    let publications = Rc::new(PlatformPublications);
+    let gateway = GatewayBuilder::new(clock, settings, store, connector, publications)
+        .stop(Stop::new())
+        .build();
+    let front = Rc::new(RequestFront::new(gateway.clone()));
+    let checks = Rc::new(BalancerChecks::new(gateway.clone()));
+    gateway::serve(gateway, front, checks).await
+}
+
+/// The variable `RUST_LOG` overrides the level, for the analysis of a fault.
+fn start_log(log: &Log) {
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(log.level.to_string()));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(false)
+        .with_writer(std::io::stdout);
+    match log.format {
+        LogFormat::Json => builder.json().flatten_event(true).init(),
+        LogFormat::Text => builder.init(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/admission.rs
@@ -0,0 +1,271 @@
+//! Chooses the upstreams for a send, and lets requests wait while the engines have no room.
+
+use std::{
+    cell::RefCell, collections::BTreeMap, future::Future, pin::pin, rc::Rc, sync::Arc,
+    time::Duration,
+};
+
+use catalog::{EngineProfile, Upstream};
+use futures_util::future::{Either, select};
+use pipelines::{Holder, Need, PathQuery, Used, choose_path};
+use rand::Rng;
+use types::{Stage, UpstreamName};
+
+use crate::{Gateway, lifecycle::Run};
+
+/// Share of an engine's memory that requests may fill. The rest absorbs what other nodes have
+/// admitted since their last message.
+const FILL: f64 = 0.92;
+/// Share of the route's goal that a request waits for room before it is refused.
+const WAIT_SHARE: f64 = 0.5;
+/// Time between two looks for room while a request waits: counts of other nodes and loads of
+/// layers end without a notice.
+const LOOK_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which a caller that was refused for want of room may come back.
+pub(crate) const ROOM_RETRY: Duration = Duration::from_millis(700);
+
+/// Where a request is sent.
+pub(crate) struct Target {
+    pub(crate) upstream: Arc<Upstream>,
+    pub(crate) client: Rc<dyn upstreams::Upstream>,
+    pub(crate) stages: Vec<Stage>,
+    /// Counts the request on the upstreams while the target is held.
+    pub(crate) _reservation: Reservation,
+}
+
+/// Counts a request on its upstreams until it is dropped.
+pub(crate) struct Reservation {
+    gateway: Rc<Gateway>,
+    needs: Vec<Need>,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.gateway.load.borrow_mut().remove(&self.needs);
+        self.gateway.waiters.wake_first();
+    }
+}
+
+/// Requests that wait for room, by rank and arrival.
+#[derive(Default)]
+pub(crate) struct Waiters {
+    queue: RefCell<BTreeMap<(u32, u64), Option<std::task::Waker>>>,
+    next: std::cell::Cell<u64>,
+}
+
+struct Place<'a> {
+    waiters: &'a Waiters,
+    key: (u32, u64),
+}
+
+impl Waiters {
+    fn join(&self, rank: u32) -> Place<'_> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.queue.borrow_mut().insert((rank, number), None);
+        Place { waiters: self, key: (rank, number) }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.queue.borrow().is_empty()
+    }
+
+    fn wake_first(&self) {
+        let mut queue = self.queue.borrow_mut();
+        if let Some(mut first) = queue.first_entry()
+            && let Some(waker) = first.get_mut().take()
+        {
+            waker.wake();
+        }
+    }
+}
+
+impl Place<'_> {
+    fn is_first(&self) -> bool {
+        self.waiters.queue.borrow().first_key_value().is_some_and(|(key, _)| *key == self.key)
+    }
+
+    /// Completes when room was given back while this request is the first one.
+    fn woken(&self) -> impl Future<Output = ()> + '_ {
+        let mut registered = false;
+        std::future::poll_fn(move |context| {
+            let mut queue = self.waiters.queue.borrow_mut();
+            match queue.get_mut(&self.key) {
+                Some(None) if registered => std::task::Poll::Ready(()),
+                Some(slot) => {
+                    *slot = Some(context.waker().clone());
+                    registered = true;
+                    std::task::Poll::Pending
+                }
+                None => std::task::Poll::Ready(()),
+            }
+        })
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.waiters.queue.borrow_mut().remove(&self.key);
+        self.waiters.wake_first();
+    }
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoTarget {
+    /// The upstreams have no room.
+    Full,
+    /// No upstream can serve the request.
+    None,
+}
+
+impl Run {
+    /// Chooses where to send the request, and waits for room if there is none.
+    pub(crate) async fn admit(&self, avoid: &[UpstreamName]) -> Result<Target, NoTarget> {
+        let gateway = &self.gateway;
+        if gateway.waiters.is_empty() {
+            match self.choose(avoid) {
+                Ok(target) => return Ok(target),
+                Err(NoTarget::None) if self.engine().is_none() => return Err(NoTarget::None),
+                Err(_) => {}
+            }
+        }
+        let place = gateway.waiters.join(self.rank);
+        gateway.metrics.waiting.inc();
+        let outcome = self.wait_for_room(&place, avoid).await;
+        gateway.metrics.waiting.dec();
+        outcome
+    }
+
+    async fn wait_for_room(
+        &self,
+        place: &Place<'_>,
+        avoid: &[UpstreamName],
+    ) -> Result<Target, NoTarget> {
+        let clock = &self.gateway.clock;
+        let limit = self.route.goal.mul_f64(WAIT_SHARE);
+        let end = (clock.now() + limit).min(self.deadline);
+        loop {
+            let mut last = NoTarget::Full;
+            if place.is_first() {
+                match self.choose(avoid) {
+                    Ok(target) => return Ok(target),
+                    Err(reason) => last = reason,
+                }
+            }
+            let left = end.since(clock.now());
+            if left.is_zero() {
+                return Err(last);
+            }
+            let pause = clock.sleep(left.min(LOOK_INTERVAL));
+            if let Either::Left(_) = select(pin!(place.woken()), pause).await {
+                continue;
+            }
+        }
+    }
+
+    /// Chooses where to send the request now.
+    pub(crate) fn choose(&self, avoid: &[UpstreamName]) -> Result<Target, NoTarget> {
+        match self.engine() {
+            Some(profile) => self.choose_engines(&profile, avoid),
+            None => self.choose_replica(avoid),
+        }
+    }
+
+    fn choose_engines(
+        &self,
+        profile: &EngineProfile,
+        avoid: &[UpstreamName],
+    ) -> Result<Target, NoTarget> {
+        let gateway = &self.gateway;
+        let mut holders = Vec::new();
+        {
+            let beliefs = gateway.beliefs.borrow();
+            let load = gateway.load.borrow();
+            for upstream in beliefs.upstreams().filter(|known| known.service == self.service) {
+                let (Some(kind), Some(layers)) = (&upstream.kind, upstream.layers) else {
+                    continue;
+                };
+                let Some(accelerator) = profile.kinds.get(kind) else { continue };
+                if !gateway.is_usable(upstream) {
+                    continue;
+                }
+                let used = load.total(&upstream.name);
+                holders.push(Holder {
+                    name: upstream.name.clone(),
+                    addr: upstream.addr,
+                    domain: upstream.domain.clone(),
+                    layers,
+                    step_factor: accelerator.step_factor,
+                    room: profile.token_layers(kind, layers.len()),
+                    used: used.token_layers,
+                    has_slot: used.entered < upstream.capacity,
+                });
+            }
+        }
+        let query = PathQuery { layers: profile.layers, tokens: self.tokens, fill: FILL, avoid };
+        let Some(stages) = choose_path(&holders, &query, &mut rand::rng()) else {
+            let held = holders.iter().map(|holder| holder.layers);
+            let covered = pipelines::covers_model(profile, held);
+            return Err(if covered { NoTarget::Full } else { NoTarget::None });
+        };
+        let needs = stages
+            .iter()
+            .enumerate()
+            .map(|(index, stage)| Need {
+                upstream: stage.engine.clone(),
+                used: Used {
+                    requests: 1,
+                    entered: u32::from(index == 0),
+                    token_layers: f64::from(stage.layers.len()) * f64::from(self.tokens),
+                },
+            })
+            .collect();
+        self.target(stages, needs)
+    }
+
+    fn choose_replica(&self, avoid: &[UpstreamName]) -> Result<Target, NoTarget> {
+        let gateway = &self.gateway;
+        let beliefs = gateway.beliefs.borrow();
+        let members: Vec<&Arc<Upstream>> = beliefs
+            .upstreams()
+            .filter(|known| known.service == self.service)
+            .filter(|known| known.phase == catalog::Phase::Serving && !avoid.contains(&known.name))
+            .collect();
+        let usable: Vec<&Arc<Upstream>> =
+            members.iter().copied().filter(|known| gateway.is_usable(known)).collect();
+        // If all are suspected, the suspicion may be wrong: one of them is tried.
+        let candidates = if usable.is_empty() { members } else { usable };
+        let load = gateway.load.borrow();
+        let mut rng = rand::rng();
+        let busy = |upstream: &Upstream| {
+            f64::from(load.total(&upstream.name).requests) / f64::from(upstream.capacity.max(1))
+        };
+        let chosen = candidates
+            .into_iter()
+            .map(|known| (busy(known) + rng.random::<f64>() * 1e-3, known))
+            .min_by(|one, other| one.0.total_cmp(&other.0))
+            .map(|(_, known)| known.clone());
+        drop(load);
+        drop(beliefs);
+        let chosen = chosen.ok_or(NoTarget::None)?;
+        let used = Used { requests: 1, entered: 1, token_layers: 0.0 };
+        let needs = vec![Need { upstream: chosen.name.clone(), used }];
+        Ok(self.reserve(chosen, Vec::new(), needs))
+    }
+
+    fn target(&self, stages: Vec<Stage>, needs: Vec<Need>) -> Result<Target, NoTarget> {
+        let first = stages.first().ok_or(NoTarget::None)?;
+        let upstream = self.gateway.beliefs.borrow().upstream(&first.engine).cloned();
+        let upstream = upstream.ok_or(NoTarget::None)?;
+        Ok(self.reserve(upstream, stages, needs))
+    }
+
+    fn reserve(&self, upstream: Arc<Upstream>, stages: Vec<Stage>, needs: Vec<Need>) -> Target {
+        let gateway = self.gateway.clone();
+        gateway.load.borrow_mut().add(&needs);
+        let client = gateway.client(&upstream);
+        let _reservation = Reservation { gateway, needs };
+        Target { upstream, client, stages, _reservation }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/builder.rs
@@ -0,0 +1,70 @@
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use catalog::{Beliefs, Publications};
+use clock::Clock;
+use keyvalue::RevisionStore;
+use pipelines::{HealthTable, LoadTable, SendBudget};
+use settings::EdgeSettings;
+use transport::Stop;
+use upstreams::Connector;
+
+use crate::{Gateway, admission::Waiters, crashes::CrashTable, metrics::Metrics, node::Members};
+
+/// Builds a [`Gateway`].
+pub struct GatewayBuilder {
+    clock: Rc<dyn Clock>,
+    settings: EdgeSettings,
+    store: Rc<dyn RevisionStore>,
+    connector: Rc<dyn Connector>,
+    publications: Rc<dyn Publications>,
+    stop: Stop,
+}
+
+impl GatewayBuilder {
+    /// Starts a gateway that reaches its peers through the given borders.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        settings: EdgeSettings,
+        store: Rc<dyn RevisionStore>,
+        connector: Rc<dyn Connector>,
+        publications: Rc<dyn Publications>,
+    ) -> GatewayBuilder {
+        GatewayBuilder { clock, settings, store, connector, publications, stop: Stop::new() }
+    }
+
+    /// Sets the signal that starts the shutdown.
+    pub fn stop(mut self, stop: Stop) -> GatewayBuilder {
+        self.stop = stop;
+        self
+    }
+
+    /// Creates the gateway.
+    pub fn build(self) -> Rc<Gateway> {
+        let window = Duration::from_secs_f64(self.settings.retry_window_s);
+        let budget = SendBudget::new(window, self.settings.retry_ratio, self.settings.retry_extra);
+        Rc::new(Gateway {
+            clock: self.clock,
+            settings: self.settings,
+            store: self.store,
+            connector: self.connector,
+            publications: self.publications,
+            stop: self.stop,
+            beliefs: RefCell::new(Beliefs::default()),
+            clients: RefCell::default(),
+            load: RefCell::new(LoadTable::default()),
+            health: RefCell::new(HealthTable::default()),
+            budget: RefCell::new(budget),
+            waiters: Waiters::default(),
+            crashes: RefCell::new(CrashTable::default()),
+            members: RefCell::new(Members::default()),
+            metrics: Metrics::new(),
+            reports: RefCell::default(),
+            planning: Cell::new(false),
+            planner_key: Cell::new(false),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lifecycle.rs
@@ -0,0 +1,271 @@
+//! The life of a request from its arrival to its verdict.
+
+use std::{
+    hash::{BuildHasher, Hasher},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use callers::{RoutedFailure, RoutedReply, RoutedRequest, Router};
+use catalog::{Access, EngineProfile, Repeat, Route, Table};
+use clock::Timestamp;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::{HeaderMap, Method, StatusCode, header};
+use rand::Rng;
+use transport::BodyError;
+use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
+use upstreams::Call;
+
+use crate::{Gateway, admission::Target, outcome::OutcomeLog};
+
+/// Time that a request without a deadline of its own may take, if its route has a longer one.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+/// Time after which a caller may come back to a node that cannot serve yet or any more.
+const START_RETRY: Duration = Duration::from_millis(500);
+/// Time that is kept back from the caller's deadline, so that a final answer still reaches it.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// Lowest rank that an upstream knows.
+const MAX_RANK: u32 = 9;
+/// Output tokens that are assumed of a generation that does not state them.
+const USUAL_OUTPUT: u32 = 256;
+
+/// A request on its way.
+pub(crate) struct Run {
+    pub(crate) gateway: Rc<Gateway>,
+    pub(crate) id: RequestId,
+    pub(crate) route: Arc<Route>,
+    pub(crate) table: Arc<Table>,
+    pub(crate) service: ServiceName,
+    pub(crate) organisation: Option<Organisation>,
+    pub(crate) rank: u32,
+    pub(crate) method: Method,
+    pub(crate) target: Arc<str>,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Tokens that the request may come to hold.
+    pub(crate) tokens: u32,
+    pub(crate) resume_after: Option<u64>,
+    pub(crate) deadline: Timestamp,
+    /// Identifies the request however often it is sent.
+    pub(crate) fingerprint: u64,
+    pub(crate) log: OutcomeLog,
+}
+
+impl Run {
+    /// How the engines of the request's service run their model.
+    pub(crate) fn engine(&self) -> Option<EngineProfile> {
+        self.table.service(&self.service)?.engine.clone()
+    }
+
+    /// Time until the deadline.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.since(self.gateway.clock.now())
+    }
+
+    /// The call to the target, where the caller already has the events up to `resume_after`.
+    pub(crate) fn call(&self, target: &Target, resume_after: Option<u64>) -> Call {
+        Call {
+            id: self.id.clone(),
+            method: self.method.clone(),
+            target: self.target.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            organisation: self.organisation.clone(),
+            budget: self.left(),
+            stages: target.stages.clone(),
+            resume_after,
+            rank: self.rank.min(MAX_RANK),
+            // A connection that was used before may have been closed by its other end, and then
+            // nobody knows whether the request ran.
+            fresh: !self.route.repeat.allows_rerun(),
+        }
+    }
+
+    /// The failure of a request that was not sent to any upstream that may have run it.
+    pub(crate) fn not_run(
+        &self,
+        kind: FailureKind,
+        message: &str,
+        after: Duration,
+    ) -> RoutedFailure {
+        RoutedFailure {
+            failure: Failure::not_run(kind, message),
+            retry_after: Some(after),
+            status: None,
+        }
+    }
+}
+
+impl Gateway {
+    async fn serve_request(
+        self: Rc<Self>,
+        request: RoutedRequest,
+    ) -> Result<RoutedReply, RoutedFailure> {
+        let run = match self.clone().prepare(request).await {
+            Ok(run) => run,
+            Err((id, failure)) => {
+                self.metrics.requests.with_label_values(&["", "rejected"]).inc();
+                tracing::info!(request = %id, verdict = %failure.failure.verdict,
+                    status = failure.status, message = failure.failure.message, "request rejected");
+                return Err(failure);
+            }
+        };
+        run.log.start();
+        if run.route.repeat.is_stream() {
+            return run.stream().await;
+        }
+        run.whole().await
+    }
+
+    /// Finds out what a request is and may do, and reads its body.
+    async fn prepare(
+        self: Rc<Self>,
+        request: RoutedRequest,
+    ) -> Result<Run, (RequestId, RoutedFailure)> {
+        let id = request.id.clone();
+        let arrived = self.clock.now();
+        let reject = |failure: RoutedFailure| (id.clone(), failure);
+        let Some(table) = self.beliefs.borrow().table().cloned() else {
+            let failure =
+                Failure::not_run(FailureKind::Unavailable, "the node has no configuration yet");
+            let retry_after = Some(START_RETRY);
+            return Err(reject(RoutedFailure { failure, retry_after, status: None }));
+        };
+        let path = request.target.split('?').next().unwrap_or_default();
+        let Some(route) = table.route(&request.host, path).cloned() else {
+            let failure =
+                Failure::not_run(FailureKind::NotFound, "no route for this host and path");
+            return Err(reject(failure.into()));
+        };
+        let access = check_key(&table, &route, request.key.as_deref()).map_err(reject)?;
+        if request.head_bytes > table.head_bytes {
+            return Err(reject(refused(
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "the head of the request is too large",
+            )));
+        }
+        let wait = request.deadline.unwrap_or(DEFAULT_DEADLINE);
+        let limit = route.timeout.min(wait);
+        let margin = ANSWER_MARGIN.min(limit / 10);
+        let deadline = arrived + (limit - margin);
+        let body = read_body(request.body, &request.headers, table.body_bytes, limit).await;
+        let body = body.map_err(reject)?;
+        let roll = rand::rng().random::<f64>();
+        let Some(service) = route.service(roll).cloned() else {
+            let failure = Failure::not_run(FailureKind::Unavailable, "the route has no service");
+            let retry_after = Some(START_RETRY);
+            return Err(reject(RoutedFailure { failure, retry_after, status: None }));
+        };
+        let organisation = access.as_ref().map(|access| access.organisation.clone());
+        let fingerprint = fingerprint(organisation.as_ref(), &request.target, &body);
+        if self.crashes.borrow().is_refused(fingerprint, arrived) {
+            let message = "upstreams have crashed while they ran this request";
+            let failure = Failure::new(FailureKind::Poison, Verdict::MayHaveRun, message);
+            return Err(reject(failure.into()));
+        }
+        self.budget.borrow_mut().count_request(arrived);
+        let tokens = request.size.map_or(0, |size| {
+            size.prompt.saturating_add(if size.output == 0 { USUAL_OUTPUT } else { size.output })
+        });
+        Ok(Run {
+            log: OutcomeLog::new(self.clone(), &request.id, &route, organisation.as_ref()),
+            gateway: self,
+            id: request.id,
+            rank: access.and_then(|access| access.priority).unwrap_or(route.priority),
+            route,
+            service,
+            organisation,
+            table,
+            method: request.method,
+            target: request.target,
+            headers: request.headers,
+            body,
+            tokens,
+            resume_after: request.resume_after,
+            deadline,
+            fingerprint,
+        })
+    }
+}
+
+/// What the caller's key gives access as. A public route needs none.
+fn check_key(
+    table: &Table,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<Access>, RoutedFailure> {
+    let access = key.and_then(|key| table.access(key)).cloned();
+    if access.is_none() && table.needs_key() && !route.public {
+        return Err(refused(StatusCode::UNAUTHORIZED, "the key is not known"));
+    }
+    Ok(access)
+}
+
+async fn read_body(
+    body: transport::RequestBody,
+    headers: &HeaderMap,
+    bound: usize,
+    limit: Duration,
+) -> Result<Bytes, RoutedFailure> {
+    let too_large =
+        |bound| refused(StatusCode::PAYLOAD_TOO_LARGE, &format!("the body exceeds {bound} bytes"));
+    let stated = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    if stated.and_then(|text| text.parse::<usize>().ok()).is_some_and(|length| length > bound) {
+        return Err(too_large(bound));
+    }
+    body.collect_within(bound, limit).await.map_err(|error| match error {
+        BodyError::TooLarge(bound) => too_large(bound),
+        BodyError::Broken(_) => Failure::not_run(FailureKind::Invalid, error.to_string()).into(),
+        BodyError::Timeout => refused(StatusCode::REQUEST_TIMEOUT, &error.to_string()),
+    })
+}
+
+/// A refusal with a status of its own. The request has not run.
+fn refused(status: StatusCode, message: &str) -> RoutedFailure {
+    RoutedFailure {
+        failure: Failure::not_run(FailureKind::Invalid, message),
+        retry_after: None,
+        status: Some(status.as_u16()),
+    }
+}
+
+/// The same for each send of the same request, on every node.
+fn fingerprint(organisation: Option<&Organisation>, target: &str, body: &Bytes) -> u64 {
+    // The hasher without a random seed gives the same result in every process of a release.
+    let mut hasher =
+        std::hash::BuildHasherDefault::<std::hash::DefaultHasher>::default().build_hasher();
+    hasher.write(organisation.map_or("", |name| name.as_str()).as_bytes());
+    hasher.write_u8(0);
+    hasher.write(target.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(body);
+    hasher.finish()
+}
+
+impl Router for Gateway {
+    fn route(
+        self: Rc<Self>,
+        request: RoutedRequest,
+    ) -> LocalBoxFuture<'static, Result<RoutedReply, RoutedFailure>> {
+        self.serve_request(request).boxed_local()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.is_serving()
+    }
+
+    fn is_draining(&self) -> bool {
+        self.stop.is_raised()
+    }
+
+    fn metrics(&self) -> Bytes {
+        Bytes::from(self.metrics.encode())
+    }
+}
+
+/// Whether a route's requests may be sent again after they may have run.
+pub(crate) fn may_rerun(repeat: Repeat, verdict: Verdict) -> bool {
+    verdict == Verdict::NotRun || repeat.allows_rerun()
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,103 @@
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 20.0];
+
+/// The metrics of a node.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by organisation and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Time to the first byte of the answer, by route kind.
+    pub(crate) first_byte: HistogramVec,
+    /// Sends beyond the first one of a request, by cause.
+    pub(crate) resends: IntCounterVec,
+    /// Events forwarded.
+    pub(crate) events: IntCounter,
+    /// Suspicions of upstreams.
+    pub(crate) suspicions: IntCounter,
+    /// Orders to engines, by outcome.
+    pub(crate) orders: IntCounterVec,
+    /// Version of the configuration in force.
+    pub(crate) table_version: IntGauge,
+    /// Requests in flight.
+    pub(crate) in_flight: IntGauge,
+    /// Requests that wait for room.
+    pub(crate) waiting: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        let metrics = Metrics {
+            requests: vec(
+                "gypsumrack_requests_total",
+                "Requests by outcome",
+                &["organisation", "outcome"],
+            ),
+            first_byte: HistogramVec::new(
+                HistogramOpts::new(
+                    "gypsumrack_first_byte_seconds",
+                    "Time from the request to the first byte of its answer",
+                )
+                .buckets(LATENCY_BOUNDS.to_vec()),
+                &["class"],
+            )
+            .expect("histogram is valid"),
+            resends: vec("gypsumrack_resends_total", "Sends beyond the first one", &["cause"]),
+            events: IntCounter::new("gypsumrack_events_total", "Events forwarded")
+                .expect("counter is valid"),
+            suspicions: IntCounter::new(
+                "gypsumrack_suspicions_total",
+                "Times that an upstream was found to fail",
+            )
+            .expect("counter is valid"),
+            orders: vec("gypsumrack_orders_total", "Orders to engines", &["outcome"]),
+            table_version: IntGauge::new(
+                "gypsumrack_table_version",
+                "Version of the configuration in force",
+            )
+            .expect("gauge is valid"),
+            in_flight: IntGauge::new("gypsumrack_in_flight", "Requests in flight")
+                .expect("gauge is valid"),
+            waiting: IntGauge::new("gypsumrack_waiting", "Requests that wait for room")
+                .expect("gauge is valid"),
+            registry,
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// The metrics in the text format of prometheus.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            tracing::warn!(%error, "metrics cannot be encoded");
+        }
+        text
+    }
+
+    fn register(&self) {
+        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.first_byte.clone()),
+            Box::new(self.resends.clone()),
+            Box::new(self.events.clone()),
+            Box::new(self.suspicions.clone()),
+            Box::new(self.orders.clone()),
+            Box::new(self.table_version.clone()),
+            Box::new(self.in_flight.clone()),
+            Box::new(self.waiting.clone()),
+        ];
+        for collector in collectors {
+            self.registry.register(collector).expect("names of the metrics differ");
+        }
+    }
+}
+
+fn vec(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("counter is valid")
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,112 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use catalog::{Beliefs, Phase, Publications, Upstream};
+use clock::Clock;
+use keyvalue::RevisionStore;
+use pipelines::{HealthTable, LoadTable, SendBudget};
+use settings::EdgeSettings;
+use transport::Stop;
+use types::{NodeName, UpstreamName};
+use upstreams::Connector;
+
+use crate::{admission::Waiters, crashes::CrashTable, metrics::Metrics, stream::ReportTimes};
+
+/// A node: its peers and what it believes. State is borrowed only between awaits.
+pub struct Gateway {
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) settings: EdgeSettings,
+    pub(crate) store: Rc<dyn RevisionStore>,
+    pub(crate) connector: Rc<dyn Connector>,
+    pub(crate) publications: Rc<dyn Publications>,
+    pub(crate) stop: Stop,
+    pub(crate) beliefs: RefCell<Beliefs>,
+    pub(crate) clients: RefCell<HashMap<UpstreamName, Connected>>,
+    pub(crate) load: RefCell<LoadTable>,
+    pub(crate) health: RefCell<HealthTable>,
+    pub(crate) budget: RefCell<SendBudget>,
+    pub(crate) waiters: Waiters,
+    pub(crate) crashes: RefCell<CrashTable>,
+    pub(crate) members: RefCell<Members>,
+    pub(crate) metrics: Metrics,
+    pub(crate) reports: RefCell<ReportTimes>,
+    /// Whether this node holds the planner's lease.
+    pub(crate) planning: Cell<bool>,
+    /// Whether some node holds the planner's lease, by the last statement of the store.
+    pub(crate) planner_key: Cell<bool>,
+}
+
+/// A client of one start of an upstream.
+pub(crate) struct Connected {
+    upstream: Rc<Upstream>,
+    client: Rc<dyn upstreams::Upstream>,
+}
+
+/// The other nodes that are registered in the store.
+#[derive(Default)]
+pub(crate) struct Members {
+    pub(crate) peers: BTreeMap<NodeName, SocketAddr>,
+}
+
+impl Gateway {
+    /// Whether the balancer should send new connections.
+    pub(crate) fn is_serving(&self) -> bool {
+        let beliefs = self.beliefs.borrow();
+        !self.stop.is_raised() && beliefs.table().is_some() && beliefs.is_listed()
+    }
+
+    /// The client of the present start of an upstream.
+    pub(crate) fn client(&self, upstream: &Upstream) -> Rc<dyn upstreams::Upstream> {
+        let mut clients = self.clients.borrow_mut();
+        if let Some(known) = clients.get(&upstream.name)
+            && known.upstream.is_same_start(upstream)
+        {
+            return known.client.clone();
+        }
+        let client = self.connector.connect(upstream);
+        let connected = Connected { upstream: Rc::new(upstream.clone()), client: client.clone() };
+        clients.insert(upstream.name.clone(), connected);
+        client
+    }
+
+    /// Forgets clients of upstreams that are gone.
+    pub(crate) fn drop_clients(&self) {
+        let beliefs = self.beliefs.borrow();
+        self.clients.borrow_mut().retain(|name, known| {
+            beliefs.upstream(name).is_some_and(|upstream| upstream.is_same_start(&known.upstream))
+        });
+    }
+
+    /// Whether an upstream takes new work and is not suspected.
+    pub(crate) fn is_usable(&self, upstream: &Upstream) -> bool {
+        let now = self.clock.now();
+        upstream.phase == Phase::Serving
+            && !self.health.borrow().is_suspect(&upstream.name, upstream.boot, now)
+    }
+
+    /// Notes a failure of an upstream.
+    pub(crate) fn suspect(&self, name: &UpstreamName, cause: &str) {
+        let beliefs = self.beliefs.borrow();
+        let Some(upstream) = beliefs.upstream(name) else { return };
+        let now = self.clock.now();
+        let pause = self.health.borrow_mut().fail(name, upstream.boot, now);
+        self.metrics.suspicions.inc();
+        tracing::info!(upstream = %name, cause, pause_ms = pause.as_millis() as u64,
+            "upstream is avoided");
+    }
+
+    /// The upstream at an address.
+    pub(crate) fn upstream_at(&self, addr: SocketAddr) -> Option<UpstreamName> {
+        let beliefs = self.beliefs.borrow();
+        beliefs.upstreams().find(|known| known.addr == addr).map(|known| known.name.clone())
+    }
+
+    /// Number of nodes, this one included.
+    pub(crate) fn node_count(&self) -> usize {
+        self.members.borrow().peers.len() + 1
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/outcome.rs
@@ -0,0 +1,120 @@
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use catalog::Route;
+use clock::Timestamp;
+use types::{Organisation, RequestId, UpstreamName, Verdict};
+
+use crate::Gateway;
+
+/// Writes one line for a request when it ends, also when its caller goes away.
+pub(crate) struct OutcomeLog {
+    gateway: Rc<Gateway>,
+    id: RequestId,
+    route: Arc<str>,
+    organisation: Option<Organisation>,
+    started: Timestamp,
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    is_counted: bool,
+    sends: u32,
+    last: Option<UpstreamName>,
+    causes: Vec<String>,
+    first_byte: Option<Timestamp>,
+    ended: Option<(&'static str, Verdict, u16)>,
+}
+
+/// Causes of failed sends that are kept for the log line.
+const MAX_CAUSES: usize = 6;
+
+impl OutcomeLog {
+    pub(crate) fn new(
+        gateway: Rc<Gateway>,
+        id: &RequestId,
+        route: &Arc<Route>,
+        organisation: Option<&Organisation>,
+    ) -> OutcomeLog {
+        let started = gateway.clock.now();
+        OutcomeLog {
+            gateway,
+            id: id.clone(),
+            route: route.name.clone(),
+            organisation: organisation.cloned(),
+            started,
+            state: RefCell::default(),
+        }
+    }
+
+    /// The request is admitted to its lifecycle.
+    pub(crate) fn start(&self) {
+        self.state.borrow_mut().is_counted = true;
+        self.gateway.metrics.in_flight.inc();
+    }
+
+    /// The request is sent to an upstream.
+    pub(crate) fn sent(&self, upstream: &UpstreamName) {
+        let mut state = self.state.borrow_mut();
+        state.sends += 1;
+        state.last = Some(upstream.clone());
+    }
+
+    /// A send failed.
+    pub(crate) fn failed(&self, cause: String) {
+        let mut state = self.state.borrow_mut();
+        if state.causes.len() < MAX_CAUSES {
+            state.causes.push(cause);
+        }
+    }
+
+    /// Causes of the failed sends, for the caller.
+    pub(crate) fn causes(&self) -> String {
+        self.state.borrow().causes.join("; ")
+    }
+
+    /// The first byte of the answer goes to the caller.
+    pub(crate) fn first_byte(&self) {
+        let now = self.gateway.clock.now();
+        self.state.borrow_mut().first_byte.get_or_insert(now);
+    }
+
+    /// The request has ended.
+    pub(crate) fn end(&self, outcome: &'static str, verdict: Verdict, status: u16) {
+        self.state.borrow_mut().ended = Some((outcome, verdict, status));
+    }
+}
+
+impl Drop for OutcomeLog {
+    fn drop(&mut self) {
+        let state = self.state.borrow();
+        if !state.is_counted {
+            return;
+        }
+        let metrics = &self.gateway.metrics;
+        metrics.in_flight.dec();
+        let verdict = if state.sends == 0 { Verdict::NotRun } else { Verdict::MayHaveRun };
+        let (outcome, verdict, status) = state.ended.unwrap_or(("caller-gone", verdict, 0));
+        let organisation = self.organisation.as_ref().map_or("", |name| name.as_str());
+        metrics.requests.with_label_values(&[organisation, outcome]).inc();
+        let since = |time: Timestamp| time.since(self.started).as_millis() as u64;
+        if let Some(first) = state.first_byte {
+            let seconds = first.since(self.started).as_secs_f64();
+            metrics.first_byte.with_label_values(&[&*self.route]).observe(seconds);
+        }
+        tracing::info!(
+            request = %self.id,
+            route = &*self.route,
+            organisation,
+            outcome,
+            verdict = %verdict,
+            status,
+            sends = state.sends,
+            upstream = state.last.as_ref().map(|name| name.as_str()),
+            causes = (!state.causes.is_empty()).then(|| state.causes.join("; ")),
+            first_ms = state.first_byte.map(since),
+            total_ms = since(self.gateway.clock.now()),
+            "request ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peering.rs
@@ -0,0 +1,160 @@
+//! The tasks of the other nodes: registers this node in the store, and exchanges counts of requests
+//! in flight, failing upstreams and crashes with the others.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use keyvalue::{KvError, api::Expected};
+use peers::{Beacon, BeaconLoad, BeaconSocket, MAX_BEACON_ENTRIES};
+use pipelines::Used;
+
+use crate::Gateway;
+
+/// Prefix of the keys under which nodes register; the rest is the node's name.
+pub(crate) const NODE_PREFIX: &str = "gypsumrack/nodes/";
+/// Life of a node's entry without a renewal.
+const LEASE_TTL: Duration = Duration::from_secs(9);
+/// Time between renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+/// Time between two beacons. Counts of other nodes are at most this old, but for lost datagrams.
+const BEACON_INTERVAL: Duration = Duration::from_millis(200);
+/// Failing upstreams and crashes that one beacon names.
+const MAX_NOTES: usize = 8;
+
+impl Gateway {
+    /// Takes over what the store says of another node.
+    pub(crate) fn take_member(&self, name: &str, value: Option<&[u8]>) {
+        if name == self.settings.name.as_str() {
+            return;
+        }
+        let addr = value.and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
+        let mut members = self.members.borrow_mut();
+        match addr {
+            Some(addr) => {
+                if members.peers.insert(name.into(), addr) != Some(addr) {
+                    tracing::info!(node = name, %addr, "node has joined");
+                }
+            }
+            None => {
+                if members.peers.remove(name).is_some() {
+                    tracing::info!(node = name, "node has left");
+                }
+            }
+        }
+    }
+
+    fn beacon(&self) -> Beacon {
+        let now = self.clock.now();
+        let mut loads: Vec<BeaconLoad> = self
+            .load
+            .borrow()
+            .own()
+            .map(|(upstream, used)| BeaconLoad {
+                upstream: upstream.clone(),
+                requests: used.requests,
+                entered: used.entered,
+                token_layers: used.token_layers as u64,
+            })
+            .collect();
+        loads.sort_by_key(|load| std::cmp::Reverse(load.token_layers));
+        loads.truncate(MAX_BEACON_ENTRIES);
+        let health = self.health.borrow();
+        let failing = health.failing(now).take(MAX_NOTES).map(|(name, boot)| (name.clone(), boot));
+        Beacon {
+            node: self.settings.name.clone(),
+            loads,
+            failing: failing.collect(),
+            crashes: self.crashes.borrow().iter().take(MAX_NOTES).collect(),
+        }
+    }
+
+    fn take_beacon(&self, beacon: Beacon) {
+        let now = self.clock.now();
+        let used = beacon
+            .loads
+            .into_iter()
+            .map(|load| {
+                let used = Used {
+                    requests: load.requests,
+                    entered: load.entered,
+                    token_layers: load.token_layers as f64,
+                };
+                (load.upstream, used)
+            })
+            .collect();
+        self.load.borrow_mut().set_peer(beacon.node, used, now);
+        for (fingerprint, crashes) in beacon.crashes {
+            self.crashes.borrow_mut().merge(fingerprint, crashes, now);
+        }
+        for (name, boot) in beacon.failing {
+            // Another node's failure only steers new requests away for a moment: its path to the
+            // upstream may be what failed.
+            self.health.borrow_mut().avoid(&name, boot, now, BEACON_INTERVAL * 2);
+        }
+    }
+}
+
+/// Keeps this node registered in the store.
+pub(crate) async fn register(gateway: Rc<Gateway>) {
+    let key = format!("{NODE_PREFIX}{}", gateway.settings.name);
+    while !gateway.stop.is_raised() {
+        if let Err(error) = hold_entry(&gateway, &key).await {
+            tracing::debug!(%error, "node cannot be registered");
+        }
+        gateway.clock.sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Writes the entry under a lease and renews it until that fails.
+async fn hold_entry(gateway: &Rc<Gateway>, key: &str) -> Result<(), KvError> {
+    let store = &gateway.store;
+    let lease = store.grant(LEASE_TTL.as_millis() as u64).await?;
+    let value = gateway.settings.peers.to_string();
+    let known = match store.get(key).await? {
+        Some(entry) => Expected::Version(entry.version),
+        None => Expected::Absent,
+    };
+    store.put(key, known, value, Some(lease)).await?;
+    while !gateway.stop.is_raised() {
+        gateway.clock.sleep(RENEW_INTERVAL).await;
+        if !store.renew(lease).await? {
+            return Ok(());
+        }
+    }
+    store.revoke(lease).await
+}
+
+/// Sends beacons to all other nodes.
+pub(crate) async fn send_beacons(gateway: Rc<Gateway>, socket: Rc<BeaconSocket>) {
+    let mut was_idle = false;
+    loop {
+        gateway.clock.sleep(BEACON_INTERVAL).await;
+        gateway.load.borrow_mut().expire(gateway.clock.now());
+        let beacon = gateway.beacon();
+        let is_idle = beacon.loads.is_empty() && beacon.failing.is_empty();
+        if is_idle && was_idle {
+            continue;
+        }
+        was_idle = is_idle;
+        let targets: Vec<SocketAddr> = gateway.members.borrow().peers.values().copied().collect();
+        let failed = socket.send(&beacon, &targets).await;
+        if failed > 0 {
+            tracing::debug!(failed, "beacons could not be sent");
+        }
+    }
+}
+
+/// Receives the beacons of the other nodes.
+pub(crate) async fn receive_beacons(gateway: Rc<Gateway>, socket: Rc<BeaconSocket>) {
+    loop {
+        match socket.receive().await {
+            Ok(Some(beacon)) => gateway.take_beacon(beacon),
+            Ok(None) => tracing::debug!("datagram is no beacon"),
+            Err(error) => {
+                tracing::warn!(%error, "beacons cannot be received");
+                gateway.clock.sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/planner.rs
@@ -0,0 +1,235 @@
+//! The planner of layers: the node that holds its lease orders engines to load what is missing.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use catalog::{EngineProfile, Phase, Upstream};
+use clock::Timestamp;
+use futures_util::future::join_all;
+use keyvalue::Lease;
+use pipelines::{EngineView, Placement, plan};
+use rand::Rng;
+use types::{LayerRange, ServiceName, UpstreamName};
+use upstreams::{OrderOutcome, PlaceOrder};
+
+use crate::Gateway;
+
+/// Key of the planner's lease.
+pub(crate) const PLANNER_KEY: &str = "gypsumrack/planner";
+/// Life of the lease without a renewal.
+const LEASE_TTL: Duration = Duration::from_secs(4);
+/// Time between renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+/// Time before the end of the lease from which its holder gives no more orders.
+const LEASE_MARGIN: Duration = Duration::from_millis(1000);
+/// Time between two looks at the engines.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Largest random pause before a node tries to acquire the lease.
+const ACQUIRE_SPREAD_MS: u64 = 250;
+/// Time for which the set of engines must not have changed before the first layout, so that it
+/// covers engines that start at the same time.
+const SETTLE_TIME: Duration = Duration::from_millis(1000);
+/// Time for which an order counts as carried out before the engine's entry shows it.
+const ORDER_LIFE: Duration = Duration::from_secs(15);
+/// Time that an engine has to report its state before it is ordered.
+const REPORT_LIMIT: Duration = Duration::from_millis(500);
+/// Time for which an engine must have failed requests before its layers count as missing.
+const FAILING_LIMIT: Duration = Duration::from_millis(700);
+
+/// Orders that the entries of the engines may not show yet.
+#[derive(Default)]
+struct Pending {
+    orders: HashMap<UpstreamName, Ordered>,
+}
+
+struct Ordered {
+    boot: u64,
+    layers: LayerRange,
+    at: Timestamp,
+}
+
+/// Acquires the planner's lease when nobody holds it, and plans while this node holds it.
+pub(crate) async fn run_planner(gateway: Rc<Gateway>) {
+    while !gateway.stop.is_raised() {
+        gateway.clock.sleep(PLAN_INTERVAL).await;
+        if !gateway.beliefs.borrow().is_listed() || gateway.planner_key.get() {
+            continue;
+        }
+        let pause = rand::rng().random_range(0..ACQUIRE_SPREAD_MS);
+        gateway.clock.sleep(Duration::from_millis(pause)).await;
+        if gateway.planner_key.get() {
+            continue;
+        }
+        let lease = Lease::acquire(
+            gateway.store.clone(),
+            gateway.clock.clone(),
+            PLANNER_KEY,
+            &gateway.settings.name,
+            LEASE_TTL,
+        )
+        .await;
+        match lease {
+            Ok(Some(lease)) => {
+                tracing::info!(token = lease.token(), "planner's lease is acquired");
+                gateway.planning.set(true);
+                hold_lease(&gateway, lease).await;
+                gateway.planning.set(false);
+                tracing::info!("planner's lease has ended");
+            }
+            Ok(None) => {}
+            Err(error) => tracing::debug!(%error, "planner's lease cannot be acquired"),
+        }
+    }
+}
+
+async fn hold_lease(gateway: &Rc<Gateway>, mut lease: Lease) {
+    let mut renewed = gateway.clock.now();
+    let mut pending = Pending::default();
+    let mut settled = Settled::default();
+    while !gateway.stop.is_raised() {
+        let now = gateway.clock.now();
+        if now.since(renewed) >= RENEW_INTERVAL {
+            renewed = now;
+            match lease.renew().await {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(error) => tracing::debug!(%error, "planner's lease cannot be renewed"),
+            }
+        }
+        if !lease.is_valid(Duration::ZERO) {
+            return;
+        }
+        if lease.is_valid(LEASE_MARGIN) && settled.is_settled(gateway) {
+            give_orders(gateway, &lease, &mut pending).await;
+        }
+        gateway.clock.sleep(PLAN_INTERVAL).await;
+    }
+    if let Err(error) = lease.release().await {
+        tracing::debug!(%error, "planner's lease cannot be released; it ends by itself");
+    }
+}
+
+/// Whether the set of engines has stayed the same for a while.
+#[derive(Default)]
+struct Settled {
+    count: usize,
+    since: Timestamp,
+}
+
+impl Settled {
+    fn is_settled(&mut self, gateway: &Gateway) -> bool {
+        let now = gateway.clock.now();
+        let beliefs = gateway.beliefs.borrow();
+        let engines: Vec<_> = beliefs.upstreams().filter(|known| known.kind.is_some()).collect();
+        let count = engines.len();
+        // Once layers are held, gaps are filled at once.
+        if engines.iter().any(|engine| engine.layers.is_some()) {
+            return true;
+        }
+        if count != self.count {
+            (self.count, self.since) = (count, now);
+        }
+        count > 0 && now.since(self.since) >= SETTLE_TIME
+    }
+}
+
+async fn give_orders(gateway: &Rc<Gateway>, lease: &Lease, pending: &mut Pending) {
+    let Some(table) = gateway.beliefs.borrow().table().cloned() else { return };
+    for (service, settings) in table.services() {
+        let Some(profile) = &settings.engine else { continue };
+        let views = views(gateway, service, profile, pending);
+        let placements = plan(profile, &views);
+        if placements.is_empty() {
+            continue;
+        }
+        if !lease.is_valid(LEASE_MARGIN) {
+            return;
+        }
+        let orders = placements.into_iter().filter_map(|placement| {
+            let upstream = gateway.beliefs.borrow().upstream(&placement.name).cloned()?;
+            let ordered =
+                Ordered { boot: upstream.boot, layers: placement.layers, at: gateway.clock.now() };
+            pending.orders.insert(placement.name.clone(), ordered);
+            Some(place(gateway.clone(), upstream, placement))
+        });
+        let orders: Vec<_> = orders.collect();
+        for task in join_all(orders).await.into_iter().flatten() {
+            pending.orders.remove(&task);
+        }
+    }
+}
+
+/// Gives one order. Returns the engine if it certainly was not carried out.
+async fn place(
+    gateway: Rc<Gateway>,
+    upstream: std::sync::Arc<Upstream>,
+    placement: Placement,
+) -> Option<UpstreamName> {
+    let client = gateway.client(&upstream);
+    // An engine that already holds layers, or was ordered by an earlier planner, must not be
+    // ordered by the plan of an older state.
+    let orders = match client.report(REPORT_LIMIT).await {
+        Ok(report) if report.layers.is_none() => report.orders,
+        Ok(report) => {
+            tracing::info!(upstream = %placement.name, layers = ?report.layers,
+                "engine already holds layers; no order");
+            return None;
+        }
+        Err(error) => {
+            tracing::info!(upstream = %placement.name, %error, "engine does not report; no order");
+            gateway.suspect(&placement.name, "no report");
+            return Some(placement.name);
+        }
+    };
+    let order = PlaceOrder { layers: placement.layers, orders };
+    let outcome = client.place(order).await;
+    let (label, refused) = match &outcome {
+        Ok(OrderOutcome::Begun) => ("begun", false),
+        Ok(OrderOutcome::Done) => ("done", false),
+        Ok(OrderOutcome::Refused(_)) => ("refused", true),
+        Err(error) => ("unanswered", error.verdict() == types::Verdict::NotRun),
+    };
+    gateway.metrics.orders.with_label_values(&[label]).inc();
+    tracing::info!(upstream = %placement.name, layers = %placement.layers,
+        expected_orders = orders, outcome = ?outcome, "layers ordered");
+    if refused {
+        // The engine is asked again only when its state is known anew.
+        let now = gateway.clock.now();
+        gateway.health.borrow_mut().fail(&placement.name, upstream.boot, now);
+    }
+    refused.then_some(placement.name)
+}
+
+/// What the planner knows of the engines of a service.
+fn views(
+    gateway: &Gateway,
+    service: &ServiceName,
+    profile: &EngineProfile,
+    pending: &mut Pending,
+) -> Vec<EngineView> {
+    let now = gateway.clock.now();
+    let beliefs = gateway.beliefs.borrow();
+    let health = gateway.health.borrow();
+    pending.orders.retain(|name, ordered| {
+        let lives = beliefs.upstream(name).is_some_and(|known| known.boot == ordered.boot);
+        lives && now.since(ordered.at) < ORDER_LIFE
+    });
+    let mut views = Vec::new();
+    for upstream in beliefs.upstreams().filter(|known| known.service == *service) {
+        let Some(kind) = &upstream.kind else { continue };
+        let failing = health
+            .failing_for(&upstream.name, upstream.boot, now)
+            .is_some_and(|time| time >= FAILING_LIMIT);
+        if upstream.phase == Phase::Leaving || failing || !profile.kinds.contains_key(kind) {
+            continue;
+        }
+        let ordered = pending.orders.get(&upstream.name).filter(|_| upstream.layers.is_none());
+        views.push(EngineView {
+            name: upstream.name.clone(),
+            domain: upstream.domain.clone(),
+            kind: kind.clone(),
+            layers: ordered.map(|ordered| ordered.layers).or(upstream.layers),
+            is_free: !health.is_suspect(&upstream.name, upstream.boot, now),
+        });
+    }
+    views
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,159 @@
+//! The task of the key-value service: reads what operators and upstreams have written there, and
+//! watches it.
+
+use std::{rc::Rc, time::Duration};
+
+use catalog::Adoption;
+use keyvalue::{Changes, Item, KvError};
+use types::UpstreamName;
+
+use crate::{Gateway, peering::NODE_PREFIX, planner::PLANNER_KEY};
+
+/// Pause after a failed read, and its largest value after failures in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Least time between two watches. Each call is counted, and changes within this time come
+/// together.
+const WATCH_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Keeps the beliefs of this node up to date with the store. One watch covers all keys: revisions
+/// are counted over all of them, and each waiting watch counts as a call.
+pub(crate) async fn follow_store(gateway: Rc<Gateway>) {
+    let mut pause = FIRST_PAUSE;
+    let mut is_lost = false;
+    loop {
+        let error = match read_all(&gateway).await {
+            Ok(at) => {
+                pause = FIRST_PAUSE;
+                if is_lost {
+                    tracing::info!(revision = at, "key-value service is back");
+                }
+                is_lost = false;
+                watch(&gateway, at).await
+            }
+            Err(error) => Some(error),
+        };
+        if let Some(error) = error {
+            if !is_lost {
+                tracing::warn!(%error, "key-value service is lost");
+            }
+            is_lost = true;
+            gateway.clock.sleep(pause).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        }
+    }
+}
+
+/// Reads everything. Returns the revision that it holds for.
+async fn read_all(gateway: &Rc<Gateway>) -> Result<u64, KvError> {
+    let (items, at) = gateway.store.list_items("").await?;
+    let prefix = gateway.publications.upstream_prefix();
+    let mut names: Vec<UpstreamName> = Vec::new();
+    let mut planner = false;
+    for item in items {
+        if let Some(name) = item.key.strip_prefix(prefix) {
+            names.push(name.into());
+        }
+        planner |= item.key == PLANNER_KEY;
+        take_item(gateway, item);
+    }
+    gateway.planner_key.set(planner);
+    let gone = gateway.beliefs.borrow_mut().finish_list(&names, at);
+    for name in &gone {
+        tracing::info!(upstream = %name, revision = at, "upstream is gone");
+    }
+    gateway.drop_clients();
+    Ok(at)
+}
+
+/// Watches from revision `at`. Returns why the watch ended; `None` means that the service no longer
+/// has the history and everything has to be read again.
+async fn watch(gateway: &Rc<Gateway>, mut at: u64) -> Option<KvError> {
+    loop {
+        let started = gateway.clock.now();
+        match gateway.store.changes("", at).await {
+            Ok(Changes::Items { items, at: next }) => {
+                for item in items {
+                    take_item(gateway, item);
+                }
+                at = at.max(next);
+                gateway.beliefs.borrow_mut().advance(at);
+            }
+            Ok(Changes::HistoryGone) => {
+                tracing::info!(revision = at, "history of the key-value service is gone");
+                return None;
+            }
+            Err(error) => return Some(error),
+        }
+        let spent = gateway.clock.now().since(started);
+        gateway.clock.sleep(WATCH_INTERVAL.saturating_sub(spent)).await;
+    }
+}
+
+fn take_item(gateway: &Rc<Gateway>, item: Item) {
+    let publications = &gateway.publications;
+    if let Some(name) = item.key.strip_prefix(publications.upstream_prefix()) {
+        take_upstream(gateway, &name.into(), &item);
+    } else if item.key == publications.table_key() {
+        take_table(gateway, &item);
+    } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
+        gateway.take_member(name, item.value.as_deref());
+    } else if item.key == PLANNER_KEY {
+        gateway.planner_key.set(item.value.is_some());
+    }
+}
+
+fn take_table(gateway: &Rc<Gateway>, item: &Item) {
+    let Some(value) = &item.value else {
+        tracing::warn!(revision = item.revision, "configuration is gone; the known one stays");
+        return;
+    };
+    let table = match gateway.publications.decode_table(value) {
+        Ok(table) => table,
+        Err(error) => {
+            tracing::error!(revision = item.revision, error, "configuration is not usable");
+            return;
+        }
+    };
+    let version = table.version();
+    if gateway.beliefs.borrow_mut().offer_table(table) == Adoption::Adopted {
+        gateway.metrics.table_version.set(version.try_into().unwrap_or(i64::MAX));
+        tracing::info!(version, revision = item.revision, "configuration is in force");
+    }
+}
+
+fn take_upstream(gateway: &Rc<Gateway>, name: &UpstreamName, item: &Item) {
+    let before = gateway.beliefs.borrow().upstream(name).cloned();
+    let decoded = item.value.as_ref().and_then(|value| {
+        let decoded = gateway.publications.decode_upstream(name, value);
+        if let Err(error) = &decoded {
+            tracing::warn!(upstream = %name, revision = item.revision, error,
+                "entry of an upstream is not usable");
+        }
+        decoded.ok()
+    });
+    let adoption =
+        gateway.beliefs.borrow_mut().offer_upstream(name, decoded.clone(), item.revision);
+    if adoption == Adoption::Stale {
+        return;
+    }
+    match (before, decoded) {
+        (Some(_), None) => {
+            tracing::info!(upstream = %name, revision = item.revision, "upstream is gone");
+        }
+        (before, Some(upstream)) => {
+            let changed = before.is_none_or(|before| {
+                before.phase != upstream.phase
+                    || before.layers != upstream.layers
+                    || !before.is_same_start(&upstream)
+            });
+            if changed {
+                tracing::info!(upstream = %name, revision = item.revision,
+                    service = %upstream.service, phase = ?upstream.phase,
+                    layers = upstream.layers.map(|layers| layers.to_string()),
+                    boot = upstream.boot, "upstream has changed");
+            }
+        }
+        (None, None) => {}
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,347 @@
+//! Requests whose answer is a stream of events, which go to the caller as they come. A stream that
+//! breaks goes on with a new run after the last event that the caller has.
+
+use std::{rc::Rc, time::Duration};
+
+use callers::{RoutedFailure, RoutedReply};
+use clock::Timestamp;
+use futures_util::future::{Either, select};
+use http::{HeaderMap, StatusCode};
+use transport::{Body, BodyWriter, CallError, EventSplitter, Events};
+use types::{FailureKind, Verdict};
+use upstreams::Answer;
+
+use crate::{admission::Target, attempt::Sends, lifecycle::Run, whole::failure_kind};
+
+/// Silence of a stream after which its engines are asked what it waits for, if the route states no
+/// pause.
+const DEFAULT_SILENCE: Duration = Duration::from_millis(200);
+/// Share of the route's goal after which the engines of a stream without any event are asked.
+const FIRST_SILENCE_SHARE: f64 = 0.8;
+/// Time between two looks at a stream that stays silent.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time that an engine has to report what its calls wait for.
+const REPORT_LIMIT: Duration = Duration::from_millis(200);
+/// Time between two reports of an engine that this node asks for.
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// A stream from an upstream that has sent its first events.
+struct Opened {
+    target: Target,
+    status: u16,
+    headers: HeaderMap,
+    answer: Answer,
+    splitter: EventSplitter,
+    /// Events that were read and not yet passed on.
+    ready: Option<Events>,
+    /// Whether the stream ended with them.
+    ended: bool,
+}
+
+/// How the forwarding of one run of a stream ended.
+enum Pumped {
+    Complete,
+    CallerGone,
+    Broken(CallError),
+}
+
+impl Run {
+    /// Runs the request until a stream begins, and returns it as the answer's body.
+    pub(crate) async fn stream(self) -> Result<RoutedReply, RoutedFailure> {
+        let mut sends = Sends::default();
+        let opened = self.open(&mut sends, self.resume_after).await?;
+        let (status, headers) = (opened.status, opened.headers.clone());
+        self.log.first_byte();
+        if !StatusCode::from_u16(status).is_ok_and(|status| status.is_success()) {
+            return self.forward_refusal(&mut sends, opened).await;
+        }
+        let body = Body::streamed(move |writer| self.forward(sends, opened, writer));
+        Ok(RoutedReply { status, headers, body })
+    }
+
+    /// Sends the request until an upstream's stream has its first events.
+    async fn open(
+        &self,
+        sends: &mut Sends,
+        resume_after: Option<u64>,
+    ) -> Result<Opened, RoutedFailure> {
+        loop {
+            if self.left().is_zero() {
+                return Err(self.give_up(sends, FailureKind::Deadline, "the deadline has passed"));
+            }
+            let target = match self.admit(&sends.failed).await {
+                Ok(target) => target,
+                Err(reason) => return Err(self.no_target(sends, reason)),
+            };
+            sends.count += 1;
+            self.log.sent(&target.upstream.name);
+            let (target, answer) = match self.send(target, resume_after).await {
+                Ok(sent) => sent,
+                Err((target, error)) => {
+                    self.blame_error(&target, &error);
+                    let cause = error.to_string();
+                    if !self.note_failure(sends, &target, &cause, error.verdict()) {
+                        return Err(self.give_up(sends, failure_kind(&error), &cause));
+                    }
+                    continue;
+                }
+            };
+            if answer.not_run {
+                self.blame_refusal(&target, &answer);
+                let cause = format!("refused with status {}", answer.status);
+                if !self.note_failure(sends, &target, &cause, Verdict::NotRun) {
+                    return Err(self.give_up(sends, FailureKind::Overloaded, &cause));
+                }
+                continue;
+            }
+            if !answer.signed {
+                let cause = format!("answer with status {} is not signed", answer.status);
+                if !self.note_failure(sends, &target, &cause, Verdict::MayHaveRun) {
+                    return Err(self.give_up(sends, FailureKind::Upstream, &cause));
+                }
+                continue;
+            }
+            let mut opened = Opened {
+                target,
+                status: answer.status,
+                headers: answer.headers.clone(),
+                answer,
+                splitter: EventSplitter::default(),
+                ready: None,
+                ended: false,
+            };
+            if opened.status >= StatusCode::BAD_REQUEST.as_u16() {
+                return Ok(opened);
+            }
+            match self.next_events(&mut opened, self.first_silence()).await {
+                Ok(()) => return Ok(opened),
+                Err(error) => {
+                    self.blame_error(&opened.target, &error);
+                    let cause = error.to_string();
+                    if !self.note_failure(sends, &opened.target, &cause, Verdict::MayHaveRun) {
+                        return Err(self.give_up(sends, failure_kind(&error), &cause));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends the call and waits for the head of its answer, unless an engine on its path has failed.
+    async fn send(
+        &self,
+        target: Target,
+        resume_after: Option<u64>,
+    ) -> Result<(Target, Answer), (Target, CallError)> {
+        let client = target.client.clone();
+        let call = self.call(&target, resume_after);
+        let mut calling = client.call(call, self.left());
+        let mut pause = self.first_silence();
+        loop {
+            let sleep = self.gateway.clock.sleep(pause);
+            match select(calling, sleep).await {
+                Either::Left((Ok(answer), _)) => return Ok((target, answer)),
+                Either::Left((Err(error), _)) => return Err((target, error)),
+                Either::Right(((), unfinished)) => calling = unfinished,
+            }
+            if self.is_blocked(&target).await {
+                drop(calling);
+                return Err((target, CallError::Malformed("an engine on the path failed".into())));
+            }
+            pause = LOOK_INTERVAL;
+        }
+    }
+
+    /// Reads until there are whole events, or the stream ends.
+    async fn next_events(&self, opened: &mut Opened, silence: Duration) -> Result<(), CallError> {
+        let mut pause = silence;
+        loop {
+            let left = self.left();
+            if left.is_zero() {
+                return Err(CallError::Timeout);
+            }
+            let part = {
+                let sleep = self.gateway.clock.sleep(pause.min(left));
+                match select(opened.answer.body.next(left), sleep).await {
+                    Either::Left((part, _)) => Some(part?),
+                    Either::Right(((), _)) => None,
+                }
+            };
+            match part {
+                Some(Some(bytes)) => {
+                    if let Some(events) = opened.splitter.push(&bytes)? {
+                        opened.ready = Some(events);
+                        return Ok(());
+                    }
+                }
+                Some(None) if opened.splitter.is_between_events() => {
+                    opened.ended = true;
+                    return Ok(());
+                }
+                Some(None) => {
+                    return Err(CallError::Broken("the stream ended inside an event".into()));
+                }
+                None => {
+                    if self.is_blocked(&opened.target).await {
+                        let cause = "an engine on the path failed".to_owned();
+                        return Err(CallError::Malformed(cause));
+                    }
+                    pause = LOOK_INTERVAL;
+                }
+            }
+        }
+    }
+
+    /// Whether a silent call waits for an engine that has failed.
+    async fn is_blocked(&self, target: &Target) -> bool {
+        if target.stages.is_empty() {
+            return false;
+        }
+        if self.has_failed_stage(target) {
+            return true;
+        }
+        let entry = &target.upstream;
+        if !self.gateway.may_ask(&entry.name, REPORT_INTERVAL) {
+            return false;
+        }
+        let report = target.client.report(REPORT_LIMIT).await;
+        match report {
+            Ok(report) => {
+                for addr in report.blocked {
+                    if let Some(name) = self.gateway.upstream_at(addr) {
+                        self.gateway.suspect(&name, "calls wait for it at the engine before it");
+                    }
+                }
+            }
+            Err(error) => self.gateway.suspect(&entry.name, &format!("no report: {error}")),
+        }
+        self.has_failed_stage(target)
+    }
+
+    fn has_failed_stage(&self, target: &Target) -> bool {
+        let gateway = &self.gateway;
+        let beliefs = gateway.beliefs.borrow();
+        let health = gateway.health.borrow();
+        let now = gateway.clock.now();
+        target.stages.iter().any(|stage| match beliefs.upstream(&stage.engine) {
+            Some(upstream) => {
+                upstream.addr != stage.addr
+                    || health.failing_for(&stage.engine, upstream.boot, now).is_some()
+            }
+            None => true,
+        })
+    }
+
+    /// Passes the events on until the stream has ended, and resumes it when it breaks.
+    async fn forward(self, mut sends: Sends, mut opened: Opened, mut writer: BodyWriter) {
+        let mut last = self.resume_after;
+        loop {
+            let error = match self.pump(&mut opened, &mut last, &mut writer).await {
+                Pumped::Complete => {
+                    let gateway = &self.gateway;
+                    gateway.health.borrow_mut().succeed(&opened.target.upstream.name);
+                    gateway.crashes.borrow_mut().clear(self.fingerprint);
+                    self.log.end("answered", Verdict::Ran, opened.status);
+                    return;
+                }
+                Pumped::CallerGone => return,
+                Pumped::Broken(error) => error,
+            };
+            self.blame_error(&opened.target, &error);
+            let cause = error.to_string();
+            let again = self.note_failure(&mut sends, &opened.target, &cause, Verdict::MayHaveRun);
+            drop(opened);
+            let resumed =
+                if again && last.is_some() { self.open(&mut sends, last).await.ok() } else { None };
+            match resumed {
+                Some(next) if next.status < StatusCode::BAD_REQUEST.as_u16() => opened = next,
+                _ => {
+                    self.log.end("broken-off", Verdict::MayHaveRun, 0);
+                    writer.abort().await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn pump(
+        &self,
+        opened: &mut Opened,
+        last: &mut Option<u64>,
+        writer: &mut BodyWriter,
+    ) -> Pumped {
+        let silence = self.route.pause.unwrap_or(DEFAULT_SILENCE);
+        loop {
+            if let Some(events) = opened.ready.take() {
+                if let Err(error) = check_order(&events, last) {
+                    return Pumped::Broken(error);
+                }
+                self.gateway.metrics.events.inc_by(events.numbers.len() as u64);
+                if !writer.write(events.bytes).await {
+                    return Pumped::CallerGone;
+                }
+            }
+            if opened.ended {
+                return Pumped::Complete;
+            }
+            if let Err(error) = self.next_events(opened, silence).await {
+                return Pumped::Broken(error);
+            }
+        }
+    }
+
+    /// Passes on an upstream's own failure.
+    async fn forward_refusal(
+        &self,
+        sends: &mut Sends,
+        mut opened: Opened,
+    ) -> Result<RoutedReply, RoutedFailure> {
+        let mut whole = Vec::new();
+        loop {
+            match opened.answer.body.next(self.left()).await {
+                Ok(Some(part)) => whole.extend_from_slice(&part),
+                Ok(None) => break,
+                Err(error) => {
+                    sends.ran_on += 1;
+                    return Err(self.give_up(sends, failure_kind(&error), &error.to_string()));
+                }
+            }
+        }
+        self.log.end("answered", Verdict::Ran, opened.status);
+        let body = Body::from(whole);
+        Ok(RoutedReply { status: opened.status, headers: opened.headers, body })
+    }
+
+    fn first_silence(&self) -> Duration {
+        self.route.goal.mul_f64(FIRST_SILENCE_SHARE)
+    }
+}
+
+/// Checks that the numbers of events go on after the last one.
+fn check_order(events: &Events, last: &mut Option<u64>) -> Result<(), CallError> {
+    for number in events.numbers.iter().flatten() {
+        if last.is_some_and(|known| *number <= known) {
+            return Err(CallError::Malformed(format!("event {number} came out of order")));
+        }
+        *last = Some(*number);
+    }
+    Ok(())
+}
+
+/// When this node last asked engines for a report.
+#[derive(Default)]
+pub(crate) struct ReportTimes {
+    times: std::collections::HashMap<types::UpstreamName, Timestamp>,
+}
+
+impl crate::Gateway {
+    /// Whether an engine may be asked for a report again; counts as asking.
+    fn may_ask(self: &Rc<Self>, name: &types::UpstreamName, interval: Duration) -> bool {
+        let now = self.clock.now();
+        let mut reports = self.reports.borrow_mut();
+        if reports.times.get(name).is_some_and(|last| now.since(*last) < interval) {
+            return false;
+        }
+        reports.times.insert(name.clone(), now);
+        true
+    }
+}
--- a/crates/keyvalue/src/lib.rs
+++ b/crates/keyvalue/src/lib.rs
@@ -74,3 +74,41 @@
     /// Ends a lease and deletes its entries.
     fn revoke(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), KvError>>;
 }
+
+/// An item as it was read or written at a revision. The service counts one revision for all keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Value; `None` means that the key was deleted.
+    pub value: Option<Vec<u8>>,
+    /// Revision of the write or of the deletion.
+    pub revision: u64,
+}
+
+/// What changed after a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changes {
+    /// The changes up to revision `at`, in order.
+    Items {
+        /// The changes.
+        items: Vec<Item>,
+        /// Revision up to which they are complete.
+        at: u64,
+    },
+    /// The service no longer has the history after the given revision.
+    HistoryGone,
+}
+
+/// A key-value service with one revision counter, whose prefixes can be listed and watched.
+pub trait RevisionStore: KeyValue {
+    /// Reads one item and the revision that the answer holds for.
+    fn read_item(&self, key: &str) -> LocalBoxFuture<'_, Result<(Option<Item>, u64), KvError>>;
+
+    /// Reads all items under `prefix` and the lowest revision that the answer holds for.
+    fn list_items(&self, prefix: &str) -> LocalBoxFuture<'_, Result<(Vec<Item>, u64), KvError>>;
+
+    /// Waits for changes under `prefix` after revision `after`. The service ends the wait without
+    /// any after a while.
+    fn changes(&self, prefix: &str, after: u64) -> LocalBoxFuture<'_, Result<Changes, KvError>>;
+}
--- /dev/null
+++ b/crates/pipelines/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions for models whose layers are spread over engines: which engine holds which layers,
+//! which engines a request passes through, and how much room they have.
+//!
+//! Purpose: plain functions over plain structs, so that any front end and any encoding of orders
+//! can use them.
+//!
+//! Invariants: a chosen path runs every layer once and in order; no placement exceeds the memory
+//! of an engine, also together with an order that is carried out late. This crate must not know
+//! about sockets or encodings.
+
+mod budget;
+mod health;
+mod load;
+mod path;
+mod placement;
+
+pub use budget::SendBudget;
+pub use health::HealthTable;
+pub use load::{LoadTable, Need, Used};
+pub use path::{Holder, PathQuery, choose_path};
+pub use placement::{EngineView, Placement, covers_model, plan};
--- /dev/null
+++ b/crates/pipelines/src/load.rs
@@ -0,0 +1,97 @@
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use clock::Timestamp;
+use types::{NodeName, UpstreamName};
+
+/// Age at which the counts of another node are no longer believed. A node sends several in this
+/// time, so that one lost datagram changes nothing.
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+
+/// What requests in flight take up on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Used {
+    /// Requests that pass through it.
+    pub requests: u32,
+    /// Requests that enter through it.
+    pub entered: u32,
+    /// Tokens times layers that they may come to hold.
+    pub token_layers: f64,
+}
+
+impl Used {
+    fn add(&mut self, other: Used) {
+        self.requests += other.requests;
+        self.entered += other.entered;
+        self.token_layers += other.token_layers;
+    }
+
+    fn subtract(&mut self, other: Used) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.entered = self.entered.saturating_sub(other.entered);
+        self.token_layers = (self.token_layers - other.token_layers).max(0.0);
+    }
+}
+
+/// What one request takes up on one upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Need {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// What the request takes up there.
+    pub used: Used,
+}
+
+/// The requests in flight on each upstream: those of this node, and those of the other nodes by
+/// their last message.
+#[derive(Default)]
+pub struct LoadTable {
+    own: HashMap<UpstreamName, Used>,
+    peers: BTreeMap<NodeName, (Timestamp, HashMap<UpstreamName, Used>)>,
+}
+
+impl LoadTable {
+    /// Counts a request of this node.
+    pub fn add(&mut self, needs: &[Need]) {
+        for need in needs {
+            self.own.entry(need.upstream.clone()).or_default().add(need.used);
+        }
+    }
+
+    /// Removes a request of this node.
+    pub fn remove(&mut self, needs: &[Need]) {
+        for need in needs {
+            let Some(used) = self.own.get_mut(&need.upstream) else { continue };
+            used.subtract(need.used);
+            if used.requests == 0 {
+                self.own.remove(&need.upstream);
+            }
+        }
+    }
+
+    /// Replaces the counts of another node.
+    pub fn set_peer(&mut self, node: NodeName, used: Vec<(UpstreamName, Used)>, now: Timestamp) {
+        self.peers.insert(node, (now, used.into_iter().collect()));
+    }
+
+    /// Forgets nodes that have not been heard of.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.peers.retain(|_, (heard, _)| now.since(*heard) < PEER_LIMIT);
+    }
+
+    /// What all nodes together have on an upstream.
+    pub fn total(&self, upstream: &str) -> Used {
+        let mut total = self.own.get(upstream).copied().unwrap_or_default();
+        for (_, counts) in self.peers.values() {
+            if let Some(used) = counts.get(upstream) {
+                total.add(*used);
+            }
+        }
+        total
+    }
+
+    /// What this node has on each upstream.
+    pub fn own(&self) -> impl Iterator<Item = (&UpstreamName, &Used)> {
+        self.own.iter()
+    }
+}
--- /dev/null
+++ b/crates/pipelines/src/placement.rs
@@ -0,0 +1,187 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use catalog::EngineProfile;
+use types::{Domain, LayerRange, UpstreamName};
+
+/// Share of an engine's memory that a layout gives to layers, if enough engines are there. The
+/// rest holds requests.
+const USUAL_SHARE: f64 = 0.70;
+/// Largest share of an engine's memory that is given to layers.
+const MAX_SHARE: f64 = 0.90;
+/// Step in which the share of a layout is raised until the model fits.
+const SHARE_STEP: f64 = 0.005;
+
+/// What the planner knows of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineView {
+    /// The engine.
+    pub name: UpstreamName,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Kind of its accelerator.
+    pub kind: Arc<str>,
+    /// Layers that it holds or has been ordered to hold.
+    pub layers: Option<LayerRange>,
+    /// Whether it can be ordered to load layers now.
+    pub is_free: bool,
+}
+
+/// An engine and the layers that it should hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// The engine.
+    pub name: UpstreamName,
+    /// The layers.
+    pub layers: LayerRange,
+}
+
+/// Whether the engines together hold every layer.
+pub fn covers_model(profile: &EngineProfile, held: impl Iterator<Item = LayerRange>) -> bool {
+    gaps(profile.layers, held).is_empty()
+}
+
+/// Plans what engines without layers should hold: a whole copy of the model in each failure domain
+/// that has the memory for one, and one over the other domains together. A copy within a domain
+/// needs no pipe between domains.
+pub fn plan(profile: &EngineProfile, engines: &[EngineView]) -> Vec<Placement> {
+    let mut orders = Vec::new();
+    let mut ordered: BTreeSet<UpstreamName> = BTreeSet::new();
+    let mut without = Vec::new();
+    for group in groups(profile, engines) {
+        let held = || group.iter().filter_map(|engine| engine.layers);
+        let missing = gaps(profile.layers, held());
+        let free: Vec<&EngineView> = group
+            .iter()
+            .copied()
+            .filter(|engine| engine.layers.is_none() && engine.is_free)
+            .collect();
+        let placed = if held().next().is_none() {
+            layout(profile, &free)
+        } else {
+            let (placed, open) = fill(profile, &missing, &free);
+            without.extend(open);
+            placed
+        };
+        ordered.extend(placed.iter().map(|placement| placement.name.clone()));
+        orders.extend(placed);
+    }
+    let spare: Vec<&EngineView> = engines
+        .iter()
+        .filter(|engine| {
+            engine.layers.is_none() && engine.is_free && !ordered.contains(&engine.name)
+        })
+        .collect();
+    orders.extend(fill(profile, &without, &spare).0);
+    orders
+}
+
+/// The engines of each copy of the model.
+fn groups<'a>(profile: &EngineProfile, engines: &'a [EngineView]) -> Vec<Vec<&'a EngineView>> {
+    let mut domains: BTreeMap<&Domain, Vec<&EngineView>> = BTreeMap::new();
+    for engine in engines {
+        domains.entry(&engine.domain).or_default().push(engine);
+    }
+    let (mut whole, rest): (Vec<_>, Vec<_>) = domains.into_values().partition(|members| {
+        let layers = |engine: &&EngineView| profile.layers_within(&engine.kind, MAX_SHARE);
+        members.iter().map(layers).sum::<u32>() >= profile.layers
+    });
+    let rest: Vec<&EngineView> = rest.into_iter().flatten().collect();
+    if !rest.is_empty() {
+        whole.push(rest);
+    }
+    whole
+}
+
+/// Spreads a whole copy over engines without layers: the fastest ones that hold it in the usual
+/// share of their memory, each with the same share, so that all have room for as many requests.
+fn layout(profile: &EngineProfile, free: &[&EngineView]) -> Vec<Placement> {
+    let mut sorted = free.to_vec();
+    sorted.sort_by(|one, other| {
+        let factor = |engine: &EngineView| {
+            profile.kinds.get(&engine.kind).map_or(f64::MAX, |kind| kind.step_factor)
+        };
+        let size = |engine: &EngineView| {
+            profile.kinds.get(&engine.kind).map_or(0.0, |kind| kind.memory_mb)
+        };
+        // Memory per cost of a step: slow accelerators with little memory go last.
+        let worth = |engine: &EngineView| size(engine) / factor(engine);
+        worth(other).total_cmp(&worth(one)).then_with(|| one.name.cmp(&other.name))
+    });
+    let fits = |members: &[&EngineView], share: f64| {
+        let layers = |engine: &&EngineView| profile.layers_within(&engine.kind, share);
+        members.iter().map(layers).sum::<u32>() >= profile.layers
+    };
+    let count = (1..=sorted.len()).find(|count| fits(&sorted[..*count], USUAL_SHARE));
+    let members = &sorted[..count.unwrap_or(sorted.len())];
+    let mut share = SHARE_STEP;
+    while !fits(members, share) {
+        share += SHARE_STEP;
+        if share > MAX_SHARE {
+            return Vec::new();
+        }
+    }
+    let mut start = 0;
+    let mut placements = Vec::new();
+    for engine in members {
+        let length = profile.layers_within(&engine.kind, share).min(profile.layers - start);
+        if length == 0 {
+            continue;
+        }
+        let layers = LayerRange { start, end: start + length };
+        start = layers.end;
+        placements.push(Placement { name: engine.name.clone(), layers });
+    }
+    placements
+}
+
+/// Gives missing ranges to free engines, the largest first. Also returns what no engine was left
+/// for.
+fn fill(
+    profile: &EngineProfile,
+    missing: &[LayerRange],
+    free: &[&EngineView],
+) -> (Vec<Placement>, Vec<LayerRange>) {
+    let mut left = free.to_vec();
+    left.sort_by_key(|engine| std::cmp::Reverse(profile.layers_within(&engine.kind, USUAL_SHARE)));
+    let mut left = left.into_iter();
+    let mut placements = Vec::new();
+    let mut open = Vec::new();
+    for gap in missing {
+        let mut start = gap.start;
+        while start < gap.end {
+            let Some(engine) = left.next() else {
+                open.push(LayerRange { start, end: gap.end });
+                break;
+            };
+            let length = profile.layers_within(&engine.kind, USUAL_SHARE);
+            if length == 0 {
+                continue;
+            }
+            let layers = LayerRange { start, end: gap.end.min(start + length) };
+            start = layers.end;
+            placements.push(Placement { name: engine.name.clone(), layers });
+        }
+    }
+    (placements, open)
+}
+
+/// The ranges of layers that none of `held` covers.
+fn gaps(layers: u32, held: impl Iterator<Item = LayerRange>) -> Vec<LayerRange> {
+    let mut held: Vec<LayerRange> = held.collect();
+    held.sort();
+    let mut missing = Vec::new();
+    let mut next = 0;
+    for range in held {
+        if range.start > next {
+            missing.push(LayerRange { start: next, end: range.start });
+        }
+        next = next.max(range.end);
+    }
+    if next < layers {
+        missing.push(LayerRange { start: next, end: layers });
+    }
+    missing
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 //! value, the unit and the bound, and all faults are reported at once. This crate must not know
 //! how settings are distributed.
 
+mod edge;
 mod fault;
 mod fleet;
 mod node;
@@ -14,6 +15,7 @@
 pub mod schema;
 mod walk;
 
+pub use edge::{EdgeSettings, SettingsError};
 pub use fault::{Fault, Faults};
 pub use fleet::{Change, Exception, FleetConfig, ModelConfig, Scope, ServiceConfig};
 pub use node::{Listen, Log, LogFormat, LogLevel, NodeSettings, Platform};
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -1,5 +1,6 @@
 use std::{
-    convert::Infallible,
+    error::Error,
+    fmt,
     future::Future,
     pin::Pin,
     task::{Context, Poll},
@@ -23,10 +24,22 @@
         /// that a reader that went away ends the work.
         producer: Option<LocalBoxFuture<'static, ()>>,
         /// Chunks that the producer has written.
-        chunks: mpsc::Receiver<Bytes>,
+        chunks: mpsc::Receiver<Result<Bytes, BodyAborted>>,
     },
 }
 
+/// The producer of a body gave up, so that the connection ends without the body's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyAborted;
+
+impl fmt::Display for BodyAborted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the body was aborted by its producer")
+    }
+}
+
+impl Error for BodyAborted {}
+
 impl Body {
     /// Creates an empty body.
     pub fn empty() -> Body {
@@ -53,12 +66,12 @@
 
 impl hyper::body::Body for Body {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BodyAborted;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
             Body::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Body::Streamed { producer, chunks } => {
@@ -67,7 +80,7 @@
                 {
                     *producer = None;
                 }
-                chunks.poll_next_unpin(context).map(|chunk| chunk.map(|c| Ok(Frame::data(c))))
+                chunks.poll_next_unpin(context).map(|chunk| chunk.map(|c| c.map(Frame::data)))
             }
         }
     }
@@ -87,13 +100,20 @@
 /// Writes the chunks of a streamed body.
 #[derive(Clone)]
 pub struct BodyWriter {
-    sender: mpsc::Sender<Bytes>,
+    sender: mpsc::Sender<Result<Bytes, BodyAborted>>,
 }
 
 impl BodyWriter {
     /// Writes one chunk and waits while the reader is behind. Returns whether the reader is still
     /// there.
     pub async fn write(&mut self, chunk: impl Into<Bytes>) -> bool {
-        self.sender.send(chunk.into()).await.is_ok()
+        self.sender.send(Ok(chunk.into())).await.is_ok()
+    }
+
+    /// Ends the connection without the end of the body, so that the reader cannot take what it has
+    /// for the whole body.
+    pub async fn abort(mut self) {
+        // A reader that went away needs no notice.
+        let _ = self.sender.send(Err(BodyAborted)).await;
     }
 }
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -144,6 +144,23 @@
         self.call_json(Method::GET, path, None::<&()>, timeouts).await
     }
 
+    /// Sends a request without a body and returns the status if it is a success.
+    pub async fn call_status(
+        &self,
+        method: Method,
+        path: &str,
+        timeouts: Timeouts,
+    ) -> Result<StatusCode, CallError> {
+        let response = self.send(json_request(method, path, None::<&()>), timeouts).await?;
+        let status = response.status();
+        let body = response.collect(MAX_JSON_BYTES, timeouts.progress).await?;
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&body).into_owned();
+            return Err(CallError::Status(status.as_u16(), text));
+        }
+        Ok(status)
+    }
+
     /// Closes all idle connections.
     pub fn close_idle(&self) {
         self.pool.idle.borrow_mut().clear();
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,12 +16,12 @@
 mod stop;
 mod write_limit;
 
-pub use body::{Body, BodyWriter};
+pub use body::{Body, BodyAborted, BodyWriter};
 pub use client::{HttpClient, ResponseStream, Timeouts};
 pub use connect::{connect, tokio_stream};
 pub use error::CallError;
-pub use server::{ConnectionId, Handler, RequestBody, Server, json_response};
-pub use sse::{EventReader, encode_event};
+pub use server::{BodyError, ConnectionId, Handler, RequestBody, Server, json_response};
+pub use sse::{EventReader, EventSplitter, Events, encode_event};
 pub use stop::Stop;
 
 /// Header that carries the verdict of a request.
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,4 +1,6 @@
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration,
+};
 
 use bytes::Bytes;
 use clock::{Clock, timeout};
@@ -6,8 +8,12 @@
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use serde::{Serialize, de::DeserializeOwned};
 use types::{MAX_BODY_BYTES, MAX_HEADERS};
 
@@ -17,8 +23,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time a client has for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time after the stop signal in which a server still answers new requests, so that a request that
-/// was under way gets a refusal in place of a closed connection.
+/// Default of the time after the stop signal in which a server still answers new requests, so that
+/// a request that was under way gets an answer in place of a closed connection.
 const REFUSE_TIME: Duration = Duration::from_millis(500);
 /// Interval at which a stopping server looks whether its connections have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -48,11 +54,21 @@
 impl RequestBody {
     /// Reads the whole body. The error is a sentence for the caller.
     pub async fn collect(self) -> Result<Bytes, String> {
-        let limited = Limited::new(self.incoming, MAX_BODY_BYTES);
-        match timeout(&*self.clock, BODY_TIMEOUT, limited.collect()).await {
+        let whole = self.collect_within(MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        whole.map_err(|error| error.to_string())
+    }
+
+    /// Reads the whole body of at most `bound` bytes within `limit`.
+    pub async fn collect_within(self, bound: usize, limit: Duration) -> Result<Bytes, BodyError> {
+        if self.incoming.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let limited = Limited::new(self.incoming, bound);
+        match timeout(&*self.clock, limit, limited.collect()).await {
             Ok(Ok(whole)) => Ok(whole.to_bytes()),
-            Ok(Err(error)) => Err(format!("request body cannot be read: {error}")),
-            Err(_) => Err("request body did not arrive in time".into()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge(bound)),
+            Ok(Err(error)) => Err(BodyError::Broken(error.to_string())),
+            Err(_) => Err(BodyError::Timeout),
         }
     }
 
@@ -64,12 +80,37 @@
     }
 }
 
+/// Why the body of a request cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    /// It exceeds its bound, in bytes.
+    TooLarge(usize),
+    /// The connection broke, or the framing is wrong.
+    Broken(String),
+    /// It did not arrive in time.
+    Timeout,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::TooLarge(bound) => write!(f, "request body exceeds {bound} bytes"),
+            BodyError::Broken(cause) => write!(f, "request body cannot be read: {cause}"),
+            BodyError::Timeout => f.write_str("request body did not arrive in time"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
 /// An HTTP/1.1 server.
 pub struct Server {
     clock: Rc<dyn Clock>,
     listener: TcpListener,
     stop: Stop,
     drain: Duration,
+    refuse: Duration,
+    idle: Duration,
 }
 
 impl Server {
@@ -80,7 +121,14 @@
         stop: Stop,
     ) -> std::io::Result<Server> {
         let listener = TcpListener::bind(addr).await?;
-        Ok(Server { clock, listener, stop, drain: Duration::ZERO })
+        Ok(Server {
+            clock,
+            listener,
+            stop,
+            drain: Duration::ZERO,
+            refuse: REFUSE_TIME,
+            idle: HEAD_TIMEOUT,
+        })
     }
 
     /// Sets how long connections may go on after the stop signal.
@@ -89,6 +137,18 @@
         self
     }
 
+    /// Sets how long new requests are still answered after the stop signal.
+    pub fn refuse(mut self, time: Duration) -> Server {
+        self.refuse = time;
+        self
+    }
+
+    /// Sets how long a client may take for the head of its next request.
+    pub fn idle(mut self, limit: Duration) -> Server {
+        self.idle = limit;
+        self
+    }
+
     /// The address that the server is bound to.
     pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -121,9 +181,10 @@
                     let id = ConnectionId(accepted_count);
                     let (clock, handler) = (self.clock.clone(), handler.clone());
                     let (stop, cut) = (self.stop.clone(), closing.raised());
+                    let times = (self.refuse, self.idle);
                     compio::runtime::spawn(async move {
                         let _guard = guard;
-                        let serving = serve_connection(clock, stream, id, handler, stop);
+                        let serving = serve_connection(clock, stream, id, handler, stop, times);
                         select(pin!(serving), pin!(cut)).await;
                     })
                     .detach();
@@ -140,7 +201,7 @@
     async fn drained(&self, open: Rc<Cell<usize>>) {
         self.stop.raised().await;
         let started = self.clock.now();
-        self.clock.sleep(REFUSE_TIME.min(self.drain)).await;
+        self.clock.sleep(self.refuse.min(self.drain)).await;
         while open.get() > 0 && self.clock.now().since(started) < self.drain {
             self.clock.sleep(DRAIN_POLL).await;
         }
@@ -153,6 +214,7 @@
     id: ConnectionId,
     handler: Rc<H>,
     stop: Stop,
+    (refuse, idle): (Duration, Duration),
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection closed before it was served");
@@ -171,14 +233,14 @@
     let mut connection = pin!(
         http1::Builder::new()
             .timer(CompioTimer)
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(idle)
             .max_headers(MAX_HEADERS)
             .keep_alive(!stop.is_raised())
             .serve_connection(io, service)
     );
     let refused = async {
         stop.raised().await;
-        pause_clock.sleep(REFUSE_TIME).await;
+        pause_clock.sleep(refuse).await;
     };
     let result = match select(connection.as_mut(), pin!(refused)).await {
         Either::Left((result, _)) => result,
--- a/crates/transport/src/sse.rs
+++ b/crates/transport/src/sse.rs
@@ -59,3 +59,58 @@
         }
     }
 }
+
+/// Splits a stream into whole events, which are passed on as they are, and reads their numbers.
+#[derive(Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+}
+
+/// Whole events that follow each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Events {
+    /// The events as they were received.
+    pub bytes: Bytes,
+    /// The number of each event, in order; `None` for one that has none.
+    pub numbers: Vec<Option<u64>>,
+}
+
+impl EventSplitter {
+    /// Adds a part of the stream and returns the events that are whole with it.
+    pub fn push(&mut self, part: &[u8]) -> Result<Option<Events>, CallError> {
+        self.buffer.extend_from_slice(part);
+        let mut end = 0;
+        let mut numbers = Vec::new();
+        while let Some(length) = block_length(&self.buffer[end..]) {
+            numbers.push(event_number(&self.buffer[end..end + length]));
+            end += length;
+        }
+        if self.buffer.len() - end > MAX_EVENT_BYTES {
+            return Err(CallError::Malformed("event exceeds its bound".into()));
+        }
+        if end == 0 {
+            return Ok(None);
+        }
+        Ok(Some(Events { bytes: self.buffer.split_to(end).freeze(), numbers }))
+    }
+
+    /// Whether the stream has ended between two events.
+    pub fn is_between_events(&self) -> bool {
+        self.buffer.is_empty()
+    }
+}
+
+/// Length of the first event block with its blank line, if it is whole.
+fn block_length(bytes: &[u8]) -> Option<usize> {
+    let plain = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let carriage = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (plain, carriage) {
+        (Some(plain), Some(carriage)) => Some(plain.min(carriage)),
+        (one, other) => one.or(other),
+    }
+}
+
+fn event_number(block: &[u8]) -> Option<u64> {
+    let line = block.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
