--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,3 +28,4 @@
 pub use builder::GatewayBuilder;
 pub use node::Gateway;
 pub use run::serve;
+pub use store::follow_store;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -18,7 +18,7 @@
 
 /// Keeps the beliefs of this node up to date with the store. One watch covers all keys: revisions
 /// are counted over all of them, and each waiting watch counts as a call.
-pub(crate) async fn follow_store(gateway: Rc<Gateway>) {
+pub async fn follow_store(gateway: Rc<Gateway>) {
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
