Take a spoiled answer of an engine for what it is, and count suspected engines against the route's limit

Change: only an engine that cannot be reached, or that calls wait for, is suspected; a broken connection is followed by a look at its upstream. A report that names an engine many times is one event.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,8 @@
 /// Time for which an upstream that has no place is avoided.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time for which a plain service's replica is avoided after an answer that was lost or spoiled.
+const SPOILED_PAUSE: Duration = Duration::from_millis(500);
 /// Time after a broken connection at which its upstream is looked at.
 const CRASH_CHECK: Duration = Duration::from_millis(20);
 
@@ -54,11 +56,13 @@
 /// alone is no crash: links break too, and different requests may look the same.
 async fn confirm_crash(
     gateway: Rc<Gateway>,
+    name: UpstreamName,
     client: Rc<dyn upstreams::Upstream>,
     fingerprint: u64,
 ) {
     gateway.clock.sleep(CRASH_CHECK).await;
     if let Err(error) = client.reach().await {
+        gateway.suspect(&name, &error.to_string());
         let now = gateway.clock.now();
         gateway.crashes.borrow_mut().count(fingerprint, now);
         tracing::info!(fingerprint, %error, "upstream crashed while it ran a request");
@@ -99,12 +103,12 @@
         if entry_failed {
             sends.failed.push(name.clone());
         }
-        // Upstreams that have ended do not count against the route's limit.
-        sends.entered.retain(|name| {
-            let beliefs = self.gateway.beliefs.borrow();
-            beliefs.upstream(name).is_some_and(|known| self.gateway.is_usable(known))
-        });
-        if !entry_failed && !sends.entered.contains(name) {
+        // Upstreams that have ended do not count against the route's limit. One that is only
+        // suspected may still be at work.
+        let beliefs = self.gateway.beliefs.borrow();
+        sends.entered.retain(|name| beliefs.upstream(name).is_some());
+        drop(beliefs);
+        if !sends.entered.contains(name) {
             sends.entered.push(name.clone());
         }
         sends.count < MAX_STREAM_SENDS && self.may_send_again(Verdict::MayHaveRun)
@@ -131,12 +135,33 @@
 
     /// Draws conclusions on upstreams from a call that failed.
     pub(crate) fn blame_error(&self, target: &Target, error: &CallError) {
-        if !matches!(error, CallError::Status(..) | CallError::Malformed(_)) {
-            self.gateway.suspect(&target.upstream.name, &error.to_string());
+        let gateway = &self.gateway;
+        let upstream = &target.upstream;
+        match error {
+            CallError::Connect(_) | CallError::ConnectTimeout => {
+                gateway.suspect(&upstream.name, &error.to_string());
+            }
+            // One spoiled answer among many says little of an engine: streams through it go on.
+            CallError::Broken(_) | CallError::Malformed(_) | CallError::Timeout
+                if target.stages.is_empty() =>
+            {
+                let now = gateway.clock.now();
+                gateway.health.borrow_mut().avoid(
+                    &upstream.name,
+                    upstream.boot,
+                    now,
+                    SPOILED_PAUSE,
+                );
+            }
+            _ => {}
         }
         if matches!(error, CallError::Broken(_)) {
-            let confirm =
-                confirm_crash(self.gateway.clone(), target.client.clone(), self.fingerprint);
+            let confirm = confirm_crash(
+                gateway.clone(),
+                upstream.name.clone(),
+                target.client.clone(),
+                self.fingerprint,
+            );
             compio::runtime::spawn(confirm).detach();
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,7 +1,7 @@
 //! Requests whose answer is a stream of events, which go to the caller as they come. A stream that
 //! breaks goes on with a new run after the last event that the caller has.
 
-use std::{fmt, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, fmt, net::SocketAddr, rc::Rc, time::Duration};
 
 use callers::{RoutedFailure, RoutedReply};
 use clock::Timestamp;
@@ -266,7 +266,8 @@
         let report = target.client.report(REPORT_LIMIT).await;
         match report {
             Ok(report) => {
-                for addr in report.blocked {
+                let blocked: BTreeSet<SocketAddr> = report.blocked.into_iter().collect();
+                for addr in blocked {
                     if let Some(name) = self.gateway.upstream_at(addr) {
                         self.gateway.suspect(&name, "calls wait for it at the engine before it");
                     }
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -102,6 +102,21 @@
     assert!(calls[1].1.stages.iter().all(|stage| stage.addr != blocked));
 }
 
+/// Guards against one spoiled answer of an engine that moves all other streams through it: a day of
+/// the hunt ran eleven requests on more engines than their route allows.
+#[compio::test]
+async fn one_broken_answer_does_not_take_the_other_streams_from_their_engine() {
+    let world = World::ready().await;
+    world.store.write("upstreams/e3", None);
+    compio::time::sleep(Duration::from_millis(300)).await;
+    world.script([Step::EventsThenSilence(vec![0]), Step::EventsThenBroken(vec![0])]);
+    let silent = world.send("/drafts/x").await.expect("the stream begins");
+    let broken = world.send("/single/x").await.expect("the stream begins");
+    assert_eq!(body(broken).await, None);
+    assert_eq!(body(silent).await, None);
+    assert_eq!(world.called().len(), 2);
+}
+
 /// Guards against a path with a gap, and against a path over an engine that is leaving.
 #[compio::test]
 async fn a_leaving_engine_gets_no_new_request() {
