--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 mod control;
 pub mod engine;
 pub mod keyvalue;
+pub mod platform;
 pub mod reference;
 pub mod relay;
 mod server;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use clock::RuntimeClock;
-use standins::{engine, keyvalue, relay, service, vms, weights};
+use standins::{engine, keyvalue, platform, relay, service, vms, weights};
 
 /// Test doubles of the systems around the router.
 #[derive(Parser)]
@@ -25,6 +25,8 @@
     Vms(vms::VmsArgs),
     /// Runs the weight store.
     Weights(weights::WeightsArgs),
+    /// Runs the users' platform: key-value service, workers and operator.
+    Platform(platform::PlatformArgs),
     /// Runs a relay in front of another process.
     Relay(relay::RelayArgs),
 }
@@ -41,6 +43,7 @@
             Command::Keyvalue(args) => keyvalue::run(clock, args).await,
             Command::Vms(args) => vms::run(clock, args).await,
             Command::Weights(args) => weights::run(clock, args).await,
+            Command::Platform(args) => platform::run(clock, args).await,
             Command::Relay(args) => relay::run(clock, args).await,
         }
     })
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,235 @@
+//! The users' platform in one process: its key-value service, its workers and its operator.
+//!
+//! Each worker listens on an address of its own. `POST /control` on the key-value service's address
+//! switches faults; `GET /seen` returns what the workers saw.
+
+mod store;
+mod worker;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::Clock;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use transport::{Body, Handler, RequestBody, json_response};
+
+use crate::server::{self, bad_request, reply};
+use store::Store;
+use worker::Worker;
+
+/// Layers of the model.
+pub const LAYERS: u32 = 12;
+/// Host of all routes.
+pub const HOST: &str = "soak.example";
+/// Key of the organisation.
+pub const KEY: &str = "soak-key";
+/// Name of the organisation.
+pub const ORGANISATION: &str = "family";
+/// Service of the model engines.
+pub(crate) const DRAFTS: &str = "drafts";
+/// Plain service.
+pub(crate) const REGISTRY: &str = "registry";
+
+/// Settings of the platform.
+#[derive(Clone, Debug, clap::Args)]
+pub struct PlatformArgs {
+    /// Address of the key-value service.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Model engines in each of the two failure domains.
+    #[arg(long, default_value_t = 5)]
+    pub engines: usize,
+    /// Replicas of the plain service.
+    #[arg(long, default_value_t = 3)]
+    pub replicas: usize,
+}
+
+/// A fault, or the end of one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "kebab-case")]
+pub enum PlatformFault {
+    /// A worker ends without warning and starts again, empty, after a while.
+    Crash {
+        /// Number of the worker.
+        worker: usize,
+        /// Time until it is back, in milliseconds.
+        down_millis: u64,
+    },
+    /// A worker announces that it leaves, goes on for a while, ends, and starts again.
+    Drain {
+        /// Number of the worker.
+        worker: usize,
+    },
+    /// A worker cuts or spoils some of its answers.
+    Garble {
+        /// Number of the worker.
+        worker: usize,
+        /// Answers in a hundred.
+        percent: u32,
+    },
+    /// The key-value service answers nothing for a while.
+    StoreDown {
+        /// Time in milliseconds.
+        millis: u64,
+    },
+    /// Writes are carried out and their answers are lost for a while.
+    StoreLosesAnswers {
+        /// Time in milliseconds.
+        millis: u64,
+    },
+    /// The history of the key-value service is discarded.
+    StoreForgets,
+    /// The operator writes a new version with one route more.
+    Configure,
+}
+
+/// What the workers saw, for the checks.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Seen {
+    /// How often each send ran.
+    pub runs: BTreeMap<String, u32>,
+    /// Promises that were broken.
+    pub violations: Vec<String>,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+pub(crate) struct Platform {
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) store: RefCell<Store>,
+    pub(crate) workers: RefCell<Vec<Rc<Worker>>>,
+    pub(crate) seen: RefCell<Seen>,
+    pub(crate) down_until: Cell<clock::Timestamp>,
+    pub(crate) lossy_until: Cell<clock::Timestamp>,
+}
+
+/// Runs the platform.
+pub async fn run(clock: Rc<dyn Clock>, args: PlatformArgs) -> std::io::Result<()> {
+    let start = clock.now();
+    let platform = Rc::new(Platform {
+        clock: clock.clone(),
+        store: RefCell::new(Store::default()),
+        workers: RefCell::default(),
+        seen: RefCell::default(),
+        down_until: Cell::new(start),
+        lossy_until: Cell::new(start),
+    });
+    for number in 0..2 * args.engines + args.replicas {
+        let is_engine = number < 2 * args.engines;
+        let domain = if number % 2 == 0 { "a" } else { "b" };
+        let service = if is_engine { DRAFTS } else { REGISTRY };
+        let worker = Worker::new(number, service, domain);
+        platform.workers.borrow_mut().push(worker.clone());
+        worker::start(platform.clone(), worker).await?;
+    }
+    platform.configure();
+    compio::runtime::spawn(expire_leases(platform.clone())).detach();
+    server::serve(clock, args.listen, Rc::new(Front { platform })).await
+}
+
+async fn expire_leases(platform: Rc<Platform>) {
+    /// Time between two looks at the leases.
+    const INTERVAL: Duration = Duration::from_millis(50);
+    loop {
+        platform.clock.sleep(INTERVAL).await;
+        platform.store.borrow_mut().expire(platform.clock.now());
+    }
+}
+
+impl Platform {
+    /// Writes the next version of the configuration.
+    fn configure(&self) {
+        let version = {
+            let mut seen = self.seen.borrow_mut();
+            seen.version += 3;
+            seen.version
+        };
+        let route = |name: &str, kind: &str, service: &str, timeout: u64| {
+            json!({"name": name, "hostname": HOST, "path_prefix": format!("/{name}/"),
+                "route_kind": kind, "timeout_ms": timeout, "goal_ms": 500, "priority": 1,
+                "backend": service, "max_attempts": 2, "public": false, "stream_resume": true,
+                "itl_target_ms": 100})
+        };
+        let mut routes = vec![
+            route("drafts", "sse", DRAFTS, 10_000),
+            route("file", "mutating", REGISTRY, 2000),
+            route("look", "idempotent", REGISTRY, 2000),
+        ];
+        routes.extend(
+            (3..version)
+                .step_by(3)
+                .map(|number| route(&format!("extra{number}"), "idempotent", REGISTRY, 2000)),
+        );
+        let config = json!({"version": version, "http_routes": routes,
+            "backends": [
+                {"name": DRAFTS, "max_conns": 100, "runtime": {"layer_count": LAYERS,
+                    "layer_mb": 100.0, "kv_bytes": 12000.0, "step_ms": 1.0, "read_per_s": 100_000.0,
+                    "activation_bytes": 100, "xfer_mbps": 1000.0,
+                    "model_list": [{"name": "m", "load_time_s": 0.2}],
+                    "types": [{"name": "gpu", "size_mb": 600.0, "pace": 1.0, "read_factor": 1.0}]}},
+                {"name": REGISTRY, "max_conns": 100}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
+                "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenant_list": [{"name": ORGANISATION, "api_keys": [KEY], "priority": 1}]});
+        self.store.borrow_mut().write("op/config", config.to_string().into_bytes(), 0);
+    }
+
+    fn switch(self: &Rc<Self>, fault: PlatformFault) -> Result<(), String> {
+        let later = |millis| self.clock.now() + Duration::from_millis(millis);
+        let worker = |number: usize| {
+            let found = self.workers.borrow().get(number).cloned();
+            found.ok_or_else(|| format!("there is no worker {number}"))
+        };
+        match fault {
+            PlatformFault::Crash { worker: number, down_millis } => {
+                let down = Duration::from_millis(down_millis);
+                let worker = worker(number)?;
+                compio::runtime::spawn(worker::crash(self.clone(), worker, down)).detach();
+            }
+            PlatformFault::Drain { worker: number } => {
+                compio::runtime::spawn(worker::drain(self.clone(), worker(number)?)).detach();
+            }
+            PlatformFault::Garble { worker: number, percent } => {
+                worker(number)?.garble.set(percent);
+            }
+            PlatformFault::StoreDown { millis } => self.down_until.set(later(millis)),
+            PlatformFault::StoreLosesAnswers { millis } => self.lossy_until.set(later(millis)),
+            PlatformFault::StoreForgets => self.store.borrow_mut().forget(),
+            PlatformFault::Configure => self.configure(),
+        }
+        Ok(())
+    }
+}
+
+struct Front {
+    platform: Rc<Platform>,
+}
+
+impl Handler for Front {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<RequestBody>,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        async move {
+            match (request.method(), request.uri().path()) {
+                (&Method::POST, "/control") => {
+                    let fault = request.into_body().json::<PlatformFault>().await;
+                    reply(fault.and_then(|fault| self.platform.switch(fault)).map_err(bad_request))
+                }
+                (&Method::GET, "/seen") => {
+                    json_response(StatusCode::OK, &*self.platform.seen.borrow())
+                }
+                _ => store::answer(&self.platform, request).await,
+            }
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/worker.rs
@@ -0,0 +1,356 @@
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use rand::Rng;
+use serde::Deserialize;
+use serde_json::json;
+use transport::{Body, Handler, RequestBody, Server, Stop, json_response};
+use types::{LayerRange, check_coverage};
+
+use super::{DRAFTS, LAYERS, ORGANISATION, Platform};
+
+/// Time to load layers.
+const LOAD_TIME: Duration = Duration::from_millis(100);
+/// Time from one event of a stream to the next.
+const EVENT_TIME: Duration = Duration::from_millis(8);
+/// Time that a plain call takes.
+const WORK_TIME: Duration = Duration::from_millis(10);
+/// Time that a call waits for a dead engine behind its first one.
+const STALL_TIME: Duration = Duration::from_millis(800);
+/// Time from the end of a worker until its entry is removed.
+const ENTRY_LIFE: Duration = Duration::from_millis(500);
+/// Time for which a leaving worker goes on.
+const DRAIN_TIME: Duration = Duration::from_millis(2500);
+/// Time between two looks at whether the engines of a stream live.
+const STALL_POLL: Duration = Duration::from_millis(20);
+/// Tokens in one event.
+const EVENT_TOKENS: u32 = 2;
+
+/// One worker. It keeps its address over its starts.
+pub(crate) struct Worker {
+    number: usize,
+    service: &'static str,
+    domain: &'static str,
+    addr: Cell<Option<SocketAddr>>,
+    start: Cell<u64>,
+    layers: Cell<Option<LayerRange>>,
+    orders: Cell<u64>,
+    is_up: Cell<bool>,
+    is_leaving: Cell<bool>,
+    /// Answers in a hundred that are cut or spoiled.
+    pub(crate) garble: Cell<u32>,
+    stop: RefCell<Stop>,
+    blocked: RefCell<Vec<SocketAddr>>,
+}
+
+impl Worker {
+    pub(crate) fn new(number: usize, service: &'static str, domain: &'static str) -> Rc<Worker> {
+        Rc::new(Worker {
+            number,
+            service,
+            domain,
+            addr: Cell::default(),
+            start: Cell::default(),
+            layers: Cell::default(),
+            orders: Cell::default(),
+            is_up: Cell::default(),
+            is_leaving: Cell::default(),
+            garble: Cell::default(),
+            stop: RefCell::new(Stop::new()),
+            blocked: RefCell::default(),
+        })
+    }
+
+    fn id(&self) -> String {
+        format!("w-{}-{}", self.number, self.start.get())
+    }
+
+    fn holds(&self, layers: LayerRange) -> bool {
+        let held = self.layers.get();
+        held.is_some_and(|held| held.start <= layers.start && held.end >= layers.end)
+    }
+
+    fn layers_json(&self) -> serde_json::Value {
+        let layers = self.layers.get();
+        json!(layers.map(|layers| json!({"source": layers.start, "to": layers.end, "version": 1})))
+    }
+
+    fn register(&self, platform: &Platform) {
+        let Some(addr) = self.addr.get() else { return };
+        let phase = if self.is_leaving.get() { "draining" } else { "up" };
+        let kind = (self.service == DRAFTS).then_some("gpu");
+        let entry = json!({"backend": self.service, "address": addr, "az": self.domain,
+            "version": "v1", "capacity": 50, "phase": phase, "cold_left_ms": 0, "sequence": 1,
+            "born": self.start.get(), "route_kind": kind, "layer_count": self.layers_json()});
+        let key = format!("servers/{}", self.id());
+        platform.store.borrow_mut().write(&key, entry.to_string().into_bytes(), 0);
+    }
+}
+
+/// Starts a worker, empty, at its address.
+pub(crate) async fn start(platform: Rc<Platform>, worker: Rc<Worker>) -> std::io::Result<()> {
+    let stop = Stop::new();
+    let addr = worker.addr.get().unwrap_or_else(|| ([127, 0, 0, 1], 0).into());
+    let server = Server::bind(platform.clock.clone(), addr, stop.clone()).await?;
+    worker.addr.set(Some(server.local_addr()?));
+    *worker.stop.borrow_mut() = stop;
+    worker.start.set(platform.clock.unix_millis());
+    worker.layers.set(None);
+    worker.orders.set(0);
+    worker.is_leaving.set(false);
+    worker.is_up.set(true);
+    worker.register(&platform);
+    let handler = Rc::new(WorkerHandler { platform, worker });
+    compio::runtime::spawn(server.run(handler)).detach();
+    Ok(())
+}
+
+/// Ends a worker without warning and starts it again after `down`.
+pub(crate) async fn crash(platform: Rc<Platform>, worker: Rc<Worker>, down: Duration) {
+    if !worker.is_up.replace(false) {
+        return;
+    }
+    let key = format!("servers/{}", worker.id());
+    worker.stop.borrow().raise();
+    platform.clock.sleep(ENTRY_LIFE).await;
+    platform.store.borrow_mut().remove(&key);
+    platform.clock.sleep(down).await;
+    while let Err(error) = start(platform.clone(), worker.clone()).await {
+        tracing::warn!(%error, "worker cannot start again");
+        platform.clock.sleep(ENTRY_LIFE).await;
+    }
+}
+
+/// Announces that a worker leaves, lets it go on for a while, and starts it again.
+pub(crate) async fn drain(platform: Rc<Platform>, worker: Rc<Worker>) {
+    if !worker.is_up.get() || worker.is_leaving.replace(true) {
+        return;
+    }
+    worker.register(&platform);
+    platform.clock.sleep(DRAIN_TIME).await;
+    crash(platform, worker, DRAIN_TIME).await;
+}
+
+struct WorkerHandler {
+    platform: Rc<Platform>,
+    worker: Rc<Worker>,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    source: u32,
+    to: u32,
+    expected: u64,
+}
+
+impl Handler for WorkerHandler {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<RequestBody>,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        async move {
+            match request.uri().path() {
+                "/v1/report" => {
+                    let worker = &self.worker;
+                    let blocked = worker.blocked.borrow();
+                    let blocked: Vec<_> =
+                        blocked.iter().map(|addr| json!({"id": "", "address": addr})).collect();
+                    let report = json!({"sequence": worker.orders.get(),
+                        "layer_count": worker.layers_json(), "blocked": blocked});
+                    json_response(StatusCode::OK, &report)
+                }
+                "/v1/order" => self.order(request).await,
+                _ => self.serve(request).await,
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl WorkerHandler {
+    async fn order(&self, request: Request<RequestBody>) -> Response<Body> {
+        let Ok(order) = request.into_body().json::<Order>().await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let worker = &self.worker;
+        if order.expected != worker.orders.get() {
+            return status(StatusCode::CONFLICT);
+        }
+        worker.orders.set(worker.orders.get() + 1);
+        let (platform, worker) = (self.platform.clone(), worker.clone());
+        let start = worker.start.get();
+        let load = async move {
+            platform.clock.sleep(LOAD_TIME).await;
+            if worker.is_up.get() && worker.start.get() == start {
+                worker.layers.set(Some(LayerRange { start: order.source, end: order.to }));
+                worker.register(&platform);
+            }
+        };
+        compio::runtime::spawn(load).detach();
+        status(StatusCode::ACCEPTED)
+    }
+
+    async fn serve(self: Rc<Self>, request: Request<RequestBody>) -> Response<Body> {
+        let headers = request.headers().clone();
+        let text = |name: &str| {
+            headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+        };
+        let id = text("attempt-id");
+        if text("expect-worker") != self.worker.id() {
+            return not_run(StatusCode::MISDIRECTED_REQUEST, None);
+        }
+        if self.worker.is_leaving.get() && rand::rng().random_bool(0.5) {
+            return not_run(StatusCode::SERVICE_UNAVAILABLE, None);
+        }
+        self.check_headers(&id, &headers);
+        if self.worker.service == DRAFTS {
+            return self.draft(&id, &headers);
+        }
+        self.count_run(&id);
+        self.platform.clock.sleep(WORK_TIME).await;
+        if self.is_garbled() {
+            return status(StatusCode::OK);
+        }
+        let mut response = Response::new(Body::from(format!("done {id}")));
+        sign(response.headers_mut(), &id);
+        response
+    }
+
+    fn draft(self: Rc<Self>, id: &str, headers: &HeaderMap) -> Response<Body> {
+        let path = headers.get("hop-count").and_then(|value| value.to_str().ok());
+        let stages = match path.map(parse_path) {
+            Some(Some(stages)) if !stages.is_empty() => stages,
+            _ => return not_run(StatusCode::BAD_REQUEST, None),
+        };
+        let ranges = stages.iter().map(|(_, layers)| *layers);
+        if let Err(message) = check_coverage(ranges, LAYERS) {
+            self.violate(format!("LAYERS: {id}: {message}"));
+        }
+        let engines: Vec<(Rc<Worker>, u64)> = stages
+            .iter()
+            .filter_map(|(addr, _)| self.platform.worker_at(*addr))
+            .map(|engine| {
+                let start = engine.start.get();
+                (engine, start)
+            })
+            .collect();
+        for ((addr, layers), (engine, _)) in stages.iter().zip(&engines) {
+            if !engine.is_up.get() {
+                return not_run(StatusCode::SERVICE_UNAVAILABLE, Some(*addr));
+            }
+            if !engine.holds(*layers) {
+                return not_run(StatusCode::MISDIRECTED_REQUEST, Some(*addr));
+            }
+        }
+        let number = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let tokens: u32 = number("token-count")
+            .and_then(|text| text.split(',').nth(1)?.parse().ok())
+            .unwrap_or(2 * EVENT_TOKENS);
+        let first = number("last-event-id").and_then(|text| text.parse::<u32>().ok());
+        let first = first.map_or(0, |last| last + 1);
+        let cut_at = self.is_garbled().then(|| first + (tokens / EVENT_TOKENS) / 2);
+        let mut response = Response::new(Body::streamed(move |mut writer| async move {
+            for event in first..tokens / EVENT_TOKENS {
+                self.platform.clock.sleep(EVENT_TIME).await;
+                let dead = |(engine, start): &&(Rc<Worker>, u64)| {
+                    !engine.is_up.get() || engine.start.get() != *start
+                };
+                if let Some((engine, _)) = engines.iter().find(dead) {
+                    self.stall(engine.addr.get()).await;
+                    return writer.abort().await;
+                }
+                if cut_at == Some(event) {
+                    writer.write(format!("id: {event}\nda")).await;
+                    return writer.abort().await;
+                }
+                if !writer.write(format!("id: {event}\ndata: token {event}\n\n")).await {
+                    return;
+                }
+            }
+        }));
+        sign(response.headers_mut(), id);
+        response
+    }
+
+    /// Waits for a dead engine, which the report names meanwhile.
+    async fn stall(&self, dead: Option<SocketAddr>) {
+        self.worker.blocked.borrow_mut().extend(dead);
+        let end = self.platform.clock.now() + STALL_TIME;
+        while self.platform.clock.now() < end {
+            self.platform.clock.sleep(STALL_POLL).await;
+        }
+        let mut blocked = self.worker.blocked.borrow_mut();
+        if let Some(place) = blocked.iter().position(|addr| Some(*addr) == dead) {
+            blocked.swap_remove(place);
+        }
+    }
+
+    fn check_headers(&self, id: &str, headers: &HeaderMap) {
+        if headers.contains_key("authorization") {
+            self.violate(format!("UNASKED: {id}: the key reached a worker"));
+        }
+        if headers.get("tenant").is_none_or(|value| value.as_bytes() != ORGANISATION.as_bytes()) {
+            self.violate(format!("UNASKED: {id}: wrong organisation"));
+        }
+        if !headers.contains_key("deadline-ms") {
+            self.violate(format!("BUDGET: {id}: no deadline"));
+        }
+    }
+
+    fn count_run(&self, id: &str) {
+        *self.platform.seen.borrow_mut().runs.entry(id.into()).or_default() += 1;
+    }
+
+    fn violate(&self, message: String) {
+        self.platform.seen.borrow_mut().violations.push(message);
+    }
+
+    fn is_garbled(&self) -> bool {
+        rand::rng().random_range(0..100) < self.worker.garble.get()
+    }
+}
+
+impl Platform {
+    fn worker_at(&self, addr: SocketAddr) -> Option<Rc<Worker>> {
+        self.workers.borrow().iter().find(|worker| worker.addr.get() == Some(addr)).cloned()
+    }
+}
+
+fn parse_path(text: &str) -> Option<Vec<(SocketAddr, LayerRange)>> {
+    text.split(',')
+        .map(|part| {
+            let (addr, layers) = part.split_once('=')?;
+            let (start, end) = layers.split_once('-')?;
+            let layers = LayerRange { start: start.parse().ok()?, end: end.parse().ok()? };
+            Some((addr.parse().ok()?, layers))
+        })
+        .collect()
+}
+
+fn sign(headers: &mut HeaderMap, id: &str) {
+    headers.insert("worker-signature", HeaderValue::from_static("signed"));
+    if let Ok(id) = HeaderValue::try_from(id) {
+        headers.insert("attempt-id", id);
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn not_run(code: StatusCode, at: Option<SocketAddr>) -> Response<Body> {
+    let mut response = status(code);
+    response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+    if let Some(at) = at.and_then(|at| HeaderValue::try_from(at.to_string()).ok()) {
+        response.headers_mut().insert("at-server", at);
+    }
+    response
+}
--- a/xtask/src/build.rs
+++ b/xtask/src/build.rs
@@ -5,7 +5,7 @@
 use crate::cluster::{program, workspace_root};
 
 /// Programs of the workspace that chores start.
-pub(crate) const PROGRAMS: [&str; 2] = ["gypsumrack", "standins"];
+pub(crate) const PROGRAMS: [&str; 3] = ["gypsumrack", "gypsumrack-edge", "standins"];
 
 /// Builds the programs of the workspace. Returns whether that worked.
 pub(crate) fn programs() -> bool {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod demo;
 mod faults;
+mod soak;
 mod workload;
 
 use std::{path::PathBuf, process::ExitCode};
@@ -27,6 +28,8 @@
     Demo,
     /// Injects faults into real processes and checks what callers and upstreams see.
     Faults(faults::FaultsArgs),
+    /// Injects random faults into nodes before the stand-in of the users' platform.
+    Soak(soak::SoakArgs),
     /// Measures decisions under load against their baselines.
     Bench {
         /// Writes all figures to this file.
@@ -47,6 +50,7 @@
             Command::Ci => ci::run(),
             Command::Demo => demo::run(),
             Command::Faults(args) => faults::run(&args),
+            Command::Soak(args) => soak::run(&args),
             Command::Bench { json, only } => bench::run(json.as_deref(), only.as_deref()),
         };
     if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- /dev/null
+++ b/xtask/src/soak/node.rs
@@ -0,0 +1,93 @@
+use std::{
+    cell::RefCell,
+    fs::{File, OpenOptions},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::cluster::program;
+
+/// A node of the platform's path as a process. It is killed when it is dropped.
+pub(super) struct EdgeNode {
+    pub(super) callers: SocketAddr,
+    pub(super) health: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: RefCell<Child>,
+}
+
+impl EdgeNode {
+    /// Starts a node that reaches the key-value service at `store`.
+    pub(super) fn start(number: usize, store: SocketAddr, directory: &Path) -> EdgeNode {
+        let [callers, health, peers] = free_addrs();
+        let settings = directory.join(format!("node-{number}.toml"));
+        let text = format!(
+            "name = \"node-{number}\"\ndomain = \"{}\"\ncallers = \"{callers}\"\n\
+             health = \"{health}\"\npeers = \"{peers}\"\nstore = \"{store}\"\ngrace_s = 4\n\
+             retry_ratio = 0.2\nretry_extra = 400\nretry_window_s = 10\n",
+            if number % 2 == 0 { "a" } else { "b" }
+        );
+        std::fs::write(&settings, text).expect("settings can be written");
+        let log = directory.join(format!("node-{number}.log"));
+        File::create(&log).expect("log can be created");
+        let child = RefCell::new(spawn(&settings, &log));
+        EdgeNode { callers, health, settings, log, child }
+    }
+
+    /// Kills the node without warning.
+    pub(super) fn kill(&self) {
+        let mut child = self.child.borrow_mut();
+        // The process may have ended by itself.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Starts the node again after it has ended.
+    pub(super) fn restart(&self) {
+        self.kill();
+        *self.child.borrow_mut() = spawn(&self.settings, &self.log);
+    }
+
+    /// Sends a signal, unless the process has ended.
+    pub(super) fn signal(&self, signal: Signal) {
+        if self.has_ended() {
+            return;
+        }
+        let pid = Pid::from_raw(self.child.borrow().id().cast_signed());
+        // The process may end in this moment.
+        let _ = pid.map(|pid| kill_process(pid, signal));
+    }
+
+    /// Whether the process has ended.
+    pub(super) fn has_ended(&self) -> bool {
+        self.child.borrow_mut().try_wait().ok().flatten().is_some()
+    }
+}
+
+impl Drop for EdgeNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = OpenOptions::new().append(true).open(log).expect("log can be opened");
+    Command::new(program("gypsumrack-edge"))
+        .args(["serve", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().expect("log can be shared"))
+        .stderr(log)
+        .spawn()
+        .expect("the node can be started")
+}
+
+/// Addresses on loopback that no process listens on.
+fn free_addrs() -> [SocketAddr; 3] {
+    let listeners: [TcpListener; 3] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
+    listeners.map(|listener| listener.local_addr().expect("address is known"))
+}
