--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! Each worker listens on an address of its own. `POST /control` on the key-value service's address
 //! switches faults; `GET /seen` returns what the workers saw.
 
+mod caller;
 mod store;
 mod worker;
 
@@ -22,17 +23,18 @@
 use transport::{Body, Handler, RequestBody, json_response};
 
 use crate::server::{self, bad_request, reply};
+pub use caller::{READY_PATH, caller_request, is_signed};
 use store::Store;
 use worker::Worker;
 
 /// Layers of the model.
-pub const LAYERS: u32 = 12;
+pub(crate) const LAYERS: u32 = 12;
 /// Host of all routes.
-pub const HOST: &str = "soak.example";
+pub(crate) const HOST: &str = "soak.example";
 /// Key of the organisation.
-pub const KEY: &str = "soak-key";
+pub(crate) const KEY: &str = "soak-key";
 /// Name of the organisation.
-pub const ORGANISATION: &str = "family";
+pub(crate) const ORGANISATION: &str = "family";
 /// Service of the model engines.
 pub(crate) const DRAFTS: &str = "drafts";
 /// Plain service.
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -2,7 +2,7 @@
 
 use std::process::{Command, Stdio};
 
-use crate::{build, cluster::workspace_root};
+use crate::{build, cluster::workspace_root, names};
 
 /// One check.
 struct Check {
@@ -21,6 +21,27 @@
     },
     Check { name: "documentation", args: &["doc", "--workspace", "--no-deps", "--quiet"] },
     Check { name: "tests", args: &["test", "--workspace", "--quiet"] },
+    Check {
+        name: "calm day",
+        args: &["run", "--quiet", "--package", "xtask", "--", "soak", "--calm", "--seconds", "5"],
+    },
+    Check {
+        name: "soak",
+        args: &[
+            "run",
+            "--quiet",
+            "--package",
+            "xtask",
+            "--",
+            "soak",
+            "--seed",
+            "1",
+            "--count",
+            "3",
+            "--seconds",
+            "8",
+        ],
+    },
     Check { name: DEMO, args: &["run", "--quiet", "--package", "xtask", "--", "demo"] },
     Check {
         name: "faults",
@@ -58,6 +79,13 @@
             failed += 1;
         }
     }
+    println!("== names");
+    if names::check() {
+        passed += 1;
+    } else {
+        println!("== names FAILED");
+        failed += 1;
+    }
     println!("{passed} passed, {failed} failed");
     failed == 0
 }
--- a/xtask/src/soak/callers.rs
+++ b/xtask/src/soak/callers.rs
@@ -1,13 +1,14 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use clock::{Clock, RuntimeClock};
-use http::Request;
 use rand::{Rng, rngs::StdRng};
-use standins::platform::{HOST, KEY};
-use transport::{Body, CallError, EventSplitter, HttpClient, Timeouts};
+use standins::platform::{caller_request, is_signed};
+use transport::{CallError, EventSplitter, HttpClient, Timeouts};
 
 /// Deadlines of a caller.
 const TIMEOUTS: Timeouts = Timeouts::from_millis(500, 4000);
+/// Time that a caller waits, in milliseconds.
+const DEADLINE_MS: u64 = 8000;
 /// Events of one stream.
 const EVENTS: u64 = 30;
 /// Tokens in one event.
@@ -111,14 +112,7 @@
             Kind::Filing => "/file/x",
             Kind::Lookup => "/look/x",
         };
-        let request = Request::post(path)
-            .header("host", HOST)
-            .header("attempt-id", id)
-            .header("deadline-ms", "8000")
-            .header("authorization", format!("Token {KEY}"))
-            .header("token-count", format!("20,{}", EVENTS * EVENT_TOKENS))
-            .body(Body::from(format!("body of {id}")))
-            .expect("request is valid");
+        let request = caller_request(path, id, EVENTS * EVENT_TOKENS, DEADLINE_MS);
         let mut response = client.send(request, TIMEOUTS).await?;
         let status = response.status().as_u16();
         if status != 200 {
@@ -130,7 +124,7 @@
             }
             return Ok(status.to_string());
         }
-        if response.headers().get("worker-signature").is_none() {
+        if !is_signed(response.headers()) {
             self.violate(format!("MIXED: {id}: a success without a signature"));
         }
         if kind == Kind::Draft {
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rustix::process::Signal;
 use standins::{
-    platform::{PlatformFault, Seen},
+    platform::{PlatformFault, READY_PATH, Seen},
     relay::RelayFaults,
 };
 use transport::HttpClient;
@@ -198,10 +198,7 @@
         let end = self.clock.now() + START_LIMIT;
         for node in &self.nodes {
             let client = HttpClient::new(self.clock.clone(), node.health);
-            while client
-                .call_status(http::Method::GET, "/v1/readyz", CONTROL_TIMEOUTS)
-                .await
-                .is_err()
+            while client.call_status(http::Method::GET, READY_PATH, CONTROL_TIMEOUTS).await.is_err()
             {
                 if self.clock.now() > end {
                     return false;
