Hold as many copies of the model in a domain as its memory allows, and keep spare engines

Cause: the planner laid out one copy for each domain. On the grown site 19 of 98 engines held layers; the workers shed 8,809 of 14,129 arrivals.

Ruled out: stale counts between 123 nodes (the same workers shed at the same rate with 200 ms old counts); the store (calls answered).

Change: a domain gets further copies while a tenth of its engines stay spare; a lost engine is replaced in each copy.

--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -12,13 +12,17 @@
 /// Prefix of the keys under which nodes register; the rest is the node's name.
 pub(crate) const NODE_PREFIX: &str = "gypsumrack/nodes/";
 /// Life of a node's entry without a renewal.
-const LEASE_TTL: Duration = Duration::from_secs(9);
+const LEASE_TTL: Duration = Duration::from_secs(30);
 /// Time between renewals.
-const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+const RENEW_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
-/// Time between two beacons. Counts of other nodes are at most this old, but for lost datagrams.
+/// Time between two beacons in a small fleet. Counts of other nodes are at most this old, but for
+/// lost datagrams.
 const BEACON_INTERVAL: Duration = Duration::from_millis(200);
+/// Nodes up to which a fleet is small. In a larger one the interval grows with the root of the
+/// number of nodes, so that the datagrams of one node do not grow as fast as the fleet.
+const SMALL_FLEET: f64 = 20.0;
 /// Failing upstreams and crashes that one beacon names.
 const MAX_NOTES: usize = 8;
 
@@ -129,7 +133,8 @@
 pub(crate) async fn send_beacons(gateway: Rc<Gateway>, socket: Rc<BeaconSocket>) {
     let mut was_idle = false;
     loop {
-        gateway.clock.sleep(BEACON_INTERVAL).await;
+        let growth = (gateway.node_count() as f64 / SMALL_FLEET).sqrt().max(1.0);
+        gateway.clock.sleep(BEACON_INTERVAL.mul_f64(growth)).await;
         gateway.load.borrow_mut().expire(gateway.clock.now());
         let beacon = gateway.beacon();
         let is_idle = beacon.loads.is_empty() && beacon.failing.is_empty();
--- a/crates/pipelines/src/placement.rs
+++ b/crates/pipelines/src/placement.rs
@@ -11,6 +11,8 @@
 const USUAL_SHARE: f64 = 0.70;
 /// Largest share of an engine's memory that is given to layers.
 const MAX_SHARE: f64 = 0.90;
+/// Share of a domain's engines that stay without layers, to replace those that are lost.
+const SPARE_SHARE: f64 = 0.1;
 /// Step in which the share of a layout is raised until the model fits.
 const SHARE_STEP: f64 = 0.005;
 
@@ -43,20 +45,14 @@
     gaps(profile.layers, held).is_empty()
 }
 
-/// Plans what engines without layers should hold: a whole copy of the model in each failure domain
-/// that has the memory for one, and one over the other domains together. A copy within a domain
-/// needs no pipe between domains. A domain without spare engines goes without a part of its copy
-/// while another domain holds that part.
+/// Plans what engines without layers should hold: whole copies of the model in each failure domain
+/// that has the memory, and over the other domains together. A copy within a domain needs no pipe
+/// between domains. A domain without spare engines goes without a part of a copy while another
+/// domain holds that part.
 pub fn plan(profile: &EngineProfile, engines: &[EngineView]) -> Vec<Placement> {
     let mut orders: Vec<Placement> = Vec::new();
     for group in groups(profile, engines) {
-        let held = || group.iter().filter_map(|engine| engine.layers);
-        let free: Vec<&EngineView> = group.iter().copied().filter(|one| is_spare(one)).collect();
-        orders.extend(if held().next().is_none() {
-            layout(profile, &free)
-        } else {
-            fill(profile, &gaps(profile.layers, held()), &free)
-        });
+        orders.extend(plan_group(profile, &group));
     }
     let held = engines.iter().filter_map(|engine| engine.layers);
     let missing = gaps(profile.layers, held.chain(orders.iter().map(|order| order.layers)));
@@ -67,6 +63,51 @@
     orders
 }
 
+/// Completes the copies of one domain, then lays out further ones as long as spare engines remain.
+fn plan_group(profile: &EngineProfile, group: &[&EngineView]) -> Vec<Placement> {
+    let mut orders: Vec<Placement> = Vec::new();
+    let reserve = (group.len() as f64 * SPARE_SHARE).ceil() as usize;
+    loop {
+        let is_free = |engine: &&&EngineView| {
+            is_spare(engine) && !orders.iter().any(|order| order.name == engine.name)
+        };
+        let free: Vec<&EngineView> = group.iter().filter(is_free).copied().collect();
+        let held = group.iter().filter_map(|engine| engine.layers);
+        let held: Vec<LayerRange> = held.chain(orders.iter().map(|order| order.layers)).collect();
+        let missing = incomplete(profile.layers, &held);
+        let more = if missing.is_empty() {
+            let copy = layout(profile, &free);
+            let is_first = held.is_empty();
+            if is_first || copy.len() + reserve <= free.len() { copy } else { Vec::new() }
+        } else {
+            fill(profile, &missing, &free)
+        };
+        if more.is_empty() {
+            return orders;
+        }
+        orders.extend(more);
+    }
+}
+
+/// The layers that the copies of a domain lack. A copy counts once half of its layers are held.
+fn incomplete(layers: u32, held: &[LayerRange]) -> Vec<LayerRange> {
+    let count =
+        |layer: u32| held.iter().filter(|range| range.start <= layer && layer < range.end).count();
+    let counts: Vec<usize> = (0..layers).map(count).collect();
+    let mut sorted = counts.clone();
+    sorted.sort_unstable();
+    let half = sorted.get(sorted.len() / 2).copied().unwrap_or_default();
+    let copies = half.max(usize::from(!held.is_empty()));
+    let mut missing: Vec<LayerRange> = Vec::new();
+    for layer in (0..layers).filter(|layer| counts[*layer as usize] < copies) {
+        match missing.last_mut() {
+            Some(last) if last.end == layer => last.end += 1,
+            _ => missing.push(LayerRange { start: layer, end: layer + 1 }),
+        }
+    }
+    missing
+}
+
 fn is_spare(engine: &EngineView) -> bool {
     engine.layers.is_none() && engine.is_free
 }
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -185,6 +185,28 @@
     }
 }
 
+/// Guards against a large fleet of which most engines hold nothing: on a deployment of 98 engines 19
+/// of them held layers, and two thirds of the requests were refused.
+#[test]
+fn a_domain_with_memory_for_several_copies_holds_them_and_keeps_spares() {
+    let engines: Vec<EngineView> = (0..40)
+        .map(|number| EngineView {
+            name: format!("engine-{number:02}").into(),
+            domain: "a".into(),
+            kind: "mid".into(),
+            layers: None,
+            is_free: true,
+        })
+        .collect();
+    let placements = plan(&profile(), &engines);
+    let covering = |layer| {
+        let holds = |layers: LayerRange| layers.start <= layer && layer < layers.end;
+        placements.iter().filter(|placement| holds(placement.layers)).count()
+    };
+    assert!((0..LAYERS).all(|layer| covering(layer) == 3), "three copies");
+    assert!(placements.len() <= 36, "a tenth of the engines is spare");
+}
+
 /// Guards against a lost engine whose layers nobody loads again.
 #[test]
 fn a_gap_is_filled_by_an_engine_without_layers() {
