Write the log from a thread of its own, and watch the store less often

Change: the log drops lines when its reader is behind; a watch returns at most each 700 ms, a third of the shortest time in which a worker's leaving has to be respected.

--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -7,6 +7,7 @@
 use gateway::GatewayBuilder;
 use platform::{BalancerChecks, PlatformPublications, RequestFront, StoreClient, WorkerConnector};
 use settings::{EdgeSettings, Log, LogFormat};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use transport::{Stop, Timeouts};
 
@@ -14,6 +15,8 @@
 const STORE_TIMEOUTS: Timeouts = Timeouts::from_millis(500, 1200);
 /// Wait of one watch. A connection that falls silent meanwhile is found by its probes.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Lines of the log that may wait to be written.
+const LOG_LINES: usize = 1024;
 /// Deadlines of orders, and of opening connections to upstreams.
 const UPSTREAM_TIMEOUTS: Timeouts = Timeouts::from_millis(250, 1500);
 
@@ -62,7 +65,7 @@
 
 fn serve(args: &SettingsArgs) -> Result<(), String> {
     let settings = EdgeSettings::load(&args.settings).map_err(|error| format!("{error:?}"))?;
-    start_log(&settings.log);
+    let _log = start_log(&settings.log);
     let runtime = compio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
     runtime.block_on(run(clock, settings)).map_err(|error| error.to_string())
@@ -81,16 +84,22 @@
     gateway::serve(gateway, front, checks).await
 }
 
-/// The variable `RUST_LOG` overrides the level, for the analysis of a fault.
-fn start_log(log: &Log) {
+/// Starts the log on standard output. Lines are written by a thread of their own, and dropped when it
+/// is behind, so that a reader that does not read never holds up a request. What is returned writes
+/// the rest when it is dropped. The variable `RUST_LOG` overrides the level, for the analysis of a
+/// fault.
+fn start_log(log: &Log) -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(LOG_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
     let filter =
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(log.level.to_string()));
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_ansi(false)
-        .with_writer(std::io::stdout);
+    let builder =
+        tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(writer);
     match log.format {
         LogFormat::Json => builder.json().flatten_event(true).init(),
         LogFormat::Text => builder.init(),
     }
+    guard
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -14,7 +14,7 @@
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Least time between two watches. Each call is counted, and changes within this time come
 /// together.
-const WATCH_INTERVAL: Duration = Duration::from_millis(450);
+const WATCH_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Keeps the beliefs of this node up to date with the store. One watch covers all keys: revisions
 /// are counted over all of them, and each waiting watch counts as a call.
