Learn of loaded layers from the engines while the store is away, and go on planning

The engines had their layers from about 19.5 s on, but their entries could not show them, so no node used them, and the lease ended and nothing more was repaired.

Change: the planner asks an engine that it has ordered until it reports its layers, and tells all nodes by beacon. Its holder goes on for up to 30 s while the store cannot be reached; the engine's count of orders guards against a second planner.

--- a/crates/catalog/src/beliefs.rs
+++ b/crates/catalog/src/beliefs.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, sync::Arc};
 
-use types::UpstreamName;
+use types::{LayerRange, UpstreamName};
 
 use crate::{Table, Upstream};
 
@@ -18,6 +18,8 @@
 pub struct Beliefs {
     table: Option<Arc<Table>>,
     upstreams: BTreeMap<UpstreamName, Known>,
+    /// Layers that engines have reported and the registry does not show yet, with their start.
+    reported: BTreeMap<UpstreamName, (u64, LayerRange)>,
     /// Revision up to which the upstreams are known.
     seen: u64,
     listed: bool,
@@ -63,6 +65,23 @@
         self.upstreams.get(name)?.upstream.as_ref()
     }
 
+    /// The layers that an engine holds, by the registry or else by its own report.
+    pub fn layers(&self, upstream: &Upstream) -> Option<LayerRange> {
+        let reported = self.reported.get(&upstream.name).filter(|(boot, _)| *boot == upstream.boot);
+        upstream.layers.or(reported.map(|(_, layers)| *layers))
+    }
+
+    /// Notes the layers that the start `boot` of an engine has reported. The registry may be away.
+    pub fn offer_layers(&mut self, name: &UpstreamName, boot: u64, layers: LayerRange) -> Adoption {
+        let lacks = |known: &Arc<Upstream>| known.boot == boot && known.layers.is_none();
+        if !self.upstream(name).is_some_and(lacks)
+            || self.reported.insert(name.clone(), (boot, layers)) == Some((boot, layers))
+        {
+            return Adoption::Stale;
+        }
+        Adoption::Adopted
+    }
+
     /// Adopts what was written of an upstream at `revision`. `None` means that its entry is gone
     /// or unusable.
     pub fn offer_upstream(
@@ -75,6 +94,9 @@
         if self.upstreams.get(name).is_some_and(|known| known.revision >= revision) {
             return Adoption::Stale;
         }
+        if upstream.as_ref().is_none_or(|upstream| upstream.layers.is_some()) {
+            self.reported.remove(name);
+        }
         let known = Known { upstream: upstream.map(Arc::new), revision };
         self.upstreams.insert(name.clone(), known);
         Adoption::Adopted
--- a/crates/catalog/tests/beliefs.rs
+++ b/crates/catalog/tests/beliefs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use catalog::{Adoption, Beliefs, Phase, Repeat, Route, Share, Table, TableBuilder, Upstream};
+use types::LayerRange;
 
 fn table(version: u64) -> Table {
     TableBuilder::new(version).build()
@@ -76,6 +77,25 @@
     assert!(beliefs.is_listed());
 }
 
+/// Guards against engines that are ready and get no requests while the registry cannot show their
+/// layers, and against layers of an earlier start.
+#[test]
+fn reported_layers_hold_until_the_registry_shows_its_own() {
+    let mut beliefs = Beliefs::default();
+    let layers = |start, end| LayerRange { start, end };
+    let name = "one".into();
+    assert_eq!(beliefs.offer_layers(&name, 1, layers(0, 5)), Adoption::Stale);
+    beliefs.offer_upstream(&name, Some(upstream("one", 1)), 10);
+    assert_eq!(beliefs.offer_layers(&name, 2, layers(0, 5)), Adoption::Stale);
+    assert_eq!(beliefs.offer_layers(&name, 1, layers(0, 5)), Adoption::Adopted);
+    assert_eq!(beliefs.layers(beliefs.upstream("one").unwrap()), Some(layers(0, 5)));
+    beliefs.offer_upstream(&name, Some(upstream("one", 2)), 11);
+    assert_eq!(beliefs.layers(beliefs.upstream("one").unwrap()), None);
+    let shown = Upstream { layers: Some(layers(2, 6)), ..upstream("one", 2) };
+    beliefs.offer_upstream(&name, Some(shown), 12);
+    assert_eq!(beliefs.layers(beliefs.upstream("one").unwrap()), Some(layers(2, 6)));
+}
+
 /// Guards against a request that is handled by a shorter prefix than the one it belongs to.
 #[test]
 fn the_longest_prefix_of_the_host_is_the_route() {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -203,7 +203,7 @@
             let beliefs = gateway.beliefs.borrow();
             let load = gateway.load.borrow();
             for upstream in beliefs.upstreams().filter(|known| known.service == self.service) {
-                let (Some(kind), Some(layers)) = (&upstream.kind, upstream.layers) else {
+                let (Some(kind), Some(layers)) = (&upstream.kind, beliefs.layers(upstream)) else {
                     continue;
                 };
                 let Some(accelerator) = profile.kinds.get(kind) else { continue };
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -62,6 +62,7 @@
             crashes: RefCell::new(CrashTable::default()),
             members: RefCell::new(Members::default()),
             metrics: Metrics::new(),
+            loaded: RefCell::default(),
             reports: RefCell::default(),
             planning: Cell::new(false),
             planner_key: Cell::new(false),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,7 +11,7 @@
 use pipelines::{HealthTable, LoadTable, SendBudget};
 use settings::EdgeSettings;
 use transport::Stop;
-use types::{NodeName, UpstreamName};
+use types::{LayerRange, NodeName, UpstreamName};
 use upstreams::Connector;
 
 use crate::{admission::Waiters, crashes::CrashTable, metrics::Metrics, stream::ReportTimes};
@@ -33,6 +33,8 @@
     pub(crate) crashes: RefCell<CrashTable>,
     pub(crate) members: RefCell<Members>,
     pub(crate) metrics: Metrics,
+    /// Layers that engines have reported to this node as planner, in order.
+    pub(crate) loaded: RefCell<Vec<(UpstreamName, u64, LayerRange)>>,
     pub(crate) reports: RefCell<ReportTimes>,
     /// Whether this node holds the planner's lease.
     pub(crate) planning: Cell<bool>,
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -3,9 +3,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use catalog::Adoption;
 use keyvalue::{KvError, api::Expected};
 use peers::{Beacon, BeaconLoad, BeaconSocket, MAX_BEACON_ENTRIES};
 use pipelines::Used;
+use types::{LayerRange, UpstreamName};
 
 use crate::Gateway;
 
@@ -69,10 +71,30 @@
             node: self.settings.name.clone(),
             loads,
             failing: failing.collect(),
+            loaded: self.unshown_layers(),
             crashes: self.crashes.borrow().iter().take(MAX_NOTES).collect(),
         }
     }
 
+    /// The layers that engines have reported to this node and that the registry does not show yet.
+    fn unshown_layers(&self) -> Vec<(UpstreamName, u64, LayerRange)> {
+        let beliefs = self.beliefs.borrow();
+        let mut loaded = self.loaded.borrow_mut();
+        loaded.retain(|(name, boot, _)| {
+            let known = beliefs.upstream(name);
+            known.is_some_and(|known| known.boot == *boot && known.layers.is_none())
+        });
+        loaded.iter().take(MAX_NOTES).cloned().collect()
+    }
+
+    /// Takes over the layers that an engine has reported, and tells the other nodes.
+    pub(crate) fn take_layers(&self, name: &UpstreamName, boot: u64, layers: LayerRange) {
+        if self.beliefs.borrow_mut().offer_layers(name, boot, layers) == Adoption::Adopted {
+            tracing::info!(upstream = %name, boot, layers = %layers, "engine has loaded its layers");
+        }
+        self.loaded.borrow_mut().push((name.clone(), boot, layers));
+    }
+
     fn take_beacon(&self, beacon: Beacon) {
         let now = self.clock.now();
         let used = beacon
@@ -87,10 +109,17 @@
                 (load.upstream, used)
             })
             .collect();
+        let node = beacon.node.clone();
         self.load.borrow_mut().set_peer(beacon.node, used, now);
         for (fingerprint, crashes) in beacon.crashes {
             self.crashes.borrow_mut().merge(fingerprint, crashes, now);
         }
+        for (name, boot, layers) in beacon.loaded {
+            if self.beliefs.borrow_mut().offer_layers(&name, boot, layers) == Adoption::Adopted {
+                tracing::info!(upstream = %name, boot, layers = %layers, node = %node,
+                    "engine has loaded its layers");
+            }
+        }
         for (name, boot) in beacon.failing {
             // Another node's failure only steers new requests away for a moment: its path to the
             // upstream may be what failed.
@@ -137,7 +166,8 @@
         gateway.clock.sleep(BEACON_INTERVAL.mul_f64(growth)).await;
         gateway.load.borrow_mut().expire(gateway.clock.now());
         let beacon = gateway.beacon();
-        let is_idle = beacon.loads.is_empty() && beacon.failing.is_empty();
+        let is_idle =
+            beacon.loads.is_empty() && beacon.failing.is_empty() && beacon.loaded.is_empty();
         if is_idle && was_idle {
             continue;
         }
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -19,8 +19,6 @@
 const LEASE_TTL: Duration = Duration::from_secs(4);
 /// Time between renewals.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
-/// Time before the end of the lease from which its holder gives no more orders.
-const LEASE_MARGIN: Duration = Duration::from_millis(1000);
 /// Time between two looks at the engines.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Largest random pause before a node tries to acquire the lease.
@@ -30,6 +28,11 @@
 const SETTLE_TIME: Duration = Duration::from_millis(1000);
 /// Time for which an order counts as carried out before the engine's entry shows it.
 const ORDER_LIFE: Duration = Duration::from_secs(15);
+/// Time between two looks at an engine that loads layers.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for which the planner goes on while the store cannot be reached. Nobody else can acquire the
+/// lease from a store that is away, and an engine carries out only one of two orders.
+const OUTAGE_LIMIT: Duration = Duration::from_secs(30);
 /// Time that an engine has to report its state before it is ordered.
 const REPORT_LIMIT: Duration = Duration::from_millis(500);
 /// Time for which an engine must have failed requests before its layers count as missing.
@@ -83,23 +86,24 @@
 
 async fn hold_lease(gateway: &Rc<Gateway>, mut lease: Lease) {
     let mut renewed = gateway.clock.now();
+    let mut answered = renewed;
     let mut pending = Pending::default();
     let mut settled = Settled::default();
     while !gateway.stop.is_raised() {
         let now = gateway.clock.now();
         if now.since(renewed) >= RENEW_INTERVAL {
             renewed = now;
-            match lease.renew().await {
-                Ok(true) => {}
+            match lease.revive().await {
+                Ok(true) => answered = gateway.clock.now(),
                 Ok(false) => return,
                 Err(error) => tracing::debug!(%error, "planner's lease cannot be renewed"),
             }
         }
-        if !lease.is_valid(Duration::ZERO) {
+        if gateway.clock.now().since(answered) > OUTAGE_LIMIT {
             return;
         }
-        if lease.is_valid(LEASE_MARGIN) && settled.is_settled(gateway) {
-            give_orders(gateway, &lease, &mut pending).await;
+        if settled.is_settled(gateway) {
+            give_orders(gateway, &mut pending).await;
         }
         gateway.clock.sleep(PLAN_INTERVAL).await;
     }
@@ -132,7 +136,7 @@
     }
 }
 
-async fn give_orders(gateway: &Rc<Gateway>, lease: &Lease, pending: &mut Pending) {
+async fn give_orders(gateway: &Rc<Gateway>, pending: &mut Pending) {
     let Some(table) = gateway.beliefs.borrow().table().cloned() else { return };
     for (service, settings) in table.services() {
         let Some(profile) = &settings.engine else { continue };
@@ -141,9 +145,6 @@
         if placements.is_empty() {
             continue;
         }
-        if !lease.is_valid(LEASE_MARGIN) {
-            return;
-        }
         let orders = placements.into_iter().filter_map(|placement| {
             let upstream = gateway.beliefs.borrow().upstream(&placement.name).cloned()?;
             let ordered =
@@ -191,6 +192,14 @@
     gateway.metrics.orders.with_label_values(&[label]).inc();
     tracing::info!(upstream = %placement.name, layers = %placement.layers,
         expected_orders = orders, outcome = ?outcome, "layers ordered");
+    if matches!(outcome, Ok(OrderOutcome::Begun)) {
+        compio::runtime::spawn(confirm_layers(
+            gateway.clone(),
+            upstream.clone(),
+            placement.clone(),
+        ))
+        .detach();
+    }
     if refused {
         // The engine is asked again only when its state is known anew.
         let now = gateway.clock.now();
@@ -199,6 +208,38 @@
     refused.then_some(placement.name)
 }
 
+/// Asks an engine until it reports the layers that it was ordered to load. The registry shows them
+/// only after its next heartbeat, and not while the store is away.
+async fn confirm_layers(
+    gateway: Rc<Gateway>,
+    upstream: std::sync::Arc<Upstream>,
+    placement: Placement,
+) {
+    let client = gateway.client(&upstream);
+    let end = gateway.clock.now() + ORDER_LIFE;
+    while gateway.clock.now() < end {
+        gateway.clock.sleep(CONFIRM_INTERVAL).await;
+        let is_shown = {
+            let beliefs = gateway.beliefs.borrow();
+            let known = beliefs.upstream(&placement.name);
+            known.is_none_or(|known| known.boot != upstream.boot || known.layers.is_some())
+        };
+        if is_shown {
+            return;
+        }
+        match client.report(REPORT_LIMIT).await {
+            Ok(report) if report.layers == Some(placement.layers) => {
+                gateway.take_layers(&placement.name, upstream.boot, placement.layers);
+                return;
+            }
+            Ok(_) => {}
+            Err(error) => {
+                tracing::debug!(upstream = %placement.name, %error, "engine does not report");
+            }
+        }
+    }
+}
+
 /// What the planner knows of the engines of a service.
 fn views(
     gateway: &Gateway,
@@ -227,7 +268,7 @@
             name: upstream.name.clone(),
             domain: upstream.domain.clone(),
             kind: kind.clone(),
-            layers: ordered.map(|ordered| ordered.layers).or(upstream.layers),
+            layers: beliefs.layers(upstream).or(ordered.map(|ordered| ordered.layers)),
             is_free: !health.is_suspect(&upstream.name, upstream.boot, now),
         });
     }
--- a/crates/peers/src/beacon.rs
+++ b/crates/peers/src/beacon.rs
@@ -2,7 +2,7 @@
 
 use compio::{BufResult, net::UdpSocket};
 use serde::{Deserialize, Serialize};
-use types::{NodeName, UpstreamName};
+use types::{LayerRange, NodeName, UpstreamName};
 
 /// Largest datagram, in bytes. It fits into one packet of an ordinary network.
 pub const MAX_BEACON_BYTES: usize = 1400;
@@ -18,6 +18,8 @@
     pub loads: Vec<BeaconLoad>,
     /// Upstreams that have failed the sender's requests, with the start that failed.
     pub failing: Vec<(UpstreamName, u64)>,
+    /// Layers that engines have reported to the planner, with their start.
+    pub loaded: Vec<(UpstreamName, u64, LayerRange)>,
     /// Fingerprints of requests during which an upstream crashed, with the number of crashes.
     pub crashes: Vec<(u64, u32)>,
 }
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -126,7 +126,7 @@
     });
     for number in 0..2 * args.engines + args.replicas {
         let is_engine = number < 2 * args.engines;
-        let domain = if number % 2 == 0 { "a" } else { "b" };
+        let domain = if number.is_multiple_of(2) { "a" } else { "b" };
         let service = if is_engine { DRAFTS } else { REGISTRY };
         let worker = Worker::new(number, service, domain);
         platform.workers.borrow_mut().push(worker.clone());
--- a/xtask/src/soak/node.rs
+++ b/xtask/src/soak/node.rs
@@ -28,7 +28,7 @@
             "name = \"node-{number}\"\ndomain = \"{}\"\ncallers = \"{callers}\"\n\
              health = \"{health}\"\npeers = \"{peers}\"\nstore = \"{store}\"\ngrace_s = 4\n\
              retry_ratio = 0.2\nretry_extra = 400\nretry_window_s = 10\n",
-            if number % 2 == 0 { "a" } else { "b" }
+            if number.is_multiple_of(2) { "a" } else { "b" }
         );
         std::fs::write(&settings, text).expect("settings can be written");
         let log = directory.join(format!("node-{number}.log"));
