--- a/crates/node/tests/operations_page.rs
+++ b/crates/node/tests/operations_page.rs
@@ -4,7 +4,7 @@
 use settings::schema::{Absent, FLEET, Kind, NODE, Setting};
 use types::Organisation;
 
-const PAGE: &str = include_str!("../../../docs/operations.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// One line for each setting, as the page has to show it.
 fn rows(settings: &[Setting], prefix: &str) -> Vec<String> {
@@ -44,7 +44,7 @@
 fn the_page_names_every_setting() {
     let all = [rows(NODE, ""), rows(FLEET, "")].concat();
     let missing: Vec<_> = all.iter().filter(|row| !PAGE.contains(*row)).collect();
-    assert!(missing.is_empty(), "docs/operations.md lacks these lines:\n{missing:#?}");
+    assert!(missing.is_empty(), "docs/OPERATIONS.md lacks these lines:\n{missing:#?}");
 }
 
 /// Guards against a metric that operators do not know about.
@@ -54,7 +54,7 @@
     assert!(names.len() > 10);
     let missing: Vec<_> =
         names.iter().filter(|name| !PAGE.contains(&format!("| `{name}`"))).collect();
-    assert!(missing.is_empty(), "docs/operations.md lacks {missing:?}");
+    assert!(missing.is_empty(), "docs/OPERATIONS.md lacks {missing:?}");
 }
 
 /// Guards against callers that fill the memory of nodes and of the metrics store with invented
