Remove fields that nothing reads, and split the look for failed engines from streams

Ruled out: a change of behaviour; the tests of the six crates pass as before.

Conclusion: limits on the time for a request's head and on idle connections are not enforced from the configuration: open.

--- a/crates/catalog/src/beliefs.rs
+++ b/crates/catalog/src/beliefs.rs
@@ -20,8 +20,6 @@
     upstreams: BTreeMap<UpstreamName, Known>,
     /// Layers that engines have reported and the registry does not show yet, with their start.
     reported: BTreeMap<UpstreamName, (u64, LayerRange)>,
-    /// Revision up to which the upstreams are known.
-    seen: u64,
     listed: bool,
 }
 
@@ -50,11 +48,6 @@
         self.listed
     }
 
-    /// Revision up to which the upstreams are known.
-    pub fn seen(&self) -> u64 {
-        self.seen
-    }
-
     /// All upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.upstreams.values().filter_map(|known| known.upstream.as_ref())
@@ -90,7 +83,6 @@
         upstream: Option<Upstream>,
         revision: u64,
     ) -> Adoption {
-        self.seen = self.seen.max(revision);
         if self.upstreams.get(name).is_some_and(|known| known.revision >= revision) {
             return Adoption::Stale;
         }
@@ -115,12 +107,6 @@
         }
         // Absent entries need no memory once a list is as new as they are.
         self.upstreams.retain(|_, known| known.upstream.is_some() || known.revision > revision);
-        self.seen = self.seen.max(revision);
         gone
     }
-
-    /// Marks everything up to `revision` as seen.
-    pub fn advance(&mut self, revision: u64) {
-        self.seen = self.seen.max(revision);
-    }
 }
--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc};
 
 /// Properties of a kind of accelerator.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -7,8 +7,6 @@
     pub memory_mb: f64,
     /// Factor on the time of decoding steps.
     pub step_factor: f64,
-    /// Factor on the time of reading prompts.
-    pub read_factor: f64,
 }
 
 /// How the engines of a service run a model whose layers are spread over them.
@@ -20,16 +18,6 @@
     pub layer_mb: f64,
     /// Memory that one token takes over all layers, in bytes.
     pub token_bytes: f64,
-    /// Time of one decoding step through all layers, before any factor.
-    pub step: Duration,
-    /// Prompt tokens that are read in a second through all layers, before any factor.
-    pub read_per_second: f64,
-    /// Bytes that go from one engine to the next for each token.
-    pub activation_bytes: f64,
-    /// Rate of the pipe that engines of different domains share, in Mbit/s.
-    pub pipe_mbps: f64,
-    /// Time to load all layers.
-    pub load_time: Duration,
     /// Kinds of accelerators by name.
     pub kinds: BTreeMap<Arc<str>, AcceleratorKind>,
 }
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -88,10 +88,8 @@
 /// What operators say of a service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
-    /// Connections that one of its upstreams accepts from all nodes together.
-    pub connections: u32,
     /// How its engines run their model, if it is a service of model engines.
-    pub engine: Option<EngineProfile>,
+    pub engine: Option<Arc<EngineProfile>>,
 }
 
 /// What a key gives access as.
@@ -115,10 +113,6 @@
     pub head_bytes: usize,
     /// Largest body of a request, in bytes.
     pub body_bytes: usize,
-    /// Time that a caller may take for the head of a request.
-    pub head_time: Duration,
-    /// Time that a caller's connection may be idle.
-    pub idle_time: Duration,
 }
 
 impl Table {
@@ -208,13 +202,6 @@
         self
     }
 
-    /// Sets how long a caller may take for the head of a request, and stay idle.
-    pub fn times(mut self, head_time: Duration, idle_time: Duration) -> TableBuilder {
-        self.table.head_time = head_time;
-        self.table.idle_time = idle_time;
-        self
-    }
-
     /// The finished table.
     pub fn build(self) -> Table {
         self.table
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -64,7 +64,6 @@
             metrics: Metrics::new(),
             loaded: RefCell::default(),
             reports: RefCell::default(),
-            planning: Cell::new(false),
             planner_key: Cell::new(false),
         })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admission;
 mod attempt;
+mod blocked;
 mod builder;
 mod crashes;
 mod lifecycle;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -56,7 +56,7 @@
 
 impl Run {
     /// How the engines of the request's service run their model.
-    pub(crate) fn engine(&self) -> Option<EngineProfile> {
+    pub(crate) fn engine(&self) -> Option<Arc<EngineProfile>> {
         self.table.service(&self.service)?.engine.clone()
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,7 +14,7 @@
 use types::{LayerRange, NodeName, UpstreamName};
 use upstreams::Connector;
 
-use crate::{admission::Waiters, crashes::CrashTable, metrics::Metrics, stream::ReportTimes};
+use crate::{admission::Waiters, blocked::ReportTimes, crashes::CrashTable, metrics::Metrics};
 
 /// A node: its peers and what it believes. State is borrowed only between awaits.
 pub struct Gateway {
@@ -36,8 +36,6 @@
     /// Layers that engines have reported to this node as planner, in order.
     pub(crate) loaded: RefCell<Vec<(UpstreamName, u64, LayerRange)>>,
     pub(crate) reports: RefCell<ReportTimes>,
-    /// Whether this node holds the planner's lease.
-    pub(crate) planning: Cell<bool>,
     /// Whether some node holds the planner's lease, by the last statement of the store.
     pub(crate) planner_key: Cell<bool>,
 }
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -73,9 +73,7 @@
         match lease {
             Ok(Some(lease)) => {
                 tracing::info!(token = lease.token(), "planner's lease is acquired");
-                gateway.planning.set(true);
                 hold_lease(&gateway, lease).await;
-                gateway.planning.set(false);
                 tracing::info!("planner's lease has ended");
             }
             Ok(None) => {}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -77,7 +77,6 @@
                     take_item(gateway, item);
                 }
                 at = at.max(next);
-                gateway.beliefs.borrow_mut().advance(at);
             }
             Ok(Changes::HistoryGone) => {
                 tracing::info!(revision = at, "history of the key-value service is gone");
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,10 +1,9 @@
 //! Requests whose answer is a stream of events, which go to the caller as they come. A stream that
 //! breaks goes on with a new run after the last event that the caller has.
 
-use std::{collections::BTreeSet, fmt, net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt, time::Duration};
 
 use callers::{RoutedFailure, RoutedReply};
-use clock::Timestamp;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, StatusCode};
 use transport::{Body, BodyWriter, CallError, EventSplitter, Events};
@@ -25,10 +24,6 @@
 const FIRST_SILENCE_SHARE: f64 = 0.8;
 /// Time between two looks at a stream that stays silent.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time that an engine has to report what its calls wait for.
-const REPORT_LIMIT: Duration = Duration::from_millis(200);
-/// Time between two reports of an engine that this node asks for.
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 
 /// A stream from an upstream that has sent its first events.
 struct Opened {
@@ -251,47 +246,6 @@
         }
     }
 
-    /// Whether a silent call waits for an engine that has failed.
-    async fn is_blocked(&self, target: &Target) -> bool {
-        if target.stages.is_empty() {
-            return false;
-        }
-        if self.has_failed_stage(target) {
-            return true;
-        }
-        let entry = &target.upstream;
-        if !self.gateway.may_ask(&entry.name, REPORT_INTERVAL) {
-            return false;
-        }
-        let report = target.client.report(REPORT_LIMIT).await;
-        match report {
-            Ok(report) => {
-                let blocked: BTreeSet<SocketAddr> = report.blocked.into_iter().collect();
-                for addr in blocked {
-                    if let Some(name) = self.gateway.upstream_at(addr) {
-                        self.gateway.suspect(&name, "calls wait for it at the engine before it");
-                    }
-                }
-            }
-            Err(error) => self.gateway.suspect(&entry.name, &format!("no report: {error}")),
-        }
-        self.has_failed_stage(target)
-    }
-
-    fn has_failed_stage(&self, target: &Target) -> bool {
-        let gateway = &self.gateway;
-        let beliefs = gateway.beliefs.borrow();
-        let health = gateway.health.borrow();
-        let now = gateway.clock.now();
-        target.stages.iter().any(|stage| match beliefs.upstream(&stage.engine) {
-            Some(upstream) => {
-                upstream.addr != stage.addr
-                    || health.failing_for(&stage.engine, upstream.boot, now).is_some()
-            }
-            None => true,
-        })
-    }
-
     /// Passes the events on until the stream has ended, and resumes it when it breaks.
     async fn forward(self, mut sends: Sends, mut opened: Opened, mut writer: BodyWriter) {
         let mut last = self.resume_after;
@@ -388,22 +342,3 @@
     }
     Ok(())
 }
-
-/// When this node last asked engines for a report.
-#[derive(Default)]
-pub(crate) struct ReportTimes {
-    times: std::collections::HashMap<UpstreamName, Timestamp>,
-}
-
-impl crate::Gateway {
-    /// Whether an engine may be asked for a report again; counts as asking.
-    fn may_ask(self: &Rc<Self>, name: &UpstreamName, interval: Duration) -> bool {
-        let now = self.clock.now();
-        let mut reports = self.reports.borrow_mut();
-        if reports.times.get(name).is_some_and(|last| now.since(*last) < interval) {
-            return false;
-        }
-        reports.times.insert(name.clone(), now);
-        true
-    }
-}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -369,19 +369,14 @@
         public: false,
         shares: vec![Share { service: service.into(), weight: 1 }],
     };
-    let kind = AcceleratorKind { memory_mb: 1000.0, step_factor: 1.0, read_factor: 1.0 };
+    let kind = AcceleratorKind { memory_mb: 1000.0, step_factor: 1.0 };
     let engine = EngineProfile {
         layers: 10,
         layer_mb: 50.0,
         token_bytes: 10_000.0,
-        step: Duration::from_millis(1),
-        read_per_second: 1000.0,
-        activation_bytes: 100.0,
-        pipe_mbps: 100.0,
-        load_time: Duration::from_secs(1),
         kinds: BTreeMap::from([("gpu".into(), kind)]),
     };
-    let drafts = Service { connections: 10, engine: Some(engine) };
+    let drafts = Service { engine: Some(std::sync::Arc::new(engine)) };
     TableBuilder::new(version)
         .route(route("/once/", Repeat::Once, "registry"))
         .route(route("/any/", Repeat::Idempotent, "registry"))
@@ -391,7 +386,6 @@
         .service("drafts".into(), drafts)
         .organisation(&Organisation::from("family"), None, [KEY.into()])
         .sizes(1000, 1000)
-        .times(Duration::from_secs(1), Duration::from_secs(10))
         .build()
 }
 
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -15,24 +15,15 @@
 const LAYERS: u32 = 80;
 
 fn profile() -> EngineProfile {
-    let kind = |memory_mb, step_factor, read_factor| AcceleratorKind {
-        memory_mb,
-        step_factor,
-        read_factor,
-    };
+    let kind = |memory_mb, step_factor| AcceleratorKind { memory_mb, step_factor };
     EngineProfile {
         layers: LAYERS,
         layer_mb: 1750.0,
         token_bytes: 590_000.0,
-        step: Duration::from_micros(850),
-        read_per_second: 196_000.0,
-        activation_bytes: 29_500.0,
-        pipe_mbps: 13_000.0,
-        load_time: Duration::from_secs(14),
         kinds: BTreeMap::from([
-            ("big".into(), kind(72_000.0, 1.4, 1.0)),
-            ("mid".into(), kind(21_600.0, 16.0, 8.2)),
-            ("low".into(), kind(14_400.0, 15.0, 15.0)),
+            ("big".into(), kind(72_000.0, 1.4)),
+            ("mid".into(), kind(21_600.0, 16.0)),
+            ("low".into(), kind(14_400.0, 15.0)),
         ]),
     }
 }
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -125,7 +125,6 @@
     stop: Stop,
     drain: Duration,
     refuse: Duration,
-    idle: Duration,
 }
 
 impl Server {
@@ -136,14 +135,7 @@
         stop: Stop,
     ) -> std::io::Result<Server> {
         let listener = TcpListener::bind(addr).await?;
-        Ok(Server {
-            clock,
-            listener,
-            stop,
-            drain: Duration::ZERO,
-            refuse: REFUSE_TIME,
-            idle: HEAD_TIMEOUT,
-        })
+        Ok(Server { clock, listener, stop, drain: Duration::ZERO, refuse: REFUSE_TIME })
     }
 
     /// Sets how long connections may go on after the stop signal.
@@ -158,12 +150,6 @@
         self
     }
 
-    /// Sets how long a client may take for the head of its next request.
-    pub fn idle(mut self, limit: Duration) -> Server {
-        self.idle = limit;
-        self
-    }
-
     /// The address that the server is bound to.
     pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -196,10 +182,10 @@
                     let id = ConnectionId(accepted_count);
                     let (clock, handler) = (self.clock.clone(), handler.clone());
                     let (stop, cut) = (self.stop.clone(), closing.raised());
-                    let times = (self.refuse, self.idle);
+                    let refuse = self.refuse;
                     compio::runtime::spawn(async move {
                         let _guard = guard;
-                        let serving = serve_connection(clock, stream, id, handler, stop, times);
+                        let serving = serve_connection(clock, stream, id, handler, stop, refuse);
                         select(pin!(serving), pin!(cut)).await;
                     })
                     .detach();
@@ -229,7 +215,7 @@
     id: ConnectionId,
     handler: Rc<H>,
     stop: Stop,
-    (refuse, idle): (Duration, Duration),
+    refuse: Duration,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection closed before it was served");
@@ -251,7 +237,7 @@
     let mut connection = pin!(
         http1::Builder::new()
             .timer(CompioTimer)
-            .header_read_timeout(idle)
+            .header_read_timeout(HEAD_TIMEOUT)
             .max_headers(MAX_HEADERS)
             .keep_alive(!stop.is_raised())
             .serve_connection(io, service)
