Avoid paths with slow engines, and begin no stream on a node that is about to end

Ruled out: memory (the engines had room); a kept connection that was not closed (the connections were new).

Change: the engines of a path that is silent are asked for their pace, which counts as a factor on their step time and is told to the other nodes. A stopping node refuses streams after a third of its grace period, and other requests whose route's time does not fit, as not run.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -202,6 +202,8 @@
         {
             let beliefs = gateway.beliefs.borrow();
             let load = gateway.load.borrow();
+            let health = gateway.health.borrow();
+            let now = gateway.clock.now();
             for upstream in beliefs.upstreams().filter(|known| known.service == self.service) {
                 let (Some(kind), Some(layers)) = (&upstream.kind, beliefs.layers(upstream)) else {
                     continue;
@@ -210,13 +212,14 @@
                 if !gateway.is_usable(upstream) {
                     continue;
                 }
+                let pace = health.pace(&upstream.name, upstream.boot, now);
                 let used = load.total(&upstream.name);
                 holders.push(Holder {
                     name: upstream.name.clone(),
                     addr: upstream.addr,
                     domain: upstream.domain.clone(),
                     layers,
-                    step_factor: accelerator.step_factor,
+                    step_factor: accelerator.step_factor * pace,
                     room: profile.token_layers(kind, layers.len()),
                     used: used.token_layers,
                     has_slot: used.entered < upstream.capacity
--- a/crates/gateway/src/blocked.rs
+++ b/crates/gateway/src/blocked.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
+use catalog::Upstream;
 use clock::Timestamp;
+use futures_util::future::join_all;
 use types::UpstreamName;
 
 use crate::{Gateway, admission::Target, lifecycle::Run};
@@ -17,6 +19,9 @@
 /// Time between two reports of an engine that this node asks for.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time between two questions of this node for the pace of an engine.
+const PACE_INTERVAL: Duration = Duration::from_millis(1000);
+
 impl Run {
     /// Whether a silent call waits for an engine that has failed.
     pub(crate) async fn is_blocked(&self, target: &Target) -> bool {
@@ -42,7 +47,12 @@
             }
             Err(error) => self.gateway.suspect(&entry.name, &format!("no report: {error}")),
         }
-        self.has_failed_stage(target)
+        if self.has_failed_stage(target) {
+            return true;
+        }
+        let names = target.stages.iter().map(|stage| stage.engine.clone()).collect();
+        compio::runtime::spawn(look_for_slow(self.gateway.clone(), names)).detach();
+        false
     }
 
     fn has_failed_stage(&self, target: &Target) -> bool {
@@ -60,13 +70,54 @@
     }
 }
 
+/// Asks the engines of a path that is slow for their pace, so that new requests take another one.
+async fn look_for_slow(gateway: Rc<Gateway>, names: Vec<UpstreamName>) {
+    let asked = names.into_iter().filter(|name| gateway.may_ask_pace(name)).map(|name| {
+        let gateway = gateway.clone();
+        async move {
+            let upstream = gateway.beliefs.borrow().upstream(&name).cloned();
+            let Some(upstream) = upstream else { return };
+            let report = gateway.client(&upstream).report(REPORT_LIMIT).await;
+            match report {
+                Ok(report) => gateway.take_pace(&upstream, report.pace),
+                Err(error) => gateway.suspect(&name, &format!("no report: {error}")),
+            }
+        }
+    });
+    join_all(asked.collect::<Vec<_>>()).await;
+}
+
 /// When this node last asked engines for a report.
 #[derive(Default)]
 pub(crate) struct ReportTimes {
     times: HashMap<UpstreamName, Timestamp>,
+    paces: HashMap<UpstreamName, Timestamp>,
 }
 
 impl Gateway {
+    /// Whether an engine may be asked for its pace again; counts as asking.
+    fn may_ask_pace(&self, name: &UpstreamName) -> bool {
+        let now = self.clock.now();
+        let mut reports = self.reports.borrow_mut();
+        if reports.paces.get(name).is_some_and(|last| now.since(*last) < PACE_INTERVAL) {
+            return false;
+        }
+        reports.paces.insert(name.clone(), now);
+        true
+    }
+
+    /// Takes over the pace that an engine has reported, and tells the other nodes of a slow one.
+    fn take_pace(&self, upstream: &Upstream, pace: f64) {
+        let now = self.clock.now();
+        let mut health = self.health.borrow_mut();
+        health.set_pace(&upstream.name, upstream.boot, pace, now);
+        if health.pace(&upstream.name, upstream.boot, now) > 1.0 {
+            tracing::info!(upstream = %upstream.name, pace, "engine is slow");
+            let noted = (upstream.boot, pace, now);
+            self.slow.borrow_mut().insert(upstream.name.clone(), noted);
+        }
+    }
+
     /// Whether an engine may be asked for a report again; counts as asking.
     fn may_ask(self: &Rc<Self>, name: &UpstreamName, interval: Duration) -> bool {
         let now = self.clock.now();
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -25,6 +25,12 @@
 /// Time after which a caller may come back to a node that cannot serve yet. A node without a
 /// configuration waits for the store, which is away for seconds.
 const START_RETRY: Duration = Duration::from_millis(1500);
+/// Time after which a caller may come back when the node is shutting down: to another one.
+const STOP_RETRY: Duration = Duration::from_millis(50);
+/// Share of the grace period in which a stopping node still begins streams.
+const STREAM_STOP_SHARE: f64 = 0.35;
+/// Part of the grace period in which the process ends.
+pub(crate) const END_MARGIN: Duration = Duration::from_millis(700);
 /// Time that is kept back from the caller's deadline, so that a final answer still reaches it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// Lowest rank that an upstream knows.
@@ -100,6 +106,26 @@
 }
 
 impl Gateway {
+    /// Whether a request of a route that arrives now can be answered before the process ends. The
+    /// balancer may send connections to a stopping node to the end, when others stop as well.
+    fn has_time_for(&self, route: &Route) -> bool {
+        if !self.stop.is_raised() {
+            return true;
+        }
+        let now = self.clock.now();
+        let stopped = self.stopped.get().unwrap_or_else(|| {
+            self.stopped.set(Some(now));
+            now
+        });
+        let grace = Duration::from_secs_f64(self.settings.grace_s);
+        let limit = if route.repeat.is_stream() {
+            grace.mul_f64(STREAM_STOP_SHARE)
+        } else {
+            grace.saturating_sub(route.timeout + END_MARGIN)
+        };
+        now.since(stopped) < limit
+    }
+
     async fn serve_request(
         self: Rc<Self>,
         request: RoutedRequest,
@@ -140,6 +166,11 @@
                 Failure::not_run(FailureKind::NotFound, "no route for this host and path");
             return Err(reject(failure.into()));
         };
+        if !self.has_time_for(&route) {
+            let failure = Failure::not_run(FailureKind::Draining, "the node is shutting down");
+            let retry_after = Some(STOP_RETRY);
+            return Err(reject(RoutedFailure { failure, retry_after, status: None }));
+        }
         let access = check_key(&table, &route, request.key.as_deref()).map_err(reject)?;
         if request.head_bytes > table.head_bytes {
             return Err(reject(refused(
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,7 +6,7 @@
 };
 
 use catalog::{Beliefs, Phase, Publications, Upstream};
-use clock::Clock;
+use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
 use pipelines::{HealthTable, LoadTable, SendBudget};
 use settings::EdgeSettings;
@@ -24,6 +24,8 @@
     pub(crate) connector: Rc<dyn Connector>,
     pub(crate) publications: Rc<dyn Publications>,
     pub(crate) stop: Stop,
+    /// When the signal to stop was seen.
+    pub(crate) stopped: Cell<Option<Timestamp>>,
     pub(crate) beliefs: RefCell<Beliefs>,
     pub(crate) clients: RefCell<HashMap<UpstreamName, Connected>>,
     pub(crate) load: RefCell<LoadTable>,
@@ -33,6 +35,8 @@
     pub(crate) crashes: RefCell<CrashTable>,
     pub(crate) members: RefCell<Members>,
     pub(crate) metrics: Metrics,
+    /// Engines that have reported to this node that they are slow: their start, pace, and when.
+    pub(crate) slow: RefCell<HashMap<UpstreamName, (u64, f64, Timestamp)>>,
     /// Layers that engines have reported to this node as planner, in order.
     pub(crate) loaded: RefCell<Vec<(UpstreamName, u64, LayerRange)>>,
     pub(crate) reports: RefCell<ReportTimes>,
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -25,6 +25,8 @@
 /// Nodes up to which a fleet is small. In a larger one the interval grows with the root of the
 /// number of nodes, so that the datagrams of one node do not grow as fast as the fleet.
 const SMALL_FLEET: f64 = 20.0;
+/// Time for which an engine's report that it is slow is told to other nodes.
+const SLOW_NOTICE: Duration = Duration::from_secs(1);
 /// Failing upstreams and crashes that one beacon names.
 const MAX_NOTES: usize = 8;
 
@@ -71,11 +73,21 @@
             node: self.settings.name.clone(),
             loads,
             failing: failing.collect(),
+            slow: self.slow_engines(),
             loaded: self.unshown_layers(),
             crashes: self.crashes.borrow().iter().take(MAX_NOTES).collect(),
         }
     }
 
+    /// The engines that have reported to this node that they are slow, a moment ago.
+    fn slow_engines(&self) -> Vec<(UpstreamName, u64, u32)> {
+        let now = self.clock.now();
+        let mut slow = self.slow.borrow_mut();
+        slow.retain(|_, (_, _, at)| now.since(*at) < SLOW_NOTICE);
+        let recent = slow.iter().take(MAX_NOTES);
+        recent.map(|(name, (boot, pace, _))| (name.clone(), *boot, (pace * 100.0) as u32)).collect()
+    }
+
     /// The layers that engines have reported to this node and that the registry does not show yet.
     fn unshown_layers(&self) -> Vec<(UpstreamName, u64, LayerRange)> {
         let beliefs = self.beliefs.borrow();
@@ -114,6 +126,9 @@
         for (fingerprint, crashes) in beacon.crashes {
             self.crashes.borrow_mut().merge(fingerprint, crashes, now);
         }
+        for (name, boot, percent) in beacon.slow {
+            self.health.borrow_mut().set_pace(&name, boot, f64::from(percent) / 100.0, now);
+        }
         for (name, boot, layers) in beacon.loaded {
             if self.beliefs.borrow_mut().offer_layers(&name, boot, layers) == Adoption::Adopted {
                 tracing::info!(upstream = %name, boot, layers = %layers, node = %node,
@@ -166,8 +181,10 @@
         gateway.clock.sleep(BEACON_INTERVAL.mul_f64(growth)).await;
         gateway.load.borrow_mut().expire(gateway.clock.now());
         let beacon = gateway.beacon();
-        let is_idle =
-            beacon.loads.is_empty() && beacon.failing.is_empty() && beacon.loaded.is_empty();
+        let is_idle = beacon.loads.is_empty()
+            && beacon.failing.is_empty()
+            && beacon.slow.is_empty()
+            && beacon.loaded.is_empty();
         if is_idle && was_idle {
             continue;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,13 +5,11 @@
 use peers::BeaconSocket;
 use transport::{Handler, Server, Stop};
 
-use crate::{Gateway, peering, planner, store};
+use crate::{Gateway, lifecycle::END_MARGIN, peering, planner, store};
 
 /// Time after the signal to stop in which new connections are still served: the balancer asks once
 /// a second and takes a node out after two misses.
 const SERVE_ON: Duration = Duration::from_millis(3200);
-/// Part of the grace period that is left for the process to end.
-const END_MARGIN: Duration = Duration::from_millis(700);
 
 /// Serves callers and the balancer until the node was told to stop and its requests have ended.
 pub async fn serve(
@@ -37,7 +35,7 @@
     spawn(peering::send_beacons(gateway.clone(), socket.clone())).detach();
     spawn(peering::receive_beacons(gateway.clone(), socket)).detach();
     spawn(planner::run_planner(gateway.clone())).detach();
-    spawn(stop_on_signal(stop)).detach();
+    spawn(stop_on_signal(gateway.clone(), stop)).detach();
     spawn(log_reloads()).detach();
     let serving = async {
         callers.run(front).await;
@@ -48,13 +46,14 @@
     Ok(())
 }
 
-async fn stop_on_signal(stop: Stop) {
+async fn stop_on_signal(gateway: Rc<Gateway>, stop: Stop) {
     /// Number of the signal with which the platform asks a process to stop.
     const SIGTERM: i32 = 15;
     let terminated = pin!(compio::signal::unix::signal(SIGTERM));
     let interrupted = pin!(compio::signal::ctrl_c());
     select(terminated, interrupted).await;
     tracing::info!("graceful shutdown starts");
+    gateway.stopped.set(Some(gateway.clock.now()));
     stop.raise();
 }
 
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -102,6 +102,23 @@
     assert!(calls[1].1.stages.iter().all(|stage| stage.addr != blocked));
 }
 
+/// Guards against requests that go on to a slow engine while another copy has room.
+#[compio::test]
+async fn new_requests_leave_a_path_with_a_slow_engine() {
+    let world = World::ready().await;
+    *world.script.slow.borrow_mut() = Some("e2".into());
+    let mut entered = Vec::new();
+    for _ in 0..12 {
+        world.script([Step::EventsThenSilence(vec![0])]);
+        let reply = world.send("/drafts/x").await.expect("the stream begins");
+        let waiting = compio::time::timeout(Duration::from_millis(150), body(reply)).await;
+        assert!(waiting.is_err());
+        entered = world.called();
+    }
+    let last = entered.iter().rev().take(4);
+    assert!(last.into_iter().all(|name| name == "e3"), "{entered:?}");
+}
+
 /// Guards against one spoiled answer of an engine that moves all other streams through it: a day of
 /// the hunt ran eleven requests on more engines than their route allows.
 #[compio::test]
@@ -210,6 +227,22 @@
     assert!(world.send("/any/x").await.is_ok());
 }
 
+/// Guards against a stream that a stopping node takes and has to cut: ten were lost on a day of the
+/// hunt.
+#[compio::test]
+async fn a_stopping_node_begins_no_stream_that_it_cannot_end() {
+    let world = World::ready().await;
+    world.stop.raise();
+    world.script([Step::Events(vec![0]), Step::Answer(200, "filed")]);
+    let reply = world.send("/drafts/x").await.expect("the node serves on at first");
+    assert_eq!(body(reply).await, Some(event(0)));
+    compio::time::sleep(Duration::from_secs(3)).await;
+    let failure = world.send("/drafts/x").await.err().expect("there is no time left");
+    assert_eq!(failure.failure.verdict, Verdict::NotRun);
+    assert!(failure.retry_after.is_some());
+    assert!(world.send("/once/x").await.is_ok(), "a short call still fits");
+}
+
 /// Guards against work that goes on for a caller that has left, and memory that stays reserved.
 #[compio::test]
 async fn a_caller_that_leaves_ends_its_call() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -23,7 +23,7 @@
     api::{Entry, Expected, PutReply},
 };
 use settings::EdgeSettings;
-use transport::{CallError, RequestBody};
+use transport::{CallError, RequestBody, Stop};
 use types::{LayerRange, Organisation};
 use upstreams::{Answer, AnswerBody, Call, Connector, EngineReport, OrderOutcome, PlaceOrder};
 
@@ -66,6 +66,8 @@
     pub blocked: Rc<RefCell<Vec<std::net::SocketAddr>>>,
     /// Whether upstreams cannot be reached after a connection broke.
     pub is_crashed: Rc<Cell<bool>>,
+    /// An engine that reports that it is slow.
+    pub slow: Rc<RefCell<Option<String>>>,
     /// Orders that engines were given.
     pub orders: Rc<RefCell<Vec<(String, PlaceOrder)>>>,
     clock: Rc<dyn Clock>,
@@ -82,6 +84,7 @@
             calls: self.calls.clone(),
             steps: self.steps.clone(),
             blocked: self.blocked.clone(),
+            slow: self.slow.clone(),
             is_crashed: self.is_crashed.clone(),
             orders: self.orders.clone(),
             clock: self.clock.clone(),
@@ -144,7 +147,10 @@
 
     fn report(&self, _: Duration) -> LocalBoxFuture<'_, Result<EngineReport, CallError>> {
         let blocked = self.script.blocked.borrow().clone();
-        async move { Ok(EngineReport { blocked, ..EngineReport::default() }) }.boxed_local()
+        let pace =
+            if self.script.slow.borrow().as_deref() == Some(&*self.name) { 5.0 } else { 1.0 };
+        let report = EngineReport { layers: None, orders: 0, pace, blocked };
+        async move { Ok(report) }.boxed_local()
     }
 }
 
@@ -394,6 +400,7 @@
     pub gateway: Rc<Gateway>,
     pub store: Rc<MemoryStore>,
     pub script: Rc<Scripted>,
+    pub stop: Stop,
 }
 
 impl World {
@@ -411,10 +418,12 @@
             calls: Rc::default(),
             steps: Rc::default(),
             blocked: Rc::default(),
+            slow: Rc::default(),
             is_crashed: Rc::default(),
             orders: Rc::default(),
             clock: clock.clone(),
         });
+        let stop = Stop::new();
         let gateway = GatewayBuilder::new(
             clock,
             settings,
@@ -422,8 +431,9 @@
             script.clone(),
             Rc::new(TextPublications),
         )
+        .stop(stop.clone())
         .build();
-        World { gateway, store, script }
+        World { gateway, store, script, stop }
     }
 
     /// Creates a gateway that knows a table, two replicas of a plain service and two copies of a
--- a/crates/peers/src/beacon.rs
+++ b/crates/peers/src/beacon.rs
@@ -18,6 +18,8 @@
     pub loads: Vec<BeaconLoad>,
     /// Upstreams that have failed the sender's requests, with the start that failed.
     pub failing: Vec<(UpstreamName, u64)>,
+    /// Engines that have reported that they are slow, with their start and the factor in percent.
+    pub slow: Vec<(UpstreamName, u64, u32)>,
     /// Layers that engines have reported to the planner, with their start.
     pub loaded: Vec<(UpstreamName, u64, LayerRange)>,
     /// Fingerprints of requests during which an upstream crashed, with the number of crashes.
--- a/crates/pipelines/src/health.rs
+++ b/crates/pipelines/src/health.rs
@@ -7,6 +7,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(1000);
 /// Longest time for which it is avoided after failures in a row.
 const MAX_PAUSE: Duration = Duration::from_secs(8);
+/// Pace from which an engine is slow.
+const SLOW_PACE: f64 = 1.5;
+/// Time for which a reported pace is believed.
+const SLOW_LIFE: Duration = Duration::from_secs(3);
 /// Time after the last failure from which a failure counts as the first one again.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
@@ -14,6 +18,14 @@
 #[derive(Debug, Default)]
 pub struct HealthTable {
     suspects: HashMap<UpstreamName, Suspect>,
+    slow: HashMap<UpstreamName, Slow>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slow {
+    boot: u64,
+    pace: f64,
+    until: Timestamp,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +65,28 @@
         suspect.until = suspect.until.max(now + pause);
     }
 
+    /// Notes the pace that the start `boot` of an engine has reported: a factor on its times.
+    pub fn set_pace(&mut self, name: &UpstreamName, boot: u64, pace: f64, now: Timestamp) {
+        if pace < SLOW_PACE {
+            self.slow.remove(name);
+            return;
+        }
+        let slow = Slow { boot, pace, until: now + SLOW_LIFE };
+        self.slow.insert(name.clone(), slow);
+    }
+
+    /// Factor on the times of the start `boot` of an engine.
+    pub fn pace(&self, name: &str, boot: u64, now: Timestamp) -> f64 {
+        let slow = self.slow.get(name).filter(|slow| slow.boot == boot && now < slow.until);
+        slow.map_or(1.0, |slow| slow.pace)
+    }
+
+    /// The engines that are slow now, with their start and pace.
+    pub fn slow(&self, now: Timestamp) -> impl Iterator<Item = (&UpstreamName, u64, f64)> {
+        let slow = self.slow.iter().filter(move |(_, slow)| now < slow.until);
+        slow.map(|(name, slow)| (name, slow.boot, slow.pace))
+    }
+
     /// Notes that an upstream served a request.
     pub fn succeed(&mut self, name: &str) {
         self.suspects.remove(name);
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -85,12 +85,14 @@
 }
 
 /// What an engine says of itself.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EngineReport {
     /// Layers that it holds.
     pub layers: Option<LayerRange>,
     /// Orders that it has accepted.
     pub orders: u64,
+    /// Factor on the time of its work; above 1 it is slow.
+    pub pace: f64,
     /// Engines that calls wait for which entered through this one.
     pub blocked: Vec<SocketAddr>,
 }
