--- a/xtask/src/names.rs
+++ b/xtask/src/names.rs
@@ -58,8 +58,17 @@
             continue;
         }
         let source = fs::read_to_string(&path).expect("source can be read").to_lowercase();
-        for name in NAMES.iter().filter(|name| source.contains(**name)) {
+        for name in NAMES.iter().filter(|name| has_name(&source, name)) {
             found.push(format!("{text}: {name} belongs into the platform's adapter"));
         }
     }
 }
+
+/// Whether a source has a name by itself. A longer name that ends with it is another one, such as
+/// the product's own header for deadlines.
+fn has_name(source: &str, name: &str) -> bool {
+    source.match_indices(name).any(|(place, _)| {
+        let before = source[..place].chars().next_back();
+        before.is_none_or(|before| !before.is_ascii_alphanumeric() && before != '-')
+    })
+}
