Keep repeated sends for what needs them

Causes: a request without an event left slow paths again and again, each time for a repeat from the budget; it left for a path that its route does not let it enter (two upstreams at most), and then no path was left; a request that may have run gave up after 250 ms without room; and one budget served all services, while the limit holds for each.

Now a send leaves a very slow engine once, only for a path that it may enter; a request that may have run waits for room as long as a stream that has begun; budgets are kept by service.

The test of the wait fails without it (the request is given up after 100 ms).

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -56,6 +56,10 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) client: Rc<dyn upstreams::Upstream>,
     pub(crate) stages: Vec<Stage>,
+    /// The only upstreams through which a send after this one may enter, if there are any.
+    pub(crate) next_entries: Vec<UpstreamName>,
+    /// Whether the send may leave a very slow engine for a better path.
+    pub(crate) leaves_slow: bool,
     /// Counts the request on the upstreams while the target is held.
     pub(crate) _reservation: Reservation,
 }
@@ -331,7 +335,14 @@
         gateway.load.borrow_mut().add(&needs);
         let client = gateway.client(&upstream);
         let _reservation = Reservation { gateway, needs };
-        Target { upstream, client, stages, _reservation }
+        Target {
+            upstream,
+            client,
+            stages,
+            next_entries: Vec::new(),
+            leaves_slow: false,
+            _reservation,
+        }
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -47,6 +47,18 @@
         if self.ran > 0 { Verdict::MayHaveRun } else { Verdict::NotRun }
     }
 
+    /// The only upstreams through which a further send may enter, once `attempts` of them have been
+    /// entered, that of the present send included.
+    pub(crate) fn entries(
+        &self,
+        attempts: u32,
+        present: Option<&UpstreamName>,
+    ) -> Vec<UpstreamName> {
+        let mut entered = self.entered.clone();
+        entered.extend(present.filter(|name| !self.entered.contains(name)).cloned());
+        if entered.len() < attempts as usize { Vec::new() } else { entered }
+    }
+
     /// What the next send of a request that is not resumed needs.
     pub(crate) fn wanted(&self) -> Wanted<'_> {
         Wanted { avoid: &self.failed, ..Wanted::default() }
@@ -124,7 +136,7 @@
         if !allowed {
             return false;
         }
-        let granted = gateway.budget.borrow_mut().take(now, gateway.node_count());
+        let granted = gateway.budget(&self.service).take(now, gateway.node_count());
         let label = if verdict == Verdict::NotRun { "not-run" } else { "rerun" };
         let label = if granted { label } else { "over-budget" };
         gateway.metrics.resends.with_label_values(&[label]).inc();
--- a/crates/gateway/src/blocked.rs
+++ b/crates/gateway/src/blocked.rs
@@ -81,9 +81,11 @@
             compio::runtime::spawn(look_for_slow(gateway.clone(), asked)).detach();
         }
         drop(looks);
-        let is_slow = target.stages.iter().any(|stage| gateway.is_very_slow(&stage.engine));
-        let wanted = Wanted { is_resumed: true, ..Wanted::default() };
-        is_slow && self.route.repeat.allows_rerun() && self.has_fast_path(wanted)
+        // Each send beyond the first is taken from the budget that lost engines need.
+        let is_slow = target.leaves_slow
+            && target.stages.iter().any(|stage| gateway.is_very_slow(&stage.engine));
+        let wanted = Wanted { entries: &target.next_entries, is_resumed: true, avoid: &[] };
+        is_slow && self.has_fast_path(wanted)
     }
 
     fn has_failed_stage(&self, target: &Target) -> bool {
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -1,13 +1,12 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::Duration,
 };
 
 use catalog::{Beliefs, Publications};
 use clock::Clock;
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable, SendBudget};
+use pipelines::{HealthTable, LoadTable};
 use settings::EdgeSettings;
 use transport::Stop;
 use upstreams::Connector;
@@ -44,8 +43,6 @@
 
     /// Creates the gateway.
     pub fn build(self) -> Rc<Gateway> {
-        let window = Duration::from_secs_f64(self.settings.retry_window_s);
-        let budget = SendBudget::new(window, self.settings.retry_ratio, self.settings.retry_extra);
         Rc::new(Gateway {
             clock: self.clock,
             settings: self.settings,
@@ -58,7 +55,7 @@
             clients: RefCell::default(),
             load: RefCell::new(LoadTable::default()),
             health: RefCell::new(HealthTable::default()),
-            budget: RefCell::new(budget),
+            budgets: RefCell::default(),
             waiters: Waiters::default(),
             crashes: RefCell::new(CrashTable::default()),
             members: RefCell::default(),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -180,7 +180,7 @@
             let failure = Failure::new(FailureKind::Poison, Verdict::MayHaveRun, message);
             return Err(reject(failure.into()));
         }
-        self.budget.borrow_mut().count_request(arrived);
+        self.budget(&service).count_request(arrived);
         let tokens = request.size.map_or(0, |size| {
             size.prompt.saturating_add(if size.output == 0 { USUAL_OUTPUT } else { size.output })
         });
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,8 +1,9 @@
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use catalog::{Beliefs, Phase, Publications, Upstream};
@@ -11,7 +12,7 @@
 use pipelines::{HealthTable, LoadTable, SendBudget};
 use settings::EdgeSettings;
 use transport::Stop;
-use types::{LayerRange, NodeName, UpstreamName};
+use types::{LayerRange, NodeName, ServiceName, UpstreamName};
 use upstreams::Connector;
 
 use crate::{
@@ -37,7 +38,8 @@
     pub(crate) clients: RefCell<HashMap<UpstreamName, Connected>>,
     pub(crate) load: RefCell<LoadTable>,
     pub(crate) health: RefCell<HealthTable>,
-    pub(crate) budget: RefCell<SendBudget>,
+    /// Limits of repeated sends by service.
+    pub(crate) budgets: RefCell<HashMap<ServiceName, SendBudget>>,
     pub(crate) waiters: Waiters,
     pub(crate) crashes: RefCell<CrashTable>,
     /// The other nodes that are registered in the store.
@@ -126,6 +128,17 @@
         beliefs.upstreams().find(|known| known.addr == addr).map(|known| known.name.clone())
     }
 
+    /// What limits repeated sends to a service.
+    pub(crate) fn budget(&self, service: &ServiceName) -> RefMut<'_, SendBudget> {
+        RefMut::map(self.budgets.borrow_mut(), |budgets| {
+            budgets.entry(service.clone()).or_insert_with(|| {
+                let settings = &self.settings;
+                let window = Duration::from_secs_f64(settings.retry_window_s);
+                SendBudget::new(window, settings.retry_ratio, settings.retry_extra)
+            })
+        })
+    }
+
     /// Number of nodes, this one included.
     pub(crate) fn node_count(&self) -> usize {
         self.members.borrow().len() + 1
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -21,14 +21,12 @@
 /// Time between renewals. A renewal costs a tenth of a call, and one without an answer shows that the
 /// store was away, which a waiting watch does not.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1000);
-/// Pause after a failed call to the store.
+/// Pause after a failed call to the store in a small fleet.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two beacons in a small fleet. Counts of other nodes are at most this old, but for
 /// lost datagrams.
 const BEACON_INTERVAL: Duration = Duration::from_millis(200);
-/// Nodes up to which a fleet is small. In a larger one the interval grows with the root of the
-/// number of nodes, so that the datagrams of one node do not grow as fast as the fleet, and nodes of
-/// other domains get a beacon only in some rounds, as traffic between domains is paid for.
+/// Nodes up to which a fleet is small.
 const SMALL_FLEET: f64 = 20.0;
 /// Least time for which the counts of another node are believed after its last beacon.
 const MIN_COUNT_LIFE: Duration = Duration::from_secs(2);
@@ -89,6 +87,13 @@
         }
     }
 
+    /// Factor on the intervals of what all nodes do. It grows with the root of the number of nodes, so
+    /// that the datagrams of one node and the calls of all to the store do not grow as fast as the
+    /// fleet.
+    pub(crate) fn fleet_growth(&self) -> f64 {
+        (self.node_count() as f64 / SMALL_FLEET).sqrt().max(1.0)
+    }
+
     fn beacon(&self) -> Beacon {
         let now = self.clock.now();
         let mut loads: Vec<BeaconLoad> = self
@@ -189,7 +194,7 @@
         if let Err(error) = hold_entry(&gateway, &key).await {
             tracing::debug!(%error, "node cannot be registered");
         }
-        gateway.clock.sleep(RETRY_PAUSE).await;
+        gateway.clock.sleep(RETRY_PAUSE.mul_f64(gateway.fleet_growth())).await;
     }
 }
 
@@ -221,8 +226,9 @@
     let mut told_table = 0;
     let mut round: u32 = rand::rng().random();
     loop {
-        let growth = (gateway.node_count() as f64 / SMALL_FLEET).sqrt().max(1.0);
+        let growth = gateway.fleet_growth();
         let interval = BEACON_INTERVAL.mul_f64(growth);
+        // Traffic between domains is paid for: nodes of other domains get a beacon in some rounds.
         let far_rounds = growth.round() as u32;
         gateway.clock.sleep(interval).await;
         let life = MIN_COUNT_LIFE.max(interval * far_rounds * COUNT_ROUNDS);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,7 +11,7 @@
 
 use crate::{Gateway, peering::NODE_PREFIX, planner::PLANNER_KEY};
 
-/// Pause after a failed read, and its largest value after failures in a row.
+/// Pause after a failed read, and its largest value after failures in a row in a small fleet.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
@@ -38,7 +38,7 @@
             }
             is_lost = true;
             gateway.clock.sleep(pause).await;
-            pause = (pause * 2).min(MAX_PAUSE);
+            pause = (pause * 2).min(MAX_PAUSE.mul_f64(gateway.fleet_growth()));
         }
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, StatusCode};
 use transport::{Body, BodyWriter, CallError, EventSplitter, Events};
-use types::{FailureKind, UpstreamName, Verdict};
+use types::{FailureKind, Verdict};
 use upstreams::Answer;
 
 use crate::{
@@ -107,13 +107,17 @@
             if self.left().is_zero() {
                 return Err(self.give_up(sends, FailureKind::Deadline, "the deadline has passed"));
             }
-            let is_limited = sends.entered.len() >= self.route.attempts as usize;
-            let entries: &[UpstreamName] = if is_limited { &sends.entered } else { &[] };
-            let wanted = Wanted { avoid: &sends.failed, entries, is_resumed };
-            let target = match self.admit(wanted).await {
+            let entries = sends.entries(self.route.attempts, None);
+            // A request that may have run cannot be refused as not run: it waits for room as long as
+            // a stream that has begun.
+            let is_resumed = is_resumed || sends.ran > 0;
+            let wanted = Wanted { avoid: &sends.failed, entries: &entries, is_resumed };
+            let mut target = match self.admit(wanted).await {
                 Ok(target) => target,
                 Err(reason) => return Err(self.no_target(sends, reason)),
             };
+            target.next_entries = sends.entries(self.route.attempts, Some(&target.upstream.name));
+            target.leaves_slow = self.route.repeat.allows_rerun() && sends.count == 0;
             sends.count += 1;
             self.log.sent(&target.upstream.name);
             let (target, answer) = match self.send(target, resume_after).await {
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -169,6 +169,25 @@
     assert_eq!(world.called().len(), 1);
 }
 
+/// Guards against a request that may have run and fails for good because no path has room at this
+/// moment: 409 did on a day of a large deployment.
+#[compio::test]
+async fn a_stream_that_may_have_run_waits_for_another_path() {
+    let world = World::ready().await;
+    world.store.write("upstreams/e3", None);
+    compio::time::sleep(Duration::from_millis(800)).await;
+    world.script([Step::Broken, Step::Events(vec![0])]);
+    let store = world.store.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(Duration::from_millis(100)).await;
+        store.write("upstreams/e3", Some("drafts 10.0.1.3:80 b up 0-5"));
+    })
+    .detach();
+    let reply = world.send("/drafts/x").await.expect("the other copy is whole again");
+    assert_eq!(body(reply).await, Some(event(0)));
+    assert_eq!(world.called(), ["e1", "e3"]);
+}
+
 /// Guards against links between failure domains that fill up, so that all streams that cross are
 /// late: on a day of a large deployment 93 GB crossed, and half of the requests were served.
 #[compio::test]
