--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -36,7 +36,9 @@
 pub(crate) const CROSSINGS: &str = "(between domains)";
 /// Share of what the links between failure domains carry that requests may use. Once they are full,
 /// each stream that crosses is late and holds its engines for longer.
-const CROSSING_SHARE: f64 = 0.4;
+const CROSSING_SHARE: f64 = 0.8;
+/// Part of that share up to which all requests may cross; beyond it, fewer and fewer.
+const FREE_CROSSINGS: f64 = 0.5;
 /// Usual time from the first to the last token of a request, in seconds.
 const USUAL_LIFE_S: f64 = 3.0;
 
@@ -347,9 +349,10 @@
 }
 
 /// Whether a request may cross from one failure domain to another while requests in flight carry
-/// `tokens` across: the less likely, the more they are, as nodes hear of each other's requests late.
+/// `tokens` across. Nodes hear of each other's requests late, so it becomes less likely step by step.
 fn may_cross_domains(profile: &EngineProfile, tokens: f64) -> bool {
     let Some(per_second) = profile.crossing_tokens else { return true };
     let limit = per_second * CROSSING_SHARE * USUAL_LIFE_S;
-    rand::rng().random::<f64>() >= tokens / limit
+    let beyond = (tokens / limit - FREE_CROSSINGS) / (1.0 - FREE_CROSSINGS);
+    rand::rng().random::<f64>() >= beyond
 }
