--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,7 +1,8 @@
-//! The peer crate for other nodes of the router: h2 streams with bincode messages.
+//! The peer crate for other nodes of the router: h2 streams and datagrams with bincode messages.
 //!
 //! Purpose: keep a link to a few chosen nodes, over which heartbeats, deltas and snapshots go in
-//! both directions, and ask any node single questions.
+//! both directions, and ask any node single questions; or tell all nodes in datagrams what is lost
+//! without harm.
 //!
 //! Invariants: frames, counts and connections are bounded; no wait is without a deadline; a message
 //! of an unknown kind is refused and the connection goes on, so that nodes of two releases can
