--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -22,6 +22,7 @@
     sends: u32,
     last: Option<UpstreamName>,
     causes: Vec<String>,
+    reason: Option<String>,
     first_byte: Option<Timestamp>,
     ended: Option<(&'static str, Verdict, u16)>,
 }
@@ -68,6 +69,11 @@
         }
     }
 
+    /// The request is given up.
+    pub(crate) fn given_up(&self, reason: &str) {
+        self.state.borrow_mut().reason = Some(reason.to_owned());
+    }
+
     /// Causes of the failed sends, for the caller.
     pub(crate) fn causes(&self) -> String {
         self.state.borrow().causes.join("; ")
@@ -111,6 +117,7 @@
             status,
             sends = state.sends,
             upstream = state.last.as_ref().map(|name| name.as_str()),
+            reason = state.reason.as_deref(),
             causes = (!state.causes.is_empty()).then(|| state.causes.join("; ")),
             first_ms = state.first_byte.map(since),
             total_ms = since(self.gateway.clock.now()),
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -130,6 +130,7 @@
 
     /// The failure of a request that is given up after `sends`.
     pub(crate) fn give_up(&self, sends: &Sends, kind: FailureKind, message: &str) -> RoutedFailure {
+        self.log.given_up(message);
         let causes = self.log.causes();
         let message =
             if causes.is_empty() { message.to_owned() } else { format!("{message} ({causes})") };
