Serve repeated steps of the last changes with one piece each

Found by reading the whole change once more; behaviour stays as it is.

- A failure that other nodes are told of was noted and told in two calls at three places: `report_failure`.
Asking an engine for its state and suspecting one that does not answer stood twice: `ask`.
- Three signals were replaced and waited for by hand: `Wakeup`.
- The entry of a suspected upstream was found or renewed in three copies.
- Crossings of a path were counted by looking each engine up again; the choice of the path knows them and returns them.
Their assertions stay.

Looked at and left: implementations of the store's trait that share the shape of its signatures, and lists of named constants. `SendBudget` and `routing::RetryBudget` stay apart as long as there are two lifecycles.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -7,9 +7,9 @@
 
 use catalog::{EngineProfile, Upstream};
 use futures_util::future::select;
-use pipelines::{Holder, Need, PathQuery, Used, choose_path};
+use pipelines::{Holder, Need, Path, PathQuery, Used, choose_path};
 use rand::Rng;
-use types::{Domain, Stage, UpstreamName};
+use types::{Stage, UpstreamName};
 
 use crate::{Gateway, lifecycle::Run};
 
@@ -208,16 +208,12 @@
     /// Whether there is a path with room now over engines that are not very slow.
     pub(crate) fn has_fast_path(&self, wanted: Wanted<'_>) -> bool {
         let Some(profile) = self.engine() else { return false };
-        let Ok(stages) = self.find_path(&profile, wanted) else { return false };
-        stages.iter().all(|stage| !self.gateway.is_very_slow(&stage.engine))
+        let Ok(path) = self.find_path(&profile, wanted) else { return false };
+        path.stages.iter().all(|stage| !self.gateway.is_very_slow(&stage.engine))
     }
 
     /// Chooses the engines of a path now.
-    fn find_path(
-        &self,
-        profile: &EngineProfile,
-        wanted: Wanted<'_>,
-    ) -> Result<Vec<Stage>, NoTarget> {
+    fn find_path(&self, profile: &EngineProfile, wanted: Wanted<'_>) -> Result<Path, NoTarget> {
         let gateway = &self.gateway;
         let mut holders = Vec::new();
         let may_cross;
@@ -266,13 +262,7 @@
         profile: &EngineProfile,
         wanted: Wanted<'_>,
     ) -> Result<Target, NoTarget> {
-        let stages = self.find_path(profile, wanted)?;
-        let domains: Vec<Option<Domain>> = {
-            let beliefs = self.gateway.beliefs.borrow();
-            let domain = |stage: &Stage| beliefs.upstream(&stage.engine).map(|known| &known.domain);
-            stages.iter().map(|stage| domain(stage).cloned()).collect()
-        };
-        let crossings = domains.windows(2).filter(|pair| pair[0] != pair[1]).count() as u32;
+        let Path { stages, crossings } = self.find_path(profile, wanted)?;
         let mut needs: Vec<Need> = stages
             .iter()
             .enumerate()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -165,7 +165,7 @@
         let gateway = &self.gateway;
         let upstream = &target.upstream;
         match error {
-            CallError::Refused => gateway.note_end(&upstream.name),
+            CallError::Refused => gateway.report_failure(&upstream.name, &error.to_string()),
             CallError::Connect(_) | CallError::ConnectTimeout => {
                 gateway.suspect(&upstream.name, &error.to_string());
             }
--- a/crates/gateway/src/blocked.rs
+++ b/crates/gateway/src/blocked.rs
@@ -4,6 +4,7 @@
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -13,6 +14,7 @@
 use rand::Rng;
 use transport::CallError;
 use types::UpstreamName;
+use upstreams::EngineReport;
 
 use crate::{
     Gateway,
@@ -112,10 +114,10 @@
         found.iter().any(|reach| matches!(reach, Some(Reach::Open | Reach::Refused)));
     for (name, reach) in names.iter().zip(found) {
         match reach {
-            Some(Reach::Refused) => gateway.note_end(name),
+            Some(Reach::Refused) => gateway.report_failure(name, "connection refused"),
             Some(Reach::Silent) if is_connected => {
-                gateway.suspect(name, "takes no connections while a stream through it is silent");
-                gateway.tell_failure(name);
+                let cause = "takes no connections while a stream through it is silent";
+                gateway.report_failure(name, cause);
             }
             _ => {}
         }
@@ -124,32 +126,20 @@
 
 /// Asks the first engine of a silent path which engines its calls wait for.
 async fn look_for_blocked(gateway: Rc<Gateway>, entry: UpstreamName) {
-    let upstream = gateway.beliefs.borrow().upstream(&entry).cloned();
-    let Some(upstream) = upstream else { return };
-    match gateway.client(&upstream).report(REPORT_LIMIT).await {
-        Ok(report) => {
-            let blocked: BTreeSet<SocketAddr> = report.blocked.into_iter().collect();
-            for name in blocked.into_iter().filter_map(|addr| gateway.upstream_at(addr)) {
-                gateway.suspect(&name, "calls wait for it at the engine before it");
-                gateway.tell_failure(&name);
-            }
-        }
-        Err(error) => gateway.suspect(&entry, &format!("no report: {error}")),
+    let Some((_, report)) = gateway.ask(&entry).await else { return };
+    let blocked: BTreeSet<SocketAddr> = report.blocked.into_iter().collect();
+    for name in blocked.into_iter().filter_map(|addr| gateway.upstream_at(addr)) {
+        gateway.report_failure(&name, "calls wait for it at the engine before it");
     }
 }
 
 /// Asks engines of a silent path for their pace, so that new requests take another path than one
 /// over a slow engine.
 async fn look_for_slow(gateway: Rc<Gateway>, names: Vec<UpstreamName>) {
-    let asked = names.into_iter().map(|name| {
-        let gateway = gateway.clone();
-        async move {
-            let upstream = gateway.beliefs.borrow().upstream(&name).cloned();
-            let Some(upstream) = upstream else { return };
-            match gateway.client(&upstream).report(REPORT_LIMIT).await {
-                Ok(report) => gateway.take_pace(&upstream, report.pace),
-                Err(error) => gateway.suspect(&name, &format!("no report: {error}")),
-            }
+    let gateway = &gateway;
+    let asked = names.iter().map(|name| async move {
+        if let Some((upstream, report)) = gateway.ask(name).await {
+            gateway.take_pace(&upstream, report.pace);
         }
     });
     join_all(asked).await;
@@ -198,9 +188,22 @@
         Some(Reach::Silent)
     }
 
-    /// Notes that nothing listens at an upstream's address: its process has ended.
-    pub(crate) fn note_end(&self, name: &UpstreamName) {
-        self.suspect(name, "connection refused");
+    /// Asks an engine that is known for its state; one that does not answer is suspected.
+    async fn ask(&self, name: &UpstreamName) -> Option<(Arc<Upstream>, EngineReport)> {
+        let upstream = self.beliefs.borrow().upstream(name).cloned()?;
+        match self.client(&upstream).report(REPORT_LIMIT).await {
+            Ok(report) => Some((upstream, report)),
+            Err(error) => {
+                self.suspect(name, &format!("no report: {error}"));
+                None
+            }
+        }
+    }
+
+    /// Notes a failure of an upstream that is no matter of this node's path to it, and tells the
+    /// other nodes.
+    pub(crate) fn report_failure(&self, name: &UpstreamName, cause: &str) {
+        self.suspect(name, cause);
         self.tell_failure(name);
     }
 
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -11,7 +11,10 @@
 use transport::Stop;
 use upstreams::Connector;
 
-use crate::{Gateway, admission::Waiters, crashes::CrashTable, metrics::Metrics, news::Outbox};
+use crate::{
+    Gateway, admission::Waiters, crashes::CrashTable, metrics::Metrics, news::Outbox,
+    wakeup::Wakeup,
+};
 
 /// Builds a [`Gateway`].
 pub struct GatewayBuilder {
@@ -60,8 +63,8 @@
             crashes: RefCell::new(CrashTable::default()),
             members: RefCell::default(),
             metrics: Metrics::new(),
-            store_lost: RefCell::new(Stop::new()),
-            read_now: RefCell::new(Stop::new()),
+            store_lost: Wakeup::default(),
+            read_now: Wakeup::default(),
             newest_table: Cell::new(0),
             outbox: Outbox::default(),
             slow: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod run;
 mod store;
 mod stream;
+mod wakeup;
 mod whole;
 
 pub use builder::GatewayBuilder;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -6,10 +6,9 @@
 
 use keyvalue::Item;
 use peers::{Datagram, DatagramSocket, News};
-use transport::Stop;
 use types::UpstreamName;
 
-use crate::{Gateway, store};
+use crate::{Gateway, store, wakeup::Wakeup};
 
 /// Share of the shortest time within which a change must be in force that passes at most between
 /// two reads of the changes.
@@ -22,7 +21,7 @@
 pub(crate) struct Outbox {
     changes: RefCell<Vec<News>>,
     failed: RefCell<Vec<(UpstreamName, u64)>>,
-    filled: RefCell<Stop>,
+    filled: Wakeup,
 }
 
 impl Outbox {
@@ -30,19 +29,18 @@
     pub(crate) fn push_change(&self, item: &Item) {
         let Item { key, value, revision } = item.clone();
         self.changes.borrow_mut().push(News { key: key.into(), value, revision });
-        self.filled.borrow().raise();
+        self.filled.raise();
     }
 
     /// Adds an upstream that has failed, with the start that failed.
     fn push_failure(&self, name: &UpstreamName, boot: u64) {
         self.failed.borrow_mut().push((name.clone(), boot));
-        self.filled.borrow().raise();
+        self.filled.raise();
     }
 
     /// Waits until there is something to tell.
     async fn wait(&self) {
-        let filled = Stop::new();
-        self.filled.replace(filled.clone());
+        let filled = self.filled.arm();
         if self.changes.borrow().is_empty() && self.failed.borrow().is_empty() {
             filled.raised().await;
         }
@@ -77,7 +75,7 @@
         // A version that was read for once and not found says nothing new.
         if version > known.max(self.newest_table.get()) {
             self.newest_table.set(version);
-            self.read_now.borrow().raise();
+            self.read_now.raise();
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     admission::Waiters, blocked::Looks, crashes::CrashTable, metrics::Metrics, news::Outbox,
-    peering::Member,
+    peering::Member, wakeup::Wakeup,
 };
 
 /// Factor on the time of an engine's work from which it is very slow. A spare engine loads its layers
@@ -46,9 +46,9 @@
     pub(crate) members: RefCell<BTreeMap<NodeName, Member>>,
     pub(crate) metrics: Metrics,
     /// Raised when a call to the store got no answer, so that the waiting watch is given up.
-    pub(crate) store_lost: RefCell<Stop>,
+    pub(crate) store_lost: Wakeup,
     /// Raised when the changes are to be read at once.
-    pub(crate) read_now: RefCell<Stop>,
+    pub(crate) read_now: Wakeup,
     /// Newest version of the configuration that another node has told of.
     pub(crate) newest_table: Cell<u64>,
     pub(crate) outbox: Outbox,
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -214,7 +214,7 @@
         match store.renew(lease).await {
             Ok(true) => {}
             Ok(false) => return Ok(()),
-            Err(_) => gateway.store_lost.borrow().raise(),
+            Err(_) => gateway.store_lost.raise(),
         }
     }
     store.revoke(lease).await
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,7 +6,6 @@
 use catalog::Adoption;
 use futures_util::future::{Either, select};
 use keyvalue::{Changes, Item, KvError};
-use transport::Stop;
 use types::UpstreamName;
 
 use crate::{Gateway, peering::NODE_PREFIX, planner::PLANNER_KEY};
@@ -70,8 +69,7 @@
 async fn watch(gateway: &Rc<Gateway>, mut at: u64) -> Option<KvError> {
     loop {
         let started = gateway.clock.now();
-        let lost = Stop::new();
-        gateway.store_lost.replace(lost.clone());
+        let lost = gateway.store_lost.arm();
         let changes = match select(gateway.store.changes("", at), pin!(lost.raised())).await {
             Either::Left((changes, _)) => changes,
             Either::Right(((), _)) => Err(KvError::Unavailable),
@@ -93,8 +91,7 @@
         }
         // Each call is counted, and changes within the interval come together.
         let spent = gateway.clock.now().since(started);
-        let read_now = Stop::new();
-        gateway.read_now.replace(read_now.clone());
+        let read_now = gateway.read_now.arm();
         let pause = gateway.clock.sleep(gateway.read_interval().saturating_sub(spent));
         select(pause, pin!(read_now.raised())).await;
     }
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -106,9 +106,7 @@
 #[compio::test]
 async fn a_silent_stream_leaves_an_engine_that_has_ended() {
     let world = World::ready().await;
-    world.script([Step::EventsThenSilence(vec![0]), Step::Events(vec![1])]);
-    let reply = world.send("/drafts/x").await.expect("the stream begins");
-    let ended = if world.called()[0] == "e1" { "e2" } else { "e4" };
+    let (reply, ended) = world.send_silent().await;
     world.script.ended.borrow_mut().push(ended.into());
     assert_eq!(body(reply).await, Some(event(0) + &event(1)));
     let calls = world.script.calls.borrow();
@@ -146,9 +144,7 @@
 #[compio::test]
 async fn a_stream_leaves_a_very_slow_engine_for_a_better_path() {
     let world = World::ready().await;
-    world.script([Step::EventsThenSilence(vec![0]), Step::Events(vec![1])]);
-    let reply = world.send("/drafts/x").await.expect("the stream begins");
-    let slow = if world.called()[0] == "e1" { "e2" } else { "e4" };
+    let (reply, slow) = world.send_silent().await;
     *world.script.slow.borrow_mut() = Some(slow.into());
     assert_eq!(body(reply).await, Some(event(0) + &event(1)));
     let calls = world.script.calls.borrow();
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -104,9 +104,7 @@
 #[compio::test]
 async fn a_node_tells_the_others_of_an_engine_that_has_ended() {
     let (world, peer, _) = world_with_peer().await;
-    world.script([Step::EventsThenSilence(vec![0]), Step::Events(vec![1])]);
-    let reply = world.send("/drafts/x").await.expect("the stream begins");
-    let ended = if world.called()[0] == "e1" { "e2" } else { "e4" };
+    let (reply, ended) = world.send_silent().await;
     world.script.ended.borrow_mut().push(ended.into());
     assert_eq!(body(reply).await, Some(event(0) + &event(1)));
     assert_eq!(next_news(&peer).await, Datagram::Failed(vec![(ended.into(), 1)]));
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -103,6 +103,14 @@
         self.script.steps.borrow_mut().extend(steps);
     }
 
+    /// Sends a draft whose stream falls silent after event 0; its second run sends event 1. Returns
+    /// the second engine of its path as well.
+    pub async fn send_silent(&self) -> (RoutedReply, &'static str) {
+        self.script([Step::EventsThenSilence(vec![0]), Step::Events(vec![1])]);
+        let reply = self.send("/drafts/x").await.expect("the stream begins");
+        (reply, if self.called()[0] == "e1" { "e2" } else { "e4" })
+    }
+
     /// Names of the upstreams that were called.
     pub fn called(&self) -> Vec<String> {
         self.script.calls.borrow().iter().map(|(name, _)| name.clone()).collect()
--- a/crates/pipelines/src/health.rs
+++ b/crates/pipelines/src/health.rs
@@ -46,16 +46,30 @@
     fn new(boot: u64, now: Timestamp) -> Suspect {
         Suspect { boot, failures: 0, refusals: 0, since: now, last: now, until: now }
     }
+
+    /// Starts to count anew if nothing has happened for a long time.
+    fn forget_old(&mut self, now: Timestamp) {
+        if now.since(self.last) > FORGET_AFTER {
+            *self = Suspect::new(self.boot, now);
+        }
+    }
 }
 
 impl HealthTable {
-    /// Notes that the start `boot` of an upstream failed. Returns the time for which it is avoided.
-    pub fn fail(&mut self, name: &UpstreamName, boot: u64, now: Timestamp) -> Duration {
+    /// What is known against the start `boot` of an upstream.
+    fn suspect(&mut self, name: &UpstreamName, boot: u64, now: Timestamp) -> &mut Suspect {
         let fresh = Suspect::new(boot, now);
         let suspect = self.suspects.entry(name.clone()).or_insert(fresh);
-        if suspect.boot != boot || now.since(suspect.last) > FORGET_AFTER {
+        if suspect.boot != boot {
             *suspect = fresh;
         }
+        suspect
+    }
+
+    /// Notes that the start `boot` of an upstream failed. Returns the time for which it is avoided.
+    pub fn fail(&mut self, name: &UpstreamName, boot: u64, now: Timestamp) -> Duration {
+        let suspect = self.suspect(name, boot, now);
+        suspect.forget_old(now);
         // Failures of requests that ran at the same time are one event.
         if suspect.failures == 0 || now >= suspect.until {
             suspect.failures += 1;
@@ -75,11 +89,8 @@
         now: Timestamp,
         pause: Duration,
     ) -> Duration {
-        let fresh = Suspect::new(boot, now);
-        let suspect = self.suspects.entry(name.clone()).or_insert(fresh);
-        if suspect.boot != boot || now.since(suspect.last) > FORGET_AFTER {
-            *suspect = fresh;
-        }
+        let suspect = self.suspect(name, boot, now);
+        suspect.forget_old(now);
         // Refusals of requests that were on their way at the same time are one event.
         if suspect.refusals == 0 || now >= suspect.until {
             suspect.refusals += 1;
@@ -99,11 +110,7 @@
 
     /// Avoids an upstream for `pause` without counting a failure.
     pub fn avoid(&mut self, name: &UpstreamName, boot: u64, now: Timestamp, pause: Duration) {
-        let fresh = Suspect::new(boot, now);
-        let suspect = self.suspects.entry(name.clone()).or_insert(fresh);
-        if suspect.boot != boot {
-            *suspect = fresh;
-        }
+        let suspect = self.suspect(name, boot, now);
         suspect.until = suspect.until.max(now + pause);
     }
 
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -17,5 +17,5 @@
 pub use budget::SendBudget;
 pub use health::HealthTable;
 pub use load::{LoadTable, Need, Used};
-pub use path::{Holder, PathQuery, choose_path};
+pub use path::{Holder, Path, PathQuery, choose_path};
 pub use placement::{EngineView, Placement, covers_model, plan};
--- a/crates/pipelines/src/path.rs
+++ b/crates/pipelines/src/path.rs
@@ -35,6 +35,15 @@
     pub has_slot: bool,
 }
 
+/// Engines that together run the whole model.
+#[derive(Clone, Debug)]
+pub struct Path {
+    /// The engines and the layers that each of them runs, in order.
+    pub stages: Vec<Stage>,
+    /// Steps from one failure domain to another.
+    pub crossings: u32,
+}
+
 /// What a path is needed for.
 #[derive(Clone, Copy, Debug)]
 pub struct PathQuery<'a> {
@@ -60,11 +69,7 @@
 }
 
 /// Chooses the cheapest path whose engines have room, or `None` if there is none.
-pub fn choose_path(
-    holders: &[Holder],
-    query: &PathQuery<'_>,
-    rng: &mut impl Rng,
-) -> Option<Vec<Stage>> {
+pub fn choose_path(holders: &[Holder], query: &PathQuery<'_>, rng: &mut impl Rng) -> Option<Path> {
     let mut order: Vec<usize> = (0..holders.len())
         .filter(|index| {
             let holder = &holders[*index];
@@ -110,11 +115,11 @@
         .filter_map(|index| best[*index].map(|found| (*index, found.cost)))
         .min_by(|one, other| one.1.total_cmp(&other.1))?
         .0;
-    let stages = collect_stages(holders, &best, last);
-    let ranges = stages.iter().map(|stage| stage.layers);
+    let path = collect_path(holders, &best, last);
+    let ranges = path.stages.iter().map(|stage| stage.layers);
     // Engines do not check the path, so a gap or an overlap would give a wrong answer.
     assert_eq!(check_coverage(ranges, query.layers), Ok(()), "path covers the model");
-    Some(stages)
+    Some(path)
 }
 
 /// Cost of running the layers from `start` to the end of the holder's range, if it has room.
@@ -129,16 +134,19 @@
     Some(share * holder.step_factor * (1.0 + FILL_WEIGHT * filled * filled))
 }
 
-fn collect_stages(holders: &[Holder], best: &[Option<Best>], last: usize) -> Vec<Stage> {
+fn collect_path(holders: &[Holder], best: &[Option<Best>], last: usize) -> Path {
     let mut stages = Vec::new();
+    let mut crossings = 0;
     let mut next = Some(last);
     while let Some(index) = next {
         let holder = &holders[index];
         next = best[index].and_then(|found| found.before);
-        let start = next.map_or(0, |before| holders[before].layers.end);
+        let previous = next.map(|before| &holders[before]);
+        crossings += u32::from(previous.is_some_and(|before| before.domain != holder.domain));
+        let start = previous.map_or(0, |before| before.layers.end);
         let layers = LayerRange { start, end: holder.layers.end };
         stages.push(Stage { engine: holder.name.clone(), addr: holder.addr, layers });
     }
     stages.reverse();
-    stages
+    Path { stages, crossings }
 }
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -5,8 +5,8 @@
 use catalog::{AcceleratorKind, EngineProfile};
 use clock::Timestamp;
 use pipelines::{
-    EngineView, HealthTable, Holder, LoadTable, Need, PathQuery, SendBudget, Used, choose_path,
-    covers_model, plan,
+    EngineView, HealthTable, Holder, LoadTable, Need, PathQuery, Placement, SendBudget, Used,
+    choose_path, covers_model, plan,
 };
 use proptest::prelude::*;
 use rand::{SeedableRng, rngs::StdRng};
@@ -84,7 +84,8 @@
             })
             .collect();
         let path = choose_path(&holders, &query(), &mut StdRng::seed_from_u64(seed));
-        if let Some(stages) = path {
+        if let Some(path) = path {
+            let stages = path.stages;
             let ranges = stages.iter().map(|stage| stage.layers);
             prop_assert_eq!(check_coverage(ranges, LAYERS), Ok(()));
             for (index, stage) in stages.iter().enumerate() {
@@ -133,7 +134,7 @@
     let holders =
         [holder(0, "a", range(0, 40)), holder(1, "b", range(0, 40)), holder(2, "b", range(40, 80))];
     let path = choose_path(&holders, &query(), &mut StdRng::seed_from_u64(1)).unwrap();
-    assert_eq!(path[0].engine.as_str(), "engine-1");
+    assert_eq!(path.stages[0].engine.as_str(), "engine-1");
 }
 
 /// Guards against a request that is preempted in mid-stream because an engine's memory is full.
@@ -144,25 +145,47 @@
     assert!(choose_path(&[full.clone()], &query(), &mut StdRng::seed_from_u64(1)).is_none());
     let free = holder(1, "b", range(0, 80));
     let path = choose_path(&[full, free], &query(), &mut StdRng::seed_from_u64(1)).unwrap();
-    assert_eq!(path[0].engine.as_str(), "engine-1");
+    assert_eq!(path.stages[0].engine.as_str(), "engine-1");
 }
 
-fn fleet() -> Vec<EngineView> {
-    let view = |number, kind: &str, domain: &str| EngineView {
+/// An engine without layers.
+fn empty(number: usize, kind: &str, domain: &str) -> EngineView {
+    EngineView {
         name: format!("engine-{domain}-{number:02}").into(),
         domain: domain.into(),
         kind: kind.into(),
         layers: None,
         is_free: true,
-    };
+    }
+}
+
+fn fleet() -> Vec<EngineView> {
     let mut engines = Vec::new();
     for domain in ["a", "b"] {
-        engines.extend((0..10).map(|number| view(number, "mid", domain)));
-        engines.extend((10..13).map(|number| view(number, "low", domain)));
+        engines.extend((0..10).map(|number| empty(number, "mid", domain)));
+        engines.extend((10..13).map(|number| empty(number, "low", domain)));
     }
     engines
 }
 
+/// The fleet once its engines hold what was planned for them.
+fn laid_out_fleet() -> Vec<EngineView> {
+    let mut engines = fleet();
+    for placement in plan(&profile(), &engines) {
+        let engine = engines.iter_mut().find(|engine| engine.name == placement.name).unwrap();
+        engine.layers = Some(placement.layers);
+    }
+    engines
+}
+
+/// How many engines were ordered to hold each layer.
+fn copies(placements: &[Placement]) -> impl Iterator<Item = usize> {
+    (0..LAYERS).map(|layer| {
+        let holds = |layers: LayerRange| layers.start <= layer && layer < layers.end;
+        placements.iter().filter(|placement| holds(placement.layers)).count()
+    })
+}
+
 /// Guards against a layout that leaves a domain without a copy, so that its prompts cross the pipe.
 #[test]
 fn each_domain_with_enough_memory_gets_a_whole_copy() {
@@ -181,32 +204,16 @@
 /// of them held layers, and two thirds of the requests were refused.
 #[test]
 fn a_domain_with_memory_for_several_copies_holds_them_and_keeps_spares() {
-    let engines: Vec<EngineView> = (0..40)
-        .map(|number| EngineView {
-            name: format!("engine-{number:02}").into(),
-            domain: "a".into(),
-            kind: "mid".into(),
-            layers: None,
-            is_free: true,
-        })
-        .collect();
+    let engines: Vec<EngineView> = (0..40).map(|number| empty(number, "mid", "a")).collect();
     let placements = plan(&profile(), &engines);
-    let covering = |layer| {
-        let holds = |layers: LayerRange| layers.start <= layer && layer < layers.end;
-        placements.iter().filter(|placement| holds(placement.layers)).count()
-    };
-    assert!((0..LAYERS).all(|layer| covering(layer) == 3), "three copies");
+    assert!(copies(&placements).all(|count| count == 3), "three copies");
     assert!(placements.len() <= 36, "a tenth of the engines is spare");
 }
 
 /// Guards against a lost engine whose layers nobody loads again.
 #[test]
 fn a_gap_is_filled_by_an_engine_without_layers() {
-    let mut engines = fleet();
-    for placement in plan(&profile(), &engines) {
-        let engine = engines.iter_mut().find(|engine| engine.name == placement.name).unwrap();
-        engine.layers = Some(placement.layers);
-    }
+    let mut engines = laid_out_fleet();
     assert!(plan(&profile(), &engines).is_empty(), "a whole layout needs no order");
     let lost = engines.iter().position(|engine| engine.layers.is_some()).unwrap();
     let gap = engines.remove(lost).layers.unwrap();
@@ -220,11 +227,7 @@
 /// a day of the hunt lost a third of its requests to it.
 #[test]
 fn a_gap_that_another_domain_covers_takes_no_spare_of_that_domain() {
-    let mut engines = fleet();
-    for placement in plan(&profile(), &engines) {
-        let engine = engines.iter_mut().find(|engine| engine.name == placement.name).unwrap();
-        engine.layers = Some(placement.layers);
-    }
+    let mut engines = laid_out_fleet();
     engines.retain(|engine| &*engine.domain != "a" || engine.layers.is_some_and(|at| at.start > 0));
     assert_eq!(plan(&profile(), &engines), Vec::new());
 }
@@ -232,11 +235,7 @@
 /// Guards against layers that no engine holds although a spare engine of any domain is left.
 #[test]
 fn a_gap_in_all_domains_is_filled_by_any_spare_engine() {
-    let mut engines = fleet();
-    for placement in plan(&profile(), &engines) {
-        let engine = engines.iter_mut().find(|engine| engine.name == placement.name).unwrap();
-        engine.layers = Some(placement.layers);
-    }
+    let mut engines = laid_out_fleet();
     engines.retain(|engine| &*engine.domain != "a" || engine.layers.is_some_and(|at| at.start > 0));
     engines.retain(|engine| engine.layers.is_none_or(|at| at.start > 0));
     let filled = plan(&profile(), &engines);
@@ -332,21 +331,9 @@
 #[test]
 fn a_further_copy_takes_a_larger_share_of_memory_rather_than_the_spares() {
     let kinds = std::iter::repeat_n("mid", 12).chain(std::iter::repeat_n("low", 14));
-    let engines: Vec<EngineView> = kinds
-        .enumerate()
-        .map(|(number, kind)| EngineView {
-            name: format!("engine-{number:02}").into(),
-            domain: "a".into(),
-            kind: kind.into(),
-            layers: None,
-            is_free: true,
-        })
-        .collect();
+    let engines: Vec<EngineView> =
+        kinds.enumerate().map(|(number, kind)| empty(number, kind, "a")).collect();
     let placements = plan(&profile(), &engines);
-    let covering = |layer| {
-        let holds = |layers: LayerRange| layers.start <= layer && layer < layers.end;
-        placements.iter().filter(|placement| holds(placement.layers)).count()
-    };
-    assert!((0..LAYERS).all(|layer| covering(layer) == 2), "two copies");
+    assert!(copies(&placements).all(|count| count == 2), "two copies");
     assert!(placements.len() <= 23, "a tenth of the engines is spare");
 }
