Capture the log lines of a test independently of the other tests

Cause: the test installed a subscriber for its thread only. A log statement that another test of the process had reached before without a subscriber could stay disabled, so the test found an empty log; the order of the tests decided.

Change: one subscriber for the process writes into a buffer of each thread, and the test refuses a request once before it captures.

--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -2,6 +2,7 @@
 //! as scripted.
 
 mod codec;
+mod log;
 mod scripted_upstreams;
 mod store;
 
@@ -18,6 +19,7 @@
 use transport::{RequestBody, StopSignal};
 
 use codec::TextCodec;
+pub use log::LogCapture;
 pub use scripted_upstreams::{ScriptedUpstreams, Step, event};
 pub use store::MemoryStore;
 
