Plan no orders while an engine has not reported yet

Change: the plan takes in engines whose first report is outstanding and is empty while there is one.

The new test fails without the check (run with the check off).

--- a/crates/fleet/src/orders.rs
+++ b/crates/fleet/src/orders.rs
@@ -36,6 +36,8 @@
     pub loaded: Option<LayerAssignment>,
     /// Whether the engine is still carrying out an order.
     pub pending: bool,
+    /// Whether the engine has reported what it has loaded.
+    pub reported: bool,
 }
 
 /// Command to an engine to load a range of a model's layers.
@@ -51,8 +53,12 @@
 }
 
 /// Plans at most one order for each model. `engines` are the engines that can be reached and are
-/// not leaving.
+/// not leaving. While one of them has not reported yet, nothing is planned: it may hold the layers
+/// that seem to be missing.
 pub fn plan_orders(config: &FleetConfig, engines: &[EngineView]) -> Vec<LoadCommand> {
+    if engines.iter().any(|engine| !engine.reported) {
+        return Vec::new();
+    }
     let mut ordered_engines = Vec::new();
     let mut orders = Vec::new();
     for (model, target) in &config.models {
--- a/crates/fleet/tests/orders.rs
+++ b/crates/fleet/tests/orders.rs
@@ -18,7 +18,7 @@
 }
 
 fn engine(name: &str, domain: &str, loaded: Option<LayerAssignment>) -> EngineView {
-    EngineView { name: name.into(), domain: domain.into(), loaded, pending: false }
+    EngineView { name: name.into(), domain: domain.into(), loaded, pending: false, reported: true }
 }
 
 /// Plans orders and executes them until none is needed. Returns the executed orders.
@@ -62,6 +62,21 @@
     assert_eq!(plan_orders(&config("1", 1), &engines), []);
 }
 
+/// Guards against a spare engine that is used up for layers which an engine that has just joined
+/// already holds.
+#[test]
+fn nothing_is_ordered_while_an_engine_has_not_reported_yet() {
+    let mut engines = [
+        engine("a", "north", Some(load("1", 0))),
+        engine("b", "north", Some(load("1", 1))),
+        EngineView { reported: false, ..engine("c", "north", None) },
+        engine("spare", "south", None),
+    ];
+    assert_eq!(plan_orders(&config("1", 1), &engines), []);
+    engines[2] = engine("c", "north", Some(load("1", 2)));
+    assert_eq!(plan_orders(&config("1", 1), &engines), []);
+}
+
 #[test]
 fn two_models_do_not_get_the_same_spare_engine() {
     let mut config = config("1", 1);
--- a/crates/node/src/tasks/orders.rs
+++ b/crates/node/src/tasks/orders.rs
@@ -113,7 +113,8 @@
             !done && now.since(*since) < ORDER_TIMEOUT
         });
         let engine_view = |(name, engine): (&UpstreamName, &EngineState)| {
-            if !engine.is_available(now) {
+            let reported = !engine.awaits_first_report();
+            if reported && !engine.is_available(now) {
                 return None;
             }
             let ordered = pending.get(name).map(|(load, _)| load.clone());
@@ -121,6 +122,7 @@
                 name: name.clone(),
                 domain: engine.domain.clone(),
                 pending: ordered.is_some(),
+                reported,
                 loaded: ordered.or_else(|| engine.report.as_ref().and_then(loaded_layers)),
             })
         };
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -169,6 +169,11 @@
         self.report.is_some() && !self.is_leaving() && !suspect && !unreachable
     }
 
+    /// Whether the first read of the engine's report has not ended yet.
+    pub fn awaits_first_report(&self) -> bool {
+        self.report.is_none() && self.unreachable_until.is_none() && !self.is_leaving()
+    }
+
     /// Whether the list of VMs, an operator or the engine itself says that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving || self.report.as_ref().is_some_and(|report| report.leaving)
