Inject the fault of a link while a completion runs over it

Cause: links/engine-* waited 120 ms between seeing an engine busy and the fault, by which time its completions could have ended; the case then proved nothing and failed.

Change: completions run until the fault has met one of them. Right after the injection the node must still have a request on the engine; otherwise the fault is removed and the next busy engine is taken.

--- a/xtask/src/faults/completions.rs
+++ b/xtask/src/faults/completions.rs
@@ -176,7 +176,7 @@
         loop {
             for replica in 0.. {
                 let Some(engine) = self.find_engine(&position.engine(replica)) else { break };
-                if self.engine_status(node, &engine.name, "outstanding").await >= Some(1) {
+                if self.is_busy(node, engine).await {
                     return engine;
                 }
             }
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Whether a node runs a completion on an engine now.
+    pub(crate) async fn is_busy(&self, node: usize, engine: &Process) -> bool {
+        self.engine_status(node, &engine.name, "outstanding").await >= Some(1)
+    }
+
     /// Waits until a node reports the engine's availability as `available`.
     pub(crate) async fn wait_available(&self, node: usize, engine: &str, available: bool) {
         let deadline = self.now() + WAIT_TIMEOUT;
--- a/xtask/src/faults/links.rs
+++ b/xtask/src/faults/links.rs
@@ -9,7 +9,7 @@
 use types::Verdict::{MayHaveRun, NotRun, Ran};
 
 use crate::{
-    cluster::{KEYVALUE, VMS},
+    cluster::{KEYVALUE, Process, VMS},
     faults::{
         Case, CaseReport, Context,
         completions::{Position, completion},
@@ -20,6 +20,10 @@
 
 /// Longest time without a token that is allowed in a stream whose link fails.
 const STALL_LIMIT: Duration = Duration::from_secs(4);
+/// Limit of the number of completions that run until the fault of a link meets one of them.
+const MAX_COMPLETIONS: u32 = 200;
+/// Number of injections after which a case gives up meeting a completion.
+const MAX_INJECTIONS: u32 = 20;
 /// Time within which every node has to stop sending new work to a leaving upstream (R5), even if
 /// the connections to the VM list no longer forward data.
 const LEAVE_LIMIT: Duration = Duration::from_secs(3);
@@ -60,6 +64,22 @@
 }
 
 impl Testbed {
+    /// Injects faults into the link to an engine at `position` on which node 0 runs a completion,
+    /// and returns the engine. If the completion had ended before the fault took effect, another
+    /// one is waited for.
+    async fn fail_busy_link(&self, position: Position, faults: &RelayFaults) -> &Process {
+        for _ in 0..MAX_INJECTIONS {
+            let engine = self.busy_engine(0, position).await;
+            self.set_link_faults(&engine.name, faults.clone()).await;
+            if self.is_busy(0, engine).await {
+                return engine;
+            }
+            self.set_link_faults(&engine.name, RelayFaults::default()).await;
+        }
+        self.add_problem(format!("the fault never met a completion on the {position} stage"));
+        self.engine(&position.engine(0))
+    }
+
     /// Sets the faults of the relay in front of a process.
     async fn set_link_faults(&self, name: &str, faults: RelayFaults) {
         self.control(self.cluster.relay(name), &faults).await;
@@ -83,14 +103,16 @@
 async fn engine_link(context: Context, faults: RelayFaults) -> CaseReport {
     let testbed = start(&context, 0, 2).await;
     for position in [Position::First, Position::Last] {
+        let stop = Cell::new(false);
         let inject_faults = async {
-            let engine = testbed.busy_engine(0, position).await;
             testbed.cluster.clock.sleep(context.around(120)).await;
-            testbed.set_link_faults(&engine.name, faults.clone()).await;
+            let engine = testbed.fail_busy_link(position, &faults).await;
+            stop.set(true);
             engine
         };
-        let (load, engine) = join!(testbed.completions(0), inject_faults);
+        let (load, engine) = join!(testbed.load(&stop, MAX_COMPLETIONS), inject_faults);
         let longest = load.stalls.iter().max().copied().unwrap_or_default();
+        testbed.record_recovery(longest);
         testbed.check(longest < STALL_LIMIT, || format!("a caller waited {longest:?} for a token"));
         testbed.check(load.retried > 0, || "no completion was retried because of the fault".into());
         testbed.set_link_faults(&engine.name, RelayFaults::default()).await;
