Blame a crash on the request that explains it best

Change: nodes also tell each other how long a request had run on the crashed engine. A request is refused at the limit unless another request took part in the same crashes and had started later there at least as often; from twice the limit it is refused in any case. One that shared crashes waits up to 250 ms for the reports of the other nodes before it is refused. An engine that breaks the probe's connection is probed again after 20 ms. The run time is a fact of its own, and the protocol version is 2, so that nodes of the release before skip what they cannot read.

Ruled out: sending each suspect alone, with permission from a shared lock: it would hold up hundreds of innocent requests after the loss of a domain.

What remains: a request that crashes engines late, beside one that started after it, is refused one crash later.

--- a/crates/fleet/src/fact.rs
+++ b/crates/fleet/src/fact.rs
@@ -12,6 +12,8 @@
     Leaving(LeavingMark),
     /// An upstream crashed while it ran a request.
     Crash(Crash),
+    /// How long the request had run on the upstream when it crashed.
+    RunTime(RunTime),
 }
 
 /// A node of the fleet.
@@ -107,6 +109,16 @@
     pub cleared: bool,
 }
 
+/// How long a request had run on an upstream when that upstream crashed. A fact of its own, since
+/// nodes of an earlier release read [`Crash`] without it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RunTime {
+    /// The report of the crash.
+    pub crash: CrashId,
+    /// Time from the start of the attempt until it failed, in microseconds.
+    pub micros: u64,
+}
+
 impl Fact {
     /// Whether no name is longer than allowed. Facts from other nodes are checked before they are
     /// merged.
@@ -116,6 +128,7 @@
             Fact::Member(member) => fits(&member.node) && fits(&member.region),
             Fact::Leaving(mark) => fits(&mark.upstream),
             Fact::Crash(crash) => fits(&crash.id.node) && fits(&crash.engine),
+            Fact::RunTime(run_time) => fits(&run_time.crash.node),
         }
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,12 +1,16 @@
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, HashMap},
     hash::{Hash, Hasher},
+    time::Duration,
 };
 
 use types::{Digest, NodeName, UpstreamName};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::{Crash, CrashId, Fact, LeavingMark, LeavingSource, Member, MemberState};
+use crate::{
+    Crash, CrashId, Fact, LeavingMark, LeavingSource, Member, MemberState, RunTime,
+    blame::{self, CrashedRuns},
+};
 
 /// Largest number of members in a table; a full table drops those whose names are last in order.
 /// The fleet is designed for 400 nodes.
@@ -28,6 +32,8 @@
     members: BTreeMap<NodeName, Member>,
     marks: BTreeMap<(UpstreamName, LeavingSource), LeavingMark>,
     crashes: BTreeMap<CrashId, Crash>,
+    /// Run times in microseconds, by crash. A run time may arrive before its crash.
+    run_times: BTreeMap<CrashId, u64>,
 }
 
 impl FleetTable {
@@ -41,7 +47,10 @@
         let members = self.members.values().cloned().map(Fact::Member);
         let marks = self.marks.values().cloned().map(Fact::Leaving);
         let crashes = self.crashes.values().cloned().map(Fact::Crash);
-        members.chain(marks).chain(crashes).collect()
+        let run_times = self.run_times.iter().map(|(crash, micros)| {
+            Fact::RunTime(RunTime { crash: crash.clone(), micros: *micros })
+        });
+        members.chain(marks).chain(crashes).chain(run_times).collect()
     }
 
     /// Hash (xxh3) of all facts, by which nodes find that their facts differ; it is not a
@@ -51,6 +60,7 @@
         self.members.values().for_each(|member| member.hash(&mut hasher));
         self.marks.values().for_each(|mark| mark.hash(&mut hasher));
         self.crashes.values().for_each(|crash| crash.hash(&mut hasher));
+        self.run_times.iter().for_each(|run_time| run_time.hash(&mut hasher));
         hasher.finish()
     }
 
@@ -59,6 +69,7 @@
         self.members.retain(|_, member| !is_expired_member(member, now_millis));
         self.marks.retain(|_, mark| !is_expired(mark.since_millis, now_millis));
         self.crashes.retain(|id, _| !is_expired(id.at_millis, now_millis));
+        self.run_times.retain(|id, _| !is_expired(id.at_millis, now_millis));
     }
 
     /// The members that are alive: neither suspect nor left.
@@ -173,6 +184,16 @@
         fact
     }
 
+    /// Records how long the request of a crash had run on the engine. Returns the fact to send to
+    /// other nodes.
+    pub fn record_run_time(&mut self, crash: CrashId, run_time: Duration) -> Fact {
+        let micros = u64::try_from(run_time.as_micros()).unwrap_or(u64::MAX);
+        let now_millis = crash.at_millis;
+        let fact = Fact::RunTime(RunTime { crash, micros });
+        self.merge_fact(&fact, now_millis);
+        fact
+    }
+
     /// Clears all crashes during a request after the request has succeeded. Returns the facts to
     /// send to other nodes.
     pub fn clear_crashes(&mut self, fingerprint: Digest) -> Vec<Fact> {
@@ -189,17 +210,44 @@
     /// Number of engine processes that crashed while they ran a request, without the crashes that
     /// are cleared. If several copies of the request ran on one process, its crash counts once.
     pub fn crash_count(&self, fingerprint: Digest) -> usize {
-        let uncleared =
-            self.crashes.values().filter(|c| c.fingerprint == fingerprint && !c.cleared);
-        uncleared
-            .map(|crash| (&crash.engine, crash.engine_incarnation))
-            .collect::<BTreeSet<_>>()
-            .len()
+        self.crashed_runs().get(&fingerprint).map_or(0, CrashedRuns::len)
+    }
+
+    /// Whether a request is to be refused because engines crashed while they ran it, and no other
+    /// request explains these crashes. `limit` is the number of crashes from which a request may be
+    /// refused.
+    pub fn is_poison(&self, fingerprint: Digest, limit: usize) -> bool {
+        blame::is_poison(&self.crashed_runs(), fingerprint, limit)
+    }
+
+    /// Whether another request ran on an engine process that crashed during this one.
+    pub fn shares_crash(&self, fingerprint: Digest) -> bool {
+        blame::shares_crash(&self.crashed_runs(), fingerprint)
+    }
+
+    /// When the newest crash of a request that is not cleared was recorded, in milliseconds since
+    /// the Unix epoch.
+    pub fn last_crash_millis(&self, fingerprint: Digest) -> Option<u64> {
+        let own = self.crashes.values().filter(|c| c.fingerprint == fingerprint && !c.cleared);
+        own.map(|crash| crash.id.at_millis).max()
+    }
+
+    /// The crashes that are not cleared, by request.
+    fn crashed_runs(&self) -> HashMap<Digest, CrashedRuns> {
+        let mut runs: HashMap<Digest, CrashedRuns> = HashMap::new();
+        for crash in self.crashes.values().filter(|crash| !crash.cleared) {
+            let run_time =
+                self.run_times.get(&crash.id).map(|micros| Duration::from_micros(*micros));
+            runs.entry(crash.fingerprint)
+                .or_default()
+                .add((crash.engine.clone(), crash.engine_incarnation), run_time);
+        }
+        runs
     }
 
     /// Whether a request is suspected of crashing engines: it has a crash that is not cleared.
     pub fn is_suspect_request(&self, fingerprint: Digest) -> bool {
-        self.crash_count(fingerprint) > 0
+        self.crashes.values().any(|crash| crash.fingerprint == fingerprint && !crash.cleared)
     }
 
     /// Merges a fact. Returns whether it was new.
@@ -247,6 +295,17 @@
                 }
                 self.crashes.contains_key(&crash.id)
             }
+            Fact::RunTime(RunTime { crash, micros }) => {
+                let is_known = self.run_times.get(crash).is_some_and(|known| known <= micros);
+                if is_known || is_expired(crash.at_millis, now_millis) {
+                    return false;
+                }
+                self.run_times.insert(crash.clone(), *micros);
+                if self.run_times.len() > MAX_CRASHES {
+                    self.run_times.pop_first();
+                }
+                self.run_times.contains_key(crash)
+            }
         }
     }
 }
--- a/crates/fleet/tests/merge.rs
+++ b/crates/fleet/tests/merge.rs
@@ -2,7 +2,7 @@
 //! disagree permanently and keep exchanging snapshots.
 
 use fleet::{
-    Crash, CrashId, Fact, FleetTable, LeavingMark, LeavingSource, Member, MemberState,
+    Crash, CrashId, Fact, FleetTable, LeavingMark, LeavingSource, Member, MemberState, RunTime,
     rendezvous_choose,
 };
 use proptest::prelude::*;
@@ -58,6 +58,9 @@
                 cleared,
             })
         }),
+        (0..4_u64, 0..3_u64).prop_map(|(number, micros)| {
+            Fact::RunTime(RunTime { crash: crash_id(number), micros })
+        }),
     ]
 }
 
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -88,7 +88,7 @@
                 let message = format!("{} attempts have failed", self.progress.failures);
                 return Err(self.failure(FailureKind::Upstream, message));
             }
-            self.refuse_poison()?;
+            self.refuse_poison().await?;
             let plan = match next_plan.take() {
                 Some(plan) => plan,
                 None => Plan { route: self.find_route().await?, resume: false },
@@ -96,7 +96,7 @@
             let (model, route) = (self.request.model.clone(), plan.route.clone());
             let load = LoadGuard::new(self.node.clone(), model, route);
             // Copies of the request may have crashed engines while this one waited for a route.
-            self.refuse_poison()?;
+            self.refuse_poison().await?;
             self.progress.incarnations = self.known_incarnations(&plan.route);
             let suspect_guard = self.node.start_suspect_attempt(self.fingerprint, &plan.route);
             if suspect_guard.is_some() && !self.confirm_route(&plan.route).await {
--- a/crates/node/src/completion/poison.rs
+++ b/crates/node/src/completion/poison.rs
@@ -14,6 +14,11 @@
 /// Time that an engine has to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Probes of an engine whose connections break: a process that is ending may still accept one.
+const PROBE_ATTEMPTS: u32 = 2;
+/// Time between them.
+const PROBE_DELAY: Duration = Duration::from_millis(20);
+
 /// Result of a probe of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ProbeResult {
@@ -28,14 +33,24 @@
 }
 
 impl CompletionRun {
-    /// Refuses the request if too many engines have crashed while they ran it. The verdict is
-    /// always `MayHaveRun`, because each crash was recorded for an attempt that was sent, if not of
-    /// this request then of an earlier send of it.
-    pub(super) fn refuse_poison(&self) -> Result<(), Failure> {
-        let crashes = self.node.crash_count(self.fingerprint) as u64;
-        if crashes < self.policy.crash_limit {
+    /// Refuses the request if it caused too many crashes of engines. The verdict is always
+    /// `MayHaveRun`, because each crash was recorded for an attempt that was sent, if not of this
+    /// request then of an earlier send of it. A request that shared its crashes with others waits
+    /// for the reports of the other nodes, so that it is not refused for the crashes of another
+    /// one.
+    pub(super) async fn refuse_poison(&self) -> Result<(), Failure> {
+        let limit = self.policy.crash_limit;
+        if (self.node.crash_count(self.fingerprint) as u64) < limit {
             return Ok(());
         }
+        let pause = self.node.time_until_reported(self.fingerprint).min(self.time_left());
+        if !pause.is_zero() {
+            self.node.clock.sleep(pause).await;
+        }
+        if !self.node.is_poison(self.fingerprint, limit) {
+            return Ok(());
+        }
+        let crashes = self.node.crash_count(self.fingerprint);
         let message = format!("engines crashed {crashes} times while they ran this request");
         Err(Failure::new(FailureKind::Poison, Verdict::MayHaveRun, message))
     }
@@ -91,13 +106,18 @@
     /// Checks whether an engine answers, and with which incarnation.
     pub(super) async fn probe_engine(&self, name: &UpstreamName) -> ProbeResult {
         let Some(engine) = self.node.engine(name) else { return ProbeResult::Gone };
-        // An idle connection may have gone silent although the engine works.
-        engine.drop_idle();
-        match timeout(&*self.node.clock, PROBE_TIMEOUT, engine.load()).await {
-            Ok(Ok(load)) => ProbeResult::Alive(load.incarnation),
-            Ok(Err(CallError::Connect(_) | CallError::Refused)) => ProbeResult::Refused,
-            _ => ProbeResult::Silent,
+        let clock = &*self.node.clock;
+        for _ in 0..PROBE_ATTEMPTS {
+            // An idle connection may have gone silent although the engine works.
+            engine.drop_idle();
+            match timeout(clock, PROBE_TIMEOUT, engine.load()).await {
+                Ok(Ok(load)) => return ProbeResult::Alive(load.incarnation),
+                Ok(Err(CallError::Connect(_) | CallError::Refused)) => return ProbeResult::Refused,
+                Ok(Err(CallError::Broken(_))) => clock.sleep(PROBE_DELAY).await,
+                _ => return ProbeResult::Silent,
+            }
         }
+        ProbeResult::Silent
     }
 
     /// Records a crash if an engine of the failed attempt accepts no connections or has restarted.
@@ -116,7 +136,8 @@
             let mut incarnations = self.progress.incarnations.iter();
             let incarnation =
                 incarnations.find(|(name, _)| *name == stage.engine).map_or(0, |known| known.1);
-            self.node.record_crash(self.fingerprint, &stage.engine, incarnation);
+            let run_time = self.progress.run_time;
+            self.node.record_crash(self.fingerprint, &stage.engine, incarnation, run_time);
         }
     }
 }
--- a/crates/node/src/completion/progress.rs
+++ b/crates/node/src/completion/progress.rs
@@ -32,6 +32,10 @@
     pub(super) incarnations: Vec<(UpstreamName, u64)>,
     /// Why the stream is interrupted. Cleared by its next token.
     pub(super) interruption: Option<Interruption>,
+    /// When the running attempt started.
+    attempt_start: Timestamp,
+    /// How long the last failed attempt had run.
+    pub(super) run_time: Duration,
     /// When the last token of the request arrived, of whichever attempt.
     last_token: Option<Timestamp>,
     /// Number of tokens of the running attempt.
@@ -51,6 +55,8 @@
             prompt_positions: None,
             incarnations: Vec::new(),
             interruption: None,
+            attempt_start: now,
+            run_time: Duration::ZERO,
             last_token: None,
             attempt_tokens: 0,
             first_token: now,
@@ -59,9 +65,17 @@
 
     pub(super) fn start_attempt(&mut self, now: Timestamp) {
         self.wait_start = now;
+        self.attempt_start = now;
         self.attempt_tokens = 0;
     }
 
+    /// Counts the running attempt as failed.
+    pub(super) fn record_failure(&mut self, now: Timestamp) {
+        self.failures += 1;
+        self.run_time = now.since(self.attempt_start);
+        self.interruption = Some(Interruption::Failure);
+    }
+
     /// Checks that a token is the one after the first `given` tokens, and that its position agrees
     /// with the prompt length that earlier tokens have shown.
     pub(super) fn check(&mut self, token: &Token, given: u32) -> Result<(), String> {
--- a/crates/node/src/completion/recover.rs
+++ b/crates/node/src/completion/recover.rs
@@ -9,7 +9,6 @@
 use types::{Stage, UpstreamName};
 
 use super::{CompletionRun, poison::ProbeResult};
-use crate::metrics::Interruption;
 
 /// Time for which an engine that failed gets no new work.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
@@ -73,8 +72,7 @@
     /// the next attempt.
     pub(super) async fn recover(&mut self, route: &[Stage], cause: Cause) {
         self.node.metrics.attempts_failed.inc();
-        self.progress.failures += 1;
-        self.progress.interruption = Some(Interruption::Failure);
+        self.progress.record_failure(self.node.clock.now());
         let Diagnosis { avoid, suspects } = self.diagnose(route, cause.source).await;
         tracing::info!(
             request = %self.request.caller.id,
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -1,21 +1,26 @@
 //! Records crashes of engines under the fingerprint of the request that they ran. A request with a
 //! crash that is not cleared is a suspect request.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use fleet::CrashId;
 use types::{Digest, Stage, UpstreamName};
 
 use crate::state::Node;
 
+/// Time within which the reports of a crash from all nodes arrive. A failed attempt is reported
+/// after its engines were probed.
+const REPORT_TIME: Duration = Duration::from_millis(250);
+
 impl Node {
-    /// Records that an incarnation of an engine crashed while it ran a request, and tells the other
-    /// nodes.
+    /// Records that an incarnation of an engine crashed when it had run a request for `run_time`,
+    /// and tells the other nodes.
     pub fn record_crash(
         &self,
         fingerprint: Digest,
         engine: &UpstreamName,
         crashed_incarnation: u64,
+        run_time: Duration,
     ) {
         let number = self.crash_number.get() + 1;
         self.crash_number.set(number);
@@ -25,12 +30,12 @@
             incarnation: self.incarnation,
             number,
         };
-        let fact = self.fleet.borrow_mut().record_crash(
-            id,
-            fingerprint,
-            (engine.clone(), crashed_incarnation),
-        );
-        self.broadcast(vec![fact]);
+        let mut fleet = self.fleet.borrow_mut();
+        let process = (engine.clone(), crashed_incarnation);
+        let crash = fleet.record_crash(id.clone(), fingerprint, process);
+        let run_time = fleet.record_run_time(id, run_time);
+        drop(fleet);
+        self.broadcast(vec![crash, run_time]);
     }
 
     /// Clears the recorded crashes of a request after it succeeded, and tells the other nodes.
@@ -44,6 +49,25 @@
         self.fleet.borrow().crash_count(fingerprint)
     }
 
+    /// Whether a request is to be refused because of the crashes that any node recorded for it, with
+    /// the policy's limit of crashes.
+    pub(crate) fn is_poison(&self, fingerprint: Digest, crash_limit: u64) -> bool {
+        let limit = usize::try_from(crash_limit).unwrap_or(usize::MAX);
+        self.fleet.borrow().is_poison(fingerprint, limit)
+    }
+
+    /// Time until the other nodes' reports of the crashes that this request shared with others have
+    /// arrived.
+    pub(crate) fn time_until_reported(&self, fingerprint: Digest) -> Duration {
+        let fleet = self.fleet.borrow();
+        let Some(newest) = fleet.last_crash_millis(fingerprint) else { return Duration::ZERO };
+        if !fleet.shares_crash(fingerprint) {
+            return Duration::ZERO;
+        }
+        let age = Duration::from_millis(self.clock.unix_millis().saturating_sub(newest));
+        REPORT_TIME.saturating_sub(age)
+    }
+
     /// Whether a request is a suspect request, which has a crash that is not cleared.
     pub fn is_crash_suspect(&self, fingerprint: Digest) -> bool {
         self.fleet.borrow().is_suspect_request(fingerprint)
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -98,7 +98,7 @@
             .wait_until(START_LIMIT, |fleet| fleet.nodes.iter().all(|node| node.link_count() >= 3))
             .await;
         let (request, engine) = (Digest(77), "engine-0".into());
-        fleet.nodes[0].record_crash(request, &engine, 1);
+        fleet.nodes[0].record_crash(request, &engine, 1, Duration::ZERO);
         let all = |fleet: &Fleet, count: usize| {
             fleet.nodes.iter().all(|node| node.crash_count(request) == count)
         };
@@ -138,7 +138,7 @@
         // A node comes to suspect three others every 6 s, so after this time all of the other half.
         fleet.clock.sleep(Duration::from_secs(30)).await;
         let request = Digest(5);
-        fleet.nodes[0].record_crash(request, &"engine-0".into(), 1);
+        fleet.nodes[0].record_crash(request, &"engine-0".into(), 1, Duration::ZERO);
         fleet.clock.sleep(Duration::from_secs(3)).await;
         let known = |fleet: &Fleet| {
             fleet.nodes.iter().filter(|node| node.is_crash_suspect(request)).count()
--- a/crates/node/tests/poison.rs
+++ b/crates/node/tests/poison.rs
@@ -71,6 +71,23 @@
     });
 }
 
+/// Guards against a crash that is not counted because the probe after it still reaches the ending
+/// process: a request then crashed a third engine.
+#[test]
+fn crash_counts_although_the_ending_process_accepts_one_more_connection() {
+    with_harness(|harness| async move {
+        let running = harness.complete(6).await;
+        let stream = harness.newest_stream();
+        harness.fleet.ending.borrow_mut().push(stream.stages()[0].clone());
+        break_stream(&harness, &stream).await;
+        harness.advance(50).await;
+        crash_first_stage(&harness).await;
+        harness.advance(50).await;
+        let refused = Some((FailureKind::Poison, Verdict::MayHaveRun));
+        assert_eq!((harness.stream_count(), failure(&running)), (2, refused));
+    });
+}
+
 #[test]
 fn restart_counts_as_a_crash() {
     with_harness(|harness| async move {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -51,6 +51,8 @@
     pub imports: RefCell<Vec<(UpstreamName, KvCache)>>,
     /// Engines that do not answer.
     pub silent: RefCell<Vec<UpstreamName>>,
+    /// Engines that are ending: they break the next connection and accept none afterwards.
+    pub ending: RefCell<Vec<UpstreamName>>,
     /// Engines that accept no connections.
     pub stopped: RefCell<Vec<UpstreamName>>,
     /// Engines that have restarted.
@@ -301,6 +303,12 @@
         if self.is_silent() {
             return pending().boxed_local();
         }
+        let mut ending = self.fleet.ending.borrow_mut();
+        if let Some(index) = ending.iter().position(|name| *name == self.name) {
+            self.fleet.stopped.borrow_mut().push(ending.swap_remove(index));
+            let broken = CallError::Broken("reset".into());
+            return std::future::ready(Err(broken)).boxed_local();
+        }
         if self.fleet.stopped.borrow().contains(&self.name) {
             let refused = CallError::Connect("refused".into());
             return std::future::ready(Err(refused)).boxed_local();
--- a/crates/peers/src/frame.rs
+++ b/crates/peers/src/frame.rs
@@ -10,7 +10,7 @@
 
 /// Version of the protocol, sent with each message. It is incremented when the meaning of a kind of
 /// message changes.
-pub const PROTOCOL_VERSION: u8 = 1;
+pub const PROTOCOL_VERSION: u8 = 2;
 /// Largest frame, in bytes. A snapshot of a full table of facts and a configuration of 1 MB fits
 /// into one frame.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -27,7 +27,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest number of facts in one snapshot: those of a full table.
 const MAX_SNAPSHOT_FACTS: usize =
-    fleet::MAX_MEMBERS + fleet::MAX_LEAVING_MARKS + fleet::MAX_CRASHES;
+    fleet::MAX_MEMBERS + fleet::MAX_LEAVING_MARKS + 2 * fleet::MAX_CRASHES;
 
 /// A received message.
 pub(crate) struct Frame {
--- a/crates/peers/tests/links/main.rs
+++ b/crates/peers/tests/links/main.rs
@@ -10,7 +10,7 @@
 use harness::{Proxy, TestNode, run, wait_until};
 use peers::{
     ANSWER_TIMEOUT, HEARTBEAT_INTERVAL, Kind, MAX_DELTA_FACTS, MAX_FRAME_BYTES, Message,
-    SUSPECT_AFTER, decode, encode,
+    PROTOCOL_VERSION, SUSPECT_AFTER, decode, encode,
 };
 use types::Digest;
 
@@ -122,7 +122,9 @@
     let mut longer = frame[4..].to_vec();
     longer.extend([1, 2, 3]);
     assert!(matches!(decode(&longer), Ok(Ok(Message::Refused(7)))));
-    assert!(decode(&[]).is_err() && decode(&[1, Kind::Heartbeat as u8, 255]).is_err());
+    assert!(
+        decode(&[]).is_err() && decode(&[PROTOCOL_VERSION, Kind::Heartbeat as u8, 255]).is_err()
+    );
     let facts = vec![harness::crash_fact(Digest(1), 1); MAX_DELTA_FACTS + 1];
     let deltas = encode(&Message::Deltas(peers::Deltas { revision: 1, facts }));
     assert!(decode(&deltas.expect("frame is within its bound")[4..]).is_err());
