Keep upstreams whose entries lapsed in an outage for two seconds

Change: upstreams that are missing in the list after an outage of a second or more stay for two seconds and are then removed unless their entry was written again. A shorter interruption, or lost history, removes them at once as before, so that upstreams that left are not used longer.

The new gateway test fails with the grace time at zero (run).

--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -113,21 +113,34 @@
         UpdateOutcome::Applied
     }
 
-    /// Applies the list of all registered upstreams, read at `revision`. Removes the upstreams that
-    /// the list does not contain, except those whose entry was written later, and returns the names
-    /// of the removed ones.
-    pub fn apply_list(&mut self, names: &[UpstreamName], revision: u64) -> Vec<UpstreamName> {
+    /// Applies the list of all registered upstreams, read at `revision`. Returns the known
+    /// upstreams that it does not contain and whose entry was not written later, each with the
+    /// revision of its last entry.
+    pub fn apply_list(
+        &mut self,
+        names: &[UpstreamName],
+        revision: u64,
+    ) -> Vec<(UpstreamName, u64)> {
         self.has_list = true;
+        // A deleted entry is kept only to reject older revisions of itself. It is not needed once
+        // a list that is at least as new has been applied.
+        self.upstreams.retain(|_, known| known.upstream.is_some() || known.revision > revision);
+        let missing = self.upstreams.iter().filter(|(name, known)| {
+            known.upstream.is_some() && known.revision <= revision && !names.contains(name)
+        });
+        missing.map(|(name, known)| (name.clone(), known.revision)).collect()
+    }
+
+    /// Removes upstreams that a list did not contain, unless their entry was written since. Returns
+    /// the removed ones.
+    pub fn remove_missing(&mut self, missing: &[(UpstreamName, u64)]) -> Vec<UpstreamName> {
         let mut removed = Vec::new();
-        for (name, known) in &mut self.upstreams {
-            if known.upstream.is_some() && known.revision <= revision && !names.contains(name) {
-                known.upstream = None;
+        for (name, revision) in missing {
+            if self.upstreams.get(name).is_some_and(|known| known.revision == *revision) {
+                self.upstreams.remove(name);
                 removed.push(name.clone());
             }
         }
-        // A deleted entry is kept only to reject older revisions of itself. It is not needed once
-        // a list that is at least as new has been applied.
-        self.upstreams.retain(|_, known| known.upstream.is_some() || known.revision > revision);
         removed
     }
 }
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -63,6 +63,7 @@
             crashes: RefCell::new(CrashTable::default()),
             members: RefCell::default(),
             metrics: Metrics::new(),
+            store_lost_at: Cell::new(None),
             store_lost: Wakeup::default(),
             reread: Wakeup::default(),
             announced_version: Cell::new(0),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -47,6 +47,8 @@
     /// The other nodes that are registered in the key-value service.
     pub(crate) members: RefCell<BTreeMap<NodeName, Member>>,
     pub(crate) metrics: Metrics,
+    /// Since when the key-value service cannot be reached; `None` if it can.
+    pub(crate) store_lost_at: Cell<Option<Timestamp>>,
     /// Raised when a call to the key-value service was not answered, to abandon the pending watch.
     pub(crate) store_lost: Wakeup,
     /// Raised when the changes in the key-value service are to be read without waiting for the next
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,6 +4,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use catalog::UpdateOutcome;
+use compio::runtime::spawn;
 use futures_util::future::{Either, select};
 use keyvalue::{Changes, Item, KvError};
 use types::UpstreamName;
@@ -14,29 +15,31 @@
 /// [`MAX_RETRY_DELAY`] times [`Gateway::fleet_scale`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// Shortest outage in which the entries of upstreams that still run may lapse.
+const MIN_OUTAGE: Duration = Duration::from_millis(1000);
+/// Time after an outage within which upstreams that still run write lapsed entries again.
+const LAPSE_GRACE: Duration = Duration::from_millis(2000);
 
 /// Keeps the catalog of this node up to date with the key-value service. A single watch covers all
 /// keys, since revisions are counted over all keys and each pending watch counts as a call.
 pub async fn watch_store(gateway: Rc<Gateway>) {
     let mut pause = MIN_RETRY_DELAY;
-    let mut is_lost = false;
     loop {
         let error = match read_all(&gateway).await {
             Ok(at) => {
                 pause = MIN_RETRY_DELAY;
-                if is_lost {
+                if gateway.store_lost_at.take().is_some() {
                     tracing::info!(revision = at, "key-value service can be reached again");
                 }
-                is_lost = false;
                 watch(&gateway, at).await
             }
             Err(error) => Some(error),
         };
         if let Some(error) = error {
-            if !is_lost {
+            if gateway.store_lost_at.get().is_none() {
                 tracing::warn!(%error, "key-value service is lost");
+                gateway.store_lost_at.set(Some(gateway.clock.now()));
             }
-            is_lost = true;
             gateway.clock.sleep(pause).await;
             pause = (pause * 2).min(MAX_RETRY_DELAY.mul_f64(gateway.fleet_scale()));
         }
@@ -57,14 +60,40 @@
         apply_item(gateway, &item);
     }
     gateway.planner_active.set(has_planner);
-    let gone = gateway.catalog.borrow_mut().apply_list(&names, at);
-    for name in &gone {
-        tracing::info!(upstream = %name, revision = at, "upstream is gone");
+    let missing = gateway.catalog.borrow_mut().apply_list(&names, at);
+    let lost_at = gateway.store_lost_at.get();
+    let was_outage =
+        lost_at.is_some_and(|lost_at| gateway.clock.now().since(lost_at) >= MIN_OUTAGE);
+    if was_outage && !missing.is_empty() {
+        tracing::info!(
+            revision = at,
+            count = missing.len(),
+            "entries of upstreams are missing after an outage; they may come back"
+        );
+        spawn(remove_lapsed(gateway.clone(), missing)).detach();
+    } else {
+        remove_missing(gateway, &missing);
     }
     gateway.drop_stale_clients();
     Ok(at)
 }
 
+/// Removes the upstreams whose entries lapsed during an outage and are not back in time.
+async fn remove_lapsed(gateway: Rc<Gateway>, missing: Vec<(UpstreamName, u64)>) {
+    gateway.clock.sleep(LAPSE_GRACE).await;
+    // In another outage they could not come back; the list after it shows whether they have.
+    if gateway.store_lost_at.get().is_none() {
+        remove_missing(&gateway, &missing);
+        gateway.drop_stale_clients();
+    }
+}
+
+fn remove_missing(gateway: &Gateway, missing: &[(UpstreamName, u64)]) {
+    for name in gateway.catalog.borrow_mut().remove_missing(missing) {
+        tracing::info!(upstream = %name, "upstream is gone");
+    }
+}
+
 /// Watches for changes after revision `at`. Returns why the watch ended; `None` means that the
 /// service no longer has the history since `at`, so that all keys have to be read again.
 async fn watch(gateway: &Rc<Gateway>, mut at: u64) -> Option<KvError> {
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -234,6 +234,30 @@
     assert!(calls.iter().all(|(_, call)| call.stages.iter().all(|stage| &*stage.engine != "e2")));
 }
 
+/// Guards against a node that stops using all upstreams when the key-value service comes back from
+/// an outage in which the entries of running upstreams have lapsed: on a day of fault-injection
+/// tests, all requests were refused until the entries were back two seconds later.
+#[compio::test]
+async fn upstreams_whose_entries_lapsed_in_an_outage_are_used_until_they_had_time_to_come_back() {
+    let fixture = Fixture::ready().await;
+    fixture.store.is_down.set(true);
+    compio::time::sleep(Duration::from_millis(1400)).await;
+    for name in ["r1", "r2"] {
+        fixture.store.write(&format!("upstreams/{name}"), None);
+    }
+    fixture.store.is_down.set(false);
+    compio::time::sleep(Duration::from_millis(1300)).await;
+    fixture.push_steps(vec![Step::Answer(200, "done"); 2]);
+    fixture.send("/any/1").await.expect("the upstreams are still used");
+    fixture.store.write("upstreams/r2", Some("registry 10.0.0.2:80 b up -"));
+    compio::time::sleep(Duration::from_millis(2100)).await;
+    fixture.push_steps(vec![Step::Answer(200, "done"); 8]);
+    for _ in 0..8 {
+        fixture.send("/any/1").await.expect("one upstream is back");
+    }
+    assert!(fixture.called_upstreams()[1..].iter().all(|name| name == "r2"), "the other is gone");
+}
+
 /// Guards against an upstream that stays in the catalog forever because the history of the
 /// key-value service no longer holds its removal.
 #[compio::test]
