Pass updates and beacons on within a failure domain

Cause: each node sent every change that it had read, and its beacons, to all nodes of all domains.

Change: of each other domain with more than eight nodes, two get a change and one gets a beacon; they pass it on within their domain, a change only if it is new to them. A node that has read changes waits a random time of up to 200 ms, by the size of its domain, and drops those that another node has sent meanwhile. Failures of upstreams still go to all nodes directly, now also more than 40 at once. Reads of the service are spread at random around half of the shortest limit, and renewals grow to two seconds in large fleets.

Ruled out: sums of the loads of a domain (names of nodes are needed to replace an older beacon), relays in small fleets (delay for no gain).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod admission;
 mod attempt;
+mod audience;
 mod buffered;
 mod builder;
 mod crashes;
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -13,15 +13,17 @@
 use rand::Rng;
 use types::{Domain, LayerRange, UpstreamName};
 
-use crate::{Gateway, admission::CROSS_DOMAIN, updates::send_updates};
+use crate::{Gateway, admission::CROSS_DOMAIN, audience::BEACON_RELAYS, updates::send_updates};
 
 /// Prefix of the keys under which nodes register, followed by the node's name.
 pub(crate) const NODE_PREFIX: &str = "gypsumrack/nodes/";
 /// Time after which a node's entry expires unless its lease is renewed.
 const LEASE_TTL: Duration = Duration::from_secs(30);
-/// Time between two renewals. A renewal counts as a tenth of a call. One that is not answered
-/// reveals an outage of the key-value service, which a pending watch does not.
+/// Time between two renewals in a small fleet. A renewal counts as a tenth of a call. One that is
+/// not answered reveals an outage of the key-value service, which a pending watch does not.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1000);
+/// Largest factor on [`RENEW_INTERVAL`] in a large fleet.
+const MAX_RENEW_SCALE: f64 = 2.0;
 /// Delay after a failed call to the key-value service in a small fleet.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two beacons in a small fleet. Unless datagrams are lost, a node's view of the other
@@ -162,6 +164,30 @@
         self.reported_layers.borrow_mut().push((name.clone(), incarnation, layers));
     }
 
+    /// Applies a datagram. Returns what this node has to pass on within its failure domain.
+    fn apply_datagram(self: &Rc<Self>, datagram: Datagram) -> Option<Datagram> {
+        match datagram {
+            Datagram::Beacon(beacon) => self.apply_beacon(beacon),
+            Datagram::StoreChanges(changes) => {
+                self.apply_store_changes(changes);
+            }
+            Datagram::Failed(failed) => {
+                for (name, incarnation) in failed {
+                    spawn(self.clone().check_failure(name, incarnation)).detach();
+                }
+            }
+            Datagram::RelayBeacon(beacon) => {
+                self.apply_beacon(beacon.clone());
+                return Some(Datagram::Beacon(beacon));
+            }
+            Datagram::RelayStoreChanges(changes) => {
+                let new = self.apply_store_changes(changes);
+                return (!new.is_empty()).then_some(Datagram::StoreChanges(new));
+            }
+        }
+        None
+    }
+
     fn apply_beacon(&self, beacon: Beacon) {
         let now = self.clock.now();
         let reserved = beacon
@@ -229,7 +255,8 @@
     };
     store.put(key, expected, value, Some(lease)).await?;
     while !gateway.stop.is_raised() {
-        gateway.clock.sleep(RENEW_INTERVAL).await;
+        let scale = gateway.fleet_scale().min(MAX_RENEW_SCALE);
+        gateway.clock.sleep(RENEW_INTERVAL.mul_f64(scale)).await;
         match store.renew(lease).await {
             Ok(true) => {}
             Ok(false) => return Ok(()),
@@ -247,8 +274,8 @@
     loop {
         let scale = gateway.fleet_scale();
         let interval = BEACON_INTERVAL.mul_f64(scale);
-        // Traffic between failure domains is charged for, so nodes of other domains get a beacon
-        // only every `remote_rounds` rounds.
+        // Passing on the beacons of all other domains costs each node as much as its own ones, so
+        // other domains get one only every `remote_rounds` rounds.
         let remote_rounds = scale.round() as u32;
         gateway.clock.sleep(interval).await;
         let lifetime = MIN_LOAD_LIFETIME.max(interval * remote_rounds * MAX_LOST_BEACONS);
@@ -267,30 +294,25 @@
         announced_table = beacon.table_version;
         round = round.wrapping_add(1);
         let is_remote_round = round.is_multiple_of(remote_rounds);
-        let domain = &gateway.settings.domain;
-        let addrs: Vec<SocketAddr> = gateway
-            .members
-            .borrow()
-            .values()
-            .filter(|member| is_remote_round || member.domain == *domain)
-            .map(|member| member.addr)
-            .collect();
-        let failed = socket.send(&Datagram::Beacon(beacon), &addrs).await;
+        let audience =
+            if is_remote_round { gateway.all_nodes(BEACON_RELAYS) } else { gateway.own_domain() };
+        let failed = audience.send(&socket, Datagram::Beacon(beacon)).await;
         if failed > 0 {
             tracing::debug!(failed, "beacons could not be sent");
         }
     }
 }
 
-/// Receives the datagrams of the other nodes and applies them.
+/// Receives the datagrams of the other nodes, applies them, and passes on those that are meant for
+/// the whole failure domain.
 async fn receive_datagrams(gateway: Rc<Gateway>, socket: Rc<DatagramSocket>) {
     loop {
         match socket.receive().await {
-            Ok(Some(Datagram::Beacon(beacon))) => gateway.apply_beacon(beacon),
-            Ok(Some(Datagram::StoreChanges(changes))) => gateway.apply_store_changes(changes),
-            Ok(Some(Datagram::Failed(failed))) => {
-                for (name, incarnation) in failed {
-                    spawn(gateway.clone().check_failure(name, incarnation)).detach();
+            Ok(Some(datagram)) => {
+                let Some(passed_on) = gateway.apply_datagram(datagram) else { continue };
+                let failed = gateway.own_domain().send(&socket, passed_on).await;
+                if failed > 0 {
+                    tracing::debug!(failed, "datagram could not be passed on");
                 }
             }
             Ok(None) => tracing::debug!("datagram cannot be decoded"),
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -3,69 +3,108 @@
 //! and still learns of a change at once, even while the service rejects the node's calls. A node
 //! that receives a failure verifies it itself.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, ops::Range, rc::Rc, time::Duration};
 
+use futures_util::future::join;
 use keyvalue::Item;
 use peers::{Datagram, DatagramSocket, StoreChange};
+use rand::Rng;
 use types::UpstreamName;
 
-use crate::{Gateway, store, wakeup::Wakeup};
+use crate::{Gateway, audience::UPDATE_RELAYS, store, wakeup::Wakeup};
 
-/// Longest interval between two reads of the changes, as a share of the shortest time within which
-/// a change must be in force.
-const READ_INTERVAL_SHARE: f64 = 0.5;
+/// Interval between two reads of the changes, as a share of the shortest time within which a change
+/// must be in force. It is drawn anew for each read, so that the nodes do not read at the same time
+/// and the first one tells the others of a change soon.
+const READ_INTERVAL_SHARE: Range<f64> = 0.4..0.6;
 /// Most failed upstreams in one datagram, so that it stays within its size limit.
 const MAX_FAILED_PER_DATAGRAM: usize = 40;
 
+/// Mean time between the first two nodes of a domain that send changes which all of them have read
+/// at once. It covers the way of a datagram and its processing.
+const SPREAD_PER_NODE: Duration = Duration::from_millis(5);
+/// Longest delay before changes are sent.
+const MAX_SPREAD: Duration = Duration::from_millis(200);
+
 /// Updates that this node has not sent to the other nodes yet.
 #[derive(Default)]
 pub(crate) struct Outbox {
-    changes: RefCell<Vec<StoreChange>>,
-    failed: RefCell<Vec<(UpstreamName, u64)>>,
+    changes: UpdateQueue<StoreChange>,
+    /// Failed upstreams, each with the incarnation that failed.
+    failed: UpdateQueue<(UpstreamName, u64)>,
+}
+
+/// Updates of one kind that wait to be sent.
+struct UpdateQueue<T> {
+    updates: RefCell<Vec<T>>,
     filled: Wakeup,
 }
 
-impl Outbox {
-    /// Adds a change.
-    pub(crate) fn push_change(&self, item: &Item) {
-        let Item { key, value, revision } = item.clone();
-        self.changes.borrow_mut().push(StoreChange { key: key.into(), value, revision });
-        self.filled.raise();
+impl<T> Default for UpdateQueue<T> {
+    fn default() -> UpdateQueue<T> {
+        UpdateQueue { updates: RefCell::default(), filled: Wakeup::default() }
     }
+}
 
-    /// Adds a failed upstream, with the incarnation that failed.
-    fn push_failure(&self, name: &UpstreamName, incarnation: u64) {
-        self.failed.borrow_mut().push((name.clone(), incarnation));
+impl<T> UpdateQueue<T> {
+    fn push(&self, update: T) {
+        self.updates.borrow_mut().push(update);
         self.filled.raise();
     }
 
+    fn take(&self) -> Vec<T> {
+        self.updates.take()
+    }
+
     /// Waits until there is an update to send.
     async fn wait(&self) {
         let filled = self.filled.arm();
-        if self.changes.borrow().is_empty() && self.failed.borrow().is_empty() {
+        if self.updates.borrow().is_empty() {
             filled.raised().await;
         }
     }
 }
 
+impl Outbox {
+    /// Adds a change.
+    pub(crate) fn push_change(&self, item: &Item) {
+        let Item { key, value, revision } = item.clone();
+        self.changes.push(StoreChange { key: key.into(), value, revision });
+    }
+
+    /// Drops changes that another node has sent.
+    fn drop_sent(&self, sent: &[StoreChange]) {
+        self.changes.updates.borrow_mut().retain(|change| {
+            !sent.iter().any(|other| other.key == change.key && other.revision >= change.revision)
+        });
+    }
+}
+
 impl Gateway {
-    /// Longest time between two reads of the changes in the key-value service.
+    /// Time until the next read of the changes in the key-value service.
     pub(crate) fn read_interval(&self) -> Duration {
         let shortest = self.settings.change_limits_ms.iter().min().copied().unwrap_or_default();
-        Duration::from_millis(shortest).mul_f64(READ_INTERVAL_SHARE)
+        Duration::from_millis(shortest).mul_f64(rand::rng().random_range(READ_INTERVAL_SHARE))
     }
 
-    /// Applies changes that another node has read from the key-value service.
-    pub(crate) fn apply_store_changes(self: &Rc<Self>, changes: Vec<StoreChange>) {
-        for StoreChange { key, value, revision } in changes {
-            store::apply_item(self, &Item { key: key.as_ref().to_owned(), value, revision });
-        }
+    /// Applies changes that another node has read from the key-value service. Returns those that
+    /// were new to this node.
+    pub(crate) fn apply_store_changes(
+        self: &Rc<Self>,
+        mut changes: Vec<StoreChange>,
+    ) -> Vec<StoreChange> {
+        self.outbox.drop_sent(&changes);
+        changes.retain(|change| {
+            let StoreChange { key, value, revision } = change.clone();
+            store::apply_item(self, &Item { key: key.as_ref().to_owned(), value, revision })
+        });
+        changes
     }
 
     /// Announces to the other nodes that this node has found an upstream to have failed.
     pub(crate) fn announce_failure(&self, name: &UpstreamName) {
         if let Some(upstream) = self.catalog.borrow().upstream(name) {
-            self.outbox.push_failure(name, upstream.incarnation);
+            self.outbox.failed.push((name.clone(), upstream.incarnation));
         }
     }
 
@@ -83,18 +122,39 @@
 
 /// Sends this node's updates to the other nodes.
 pub(crate) async fn send_updates(gateway: Rc<Gateway>, socket: Rc<DatagramSocket>) {
+    join(send_failures(&gateway, &socket), send_changes(&gateway, &socket)).await;
+}
+
+async fn send_failures(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
+    loop {
+        gateway.outbox.failed.wait().await;
+        let failed = gateway.outbox.failed.take();
+        // Announced directly, since streams through a failed engine wait for it.
+        let audience = gateway.all_nodes_directly();
+        let mut unsent = 0;
+        for part in failed.chunks(MAX_FAILED_PER_DATAGRAM) {
+            unsent += audience.send(socket, Datagram::Failed(part.to_vec())).await;
+        }
+        if unsent > 0 {
+            tracing::debug!(unsent, "failed upstreams could not be announced");
+        }
+    }
+}
+
+/// Sends changes after a random delay. Nodes often read the same changes at the same time; those
+/// that another node has sent meanwhile are not sent again.
+async fn send_changes(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
     loop {
-        gateway.outbox.wait().await;
-        let addrs: Vec<_> = gateway.members.borrow().values().map(|member| member.addr).collect();
-        let mut failed = gateway.outbox.failed.take();
-        failed.truncate(MAX_FAILED_PER_DATAGRAM);
+        gateway.outbox.changes.wait().await;
+        let audience = gateway.own_domain();
+        let longest = (SPREAD_PER_NODE * audience.len() as u32).min(MAX_SPREAD);
+        gateway.clock.sleep(longest.mul_f64(rand::rng().random())).await;
         let mut unsent = 0;
-        if !failed.is_empty() {
-            unsent += socket.send(&Datagram::Failed(failed), &addrs).await;
+        for datagram in Datagram::of_changes(gateway.outbox.changes.take()) {
+            unsent += gateway.all_nodes(UPDATE_RELAYS).send(socket, datagram).await;
         }
-        unsent += socket.send_changes(gateway.outbox.changes.take(), &addrs).await;
         if unsent > 0 {
-            tracing::debug!(unsent, "updates could not be sent");
+            tracing::debug!(unsent, "changes could not be sent");
         }
     }
 }
--- a/crates/gateway/tests/gateway/datagrams.rs
+++ b/crates/gateway/tests/gateway/datagrams.rs
@@ -55,6 +55,85 @@
     assert_eq!(next_update(&peer).await, Datagram::StoreChanges(vec![expected]));
 }
 
+/// Sockets of nodes that only receive, registered as nodes of `domain`.
+async fn register_receivers(fixture: &Fixture, domain: &str, count: usize) -> Vec<DatagramSocket> {
+    let mut receivers = Vec::new();
+    for number in 0..count {
+        let socket = bind().await;
+        let addr = socket.local_addr().expect("the socket is bound");
+        let key = format!("gypsumrack/nodes/{domain}-{number}");
+        fixture.store.write(&key, Some(&format!("{addr} {domain}")));
+        receivers.push(socket);
+    }
+    receivers
+}
+
+/// The updates that a socket receives within a short time.
+async fn received_updates(socket: &DatagramSocket) -> Vec<Datagram> {
+    let mut updates = Vec::new();
+    while let Ok(received) = compio::time::timeout(DATAGRAM_TIME, socket.receive()).await {
+        match received.expect("the socket is bound") {
+            Some(Datagram::Beacon(_) | Datagram::RelayBeacon(_)) | None => {}
+            Some(update) => updates.push(update),
+        }
+    }
+    updates
+}
+
+/// Guards against nodes that all send every change which they have read at the same time to all
+/// nodes of other domains: at the start of 195 nodes that was 1.9 GB between domains in a few
+/// seconds.
+#[compio::test]
+async fn nodes_send_changes_to_a_few_nodes_of_another_domain() {
+    const SENDERS: usize = 6;
+    const RECEIVERS: usize = 20;
+    let first = Fixture::ready().await;
+    let receivers = register_receivers(&first, "b", RECEIVERS).await;
+    let mut fixtures = vec![first];
+    for _ in 1..SENDERS {
+        fixtures.push(Fixture::ready_with_store(fixtures[0].store.clone()).await);
+    }
+    for (number, fixture) in fixtures.iter().enumerate() {
+        let own = bind().await;
+        let addr = own.local_addr().expect("the socket is bound");
+        let key = format!("gypsumrack/nodes/a-{number}");
+        fixture.store.write(&key, Some(&format!("{addr} a")));
+        compio::runtime::spawn(gateway::exchange_datagrams(fixture.gateway.clone(), own)).detach();
+    }
+    compio::time::sleep(Duration::from_millis(1500)).await;
+    for receiver in &receivers {
+        received_updates(receiver).await;
+    }
+    fixtures[0].store.write("upstreams/r1", Some("registry 10.0.0.1:80 a leaving -"));
+    compio::time::sleep(Duration::from_millis(900)).await;
+    let mut count = 0;
+    for receiver in &receivers {
+        count += received_updates(receiver).await.len();
+    }
+    let each_to_all = SENDERS * RECEIVERS;
+    assert!((1..=each_to_all / 10).contains(&count), "{count} datagrams for one change");
+}
+
+/// Guards against a change that reaches only the node of a domain that was chosen to pass it on.
+#[compio::test]
+async fn a_relayed_change_is_passed_on_within_the_domain_once() {
+    let (fixture, peer, addr) = fixture_with_peer().await;
+    let mates = register_receivers(&fixture, "a", 2).await;
+    compio::time::sleep(Duration::from_millis(750)).await;
+    let change = StoreChange {
+        key: "upstreams/r1".into(),
+        value: Some(b"registry 10.0.0.1:80 a leaving -".to_vec()),
+        revision: 100,
+    };
+    for _ in 0..2 {
+        peer.send(&Datagram::RelayStoreChanges(vec![change.clone()]), &[addr]).await;
+    }
+    for mate in &mates {
+        assert_eq!(received_updates(mate).await, [Datagram::StoreChanges(vec![change.clone()])]);
+    }
+    assert_eq!(received_updates(&peer).await, []);
+}
+
 /// Guards against a node that cannot reach the key-value service and keeps sending requests to a
 /// leaving upstream.
 #[compio::test]
@@ -66,7 +145,7 @@
         value: Some(b"registry 10.0.0.1:80 a leaving -".to_vec()),
         revision,
     };
-    peer.send_changes(vec![leaving("r1", 100)], &[addr]).await;
+    peer.send(&Datagram::StoreChanges(vec![leaving("r1", 100)]), &[addr]).await;
     compio::time::sleep(DATAGRAM_TIME).await;
     fixture.push_steps(vec![Step::Answer(200, "done"); 5]);
     for _ in 0..4 {
@@ -74,7 +153,7 @@
     }
     assert_eq!(fixture.called_upstreams(), ["r2"; 4]);
     // A received change with an older revision than the known one is ignored.
-    peer.send_changes(vec![leaving("r2", 1)], &[addr]).await;
+    peer.send(&Datagram::StoreChanges(vec![leaving("r2", 1)]), &[addr]).await;
     compio::time::sleep(DATAGRAM_TIME).await;
     fixture.send("/any/1").await.expect("an upstream is left");
     assert_eq!(fixture.called_upstreams(), ["r2"; 5]);
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -39,14 +39,18 @@
 impl Fixture {
     /// Creates a gateway whose key-value service is empty.
     pub fn new() -> Fixture {
+        Fixture::with_store(Rc::new(MemoryStore::default()))
+    }
+
+    /// Creates a gateway that reads `store`.
+    fn with_store(store: Rc<MemoryStore>) -> Fixture {
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
         let settings = EdgeSettings::parse(
             "name = \"n\"\ndomain = \"a\"\ncallers = \"127.0.0.1:1\"\nhealth = \"127.0.0.1:2\"\n\
              peers = \"127.0.0.1:3\"\nstore = \"127.0.0.1:4\"\ngrace_s = 8\nretry_ratio = 0.2\n\
-             retry_extra = 400\nretry_window_s = 10\nchange_limits_ms = [1400]\n",
+             retry_extra = 400\nretry_window_s = 10\nchange_limits_ms = [900]\n",
         )
         .expect("settings are valid");
-        let store = Rc::new(MemoryStore::default());
         let upstreams = Rc::new(ScriptedUpstreams {
             calls: Rc::default(),
             steps: Rc::default(),
@@ -89,6 +93,13 @@
         fixture
     }
 
+    /// Creates a gateway that has read `store`, which another gateway uses as well.
+    pub async fn ready_with_store(store: Rc<MemoryStore>) -> Fixture {
+        let fixture = Fixture::with_store(store);
+        fixture.start().await;
+        fixture
+    }
+
     /// Starts the tasks that use the key-value service, and waits until the gateway is ready.
     pub async fn start(&self) {
         compio::runtime::spawn(gateway::watch_store(self.gateway.clone())).detach();
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -81,6 +81,47 @@
     StoreChanges(Vec<StoreChange>),
     /// Upstreams whose failure the sender has just noticed, with the incarnation that failed.
     Failed(Vec<(UpstreamName, u64)>),
+    /// A [`Beacon`](Datagram::Beacon) that the receiver passes on to the nodes of its failure
+    /// domain.
+    RelayBeacon(Beacon),
+    /// [`StoreChanges`](Datagram::StoreChanges) of which the receiver passes on those that are new
+    /// to it.
+    RelayStoreChanges(Vec<StoreChange>),
+}
+
+impl Datagram {
+    /// The same content for a receiver that passes it on to the nodes of its failure domain, if
+    /// such a datagram exists.
+    pub fn for_relay(self) -> Datagram {
+        match self {
+            Datagram::Beacon(beacon) => Datagram::RelayBeacon(beacon),
+            Datagram::StoreChanges(changes) => Datagram::RelayStoreChanges(changes),
+            other => other,
+        }
+    }
+
+    /// Puts changes into datagrams, as many into each as fit. A change that is too large for a
+    /// datagram is left out; the other nodes get it when they read the key-value service
+    /// themselves.
+    pub fn of_changes(changes: Vec<StoreChange>) -> Vec<Datagram> {
+        let mut batches: Vec<Vec<StoreChange>> = Vec::new();
+        let mut batch_bytes = MAX_CHANGES_BYTES;
+        for change in changes {
+            let bytes = change.encoded_bytes();
+            if bytes > MAX_CHANGES_BYTES {
+                continue;
+            }
+            batch_bytes += bytes;
+            match batches.last_mut() {
+                Some(batch) if batch_bytes <= MAX_CHANGES_BYTES => batch.push(change),
+                _ => {
+                    batches.push(vec![change]);
+                    batch_bytes = bytes;
+                }
+            }
+        }
+        batches.into_iter().map(Datagram::StoreChanges).collect()
+    }
 }
 
 /// UDP socket that sends and receives [`Datagram`]s.
@@ -116,30 +157,6 @@
         failed
     }
 
-    /// Sends changes to each of `targets`, with as many in each datagram as fit. A change that is
-    /// too large for a datagram is not sent; the other nodes get it later, when they read the
-    /// key-value service themselves. Returns the number of datagrams that could not be sent.
-    pub async fn send_changes(&self, changes: Vec<StoreChange>, targets: &[SocketAddr]) -> usize {
-        let mut failed = 0;
-        let mut batch = Vec::new();
-        let mut batch_bytes = 0;
-        for change in
-            changes.into_iter().filter(|change| change.encoded_bytes() <= MAX_CHANGES_BYTES)
-        {
-            if batch_bytes + change.encoded_bytes() > MAX_CHANGES_BYTES {
-                failed +=
-                    self.send(&Datagram::StoreChanges(std::mem::take(&mut batch)), targets).await;
-                batch_bytes = 0;
-            }
-            batch_bytes += change.encoded_bytes();
-            batch.push(change);
-        }
-        if !batch.is_empty() {
-            failed += self.send(&Datagram::StoreChanges(batch), targets).await;
-        }
-        failed
-    }
-
     /// Waits for the next datagram. Returns `None` if it cannot be decoded.
     pub async fn receive(&self) -> io::Result<Option<Datagram>> {
         let buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
