Give up answers without end before they fill the memory of a node

Cause: servers in trouble may send bytes that are no answer without end. A plain answer was read up to 16 MB before its signature was checked, on nodes with 112 MB and more; a stream whose bytes never end an event was read up to 1 MB, and searched from its start with each chunk.

Change: an answer without a signature is not read at all, a signed one up to 4 MB, and an event that is forwarded may have 64 KB. The connection is closed and the request goes on elsewhere if it may.

The gateway's cases were written with the change.

Conclusion: open are streams of complete events that carry no number, bytes that trickle in below the limits, and the time limits of a caller's head.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -18,8 +18,9 @@
 /// Least time that an upstream has for its response before an idempotent request is sent to another
 /// upstream.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Largest response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Largest response that is buffered, in bytes. Several upstreams may send bytes without end at the
+/// same time, to a node with a hundred megabytes of memory.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Lowest status of the server errors, by which an upstream reports a failure of its own.
 const FIRST_SERVER_ERROR: u16 = 500;
 /// Time after which a caller may retry when no upstream can serve its request.
@@ -109,12 +110,7 @@
                 cause,
             });
         }
-        let headers = response.headers.clone();
-        let body = self.read_response_body(response).await.map_err(|error| {
-            self.avoid_after_error(selection, &error);
-            let verdict = Verdict::MayHaveRun;
-            AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
-        })?;
+        // Checked before the body is read, which may have no end.
         if !signed {
             let cause = format!("answer with status {status} is not signed");
             return Err(AttemptFailure {
@@ -123,6 +119,12 @@
                 cause,
             });
         }
+        let headers = response.headers.clone();
+        let body = self.read_response_body(response).await.map_err(|error| {
+            self.avoid_after_error(selection, &error);
+            let verdict = Verdict::MayHaveRun;
+            AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
+        })?;
         Ok(BufferedResponse { status, headers, body })
     }
 
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -55,6 +55,37 @@
     }
 }
 
+/// Guards against an upstream whose bytes, which are no answer, have no end and fill the memory of
+/// the node: an answer without a signature is not read, and a signed one only up to a limit.
+#[compio::test]
+async fn an_answer_without_end_is_given_up_and_retried_elsewhere() {
+    let fixture = Fixture::ready().await;
+    let read = || fixture.upstreams.endless_bytes.get();
+    fixture.push_steps([Step::Endless { status: 200, signed: false }, Step::Answer(200, "done")]);
+    let response = fixture.send("/any/x").await.expect("the other replica answers");
+    assert_eq!((body(response).await.as_deref(), read()), (Some("done"), 0));
+    fixture.push_steps([Step::Endless { status: 200, signed: true }, Step::Answer(200, "done")]);
+    let response = fixture.send("/any/x").await.expect("the other replica answers");
+    assert_eq!(body(response).await.as_deref(), Some("done"));
+    assert!(read() <= (4 << 20) + 4096, "{} bytes were read", read());
+    // A call that may not be repeated may have run.
+    fixture.push_steps([Step::Endless { status: 200, signed: false }]);
+    let failure = fixture.send("/once/x").await.err().expect("the call is not repeated");
+    assert_eq!(failure.failure.verdict, Verdict::MayHaveRun);
+}
+
+/// Guards against a stream of bytes that never end an event: it is left soon, and none of them reach
+/// the caller.
+#[compio::test]
+async fn a_stream_of_bytes_that_are_no_events_is_left_for_another_path() {
+    let fixture = Fixture::ready().await;
+    fixture.push_steps([Step::Endless { status: 200, signed: true }, Step::Events(vec![0, 1])]);
+    let response = fixture.send("/drafts/x").await.expect("the other path answers");
+    assert_eq!(body(response).await, Some(event(0) + &event(1)));
+    let read = fixture.upstreams.endless_bytes.get();
+    assert!(read <= (64 << 10) + 4096, "{read} bytes were read");
+}
+
 /// Guards against a missing or repeated event in a stream whose engine failed.
 #[compio::test]
 async fn a_broken_stream_is_resumed_after_its_last_complete_event() {
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -59,6 +59,7 @@
             refuse_probes: Rc::default(),
             stopped: Rc::default(),
             orders: Rc::default(),
+            endless_bytes: Rc::default(),
             clock: clock.clone(),
         });
         let stop = StopSignal::new();
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -26,6 +26,8 @@
     Answer(u16, &'static str),
     /// It answers without a signature.
     Unsigned(u16),
+    /// It answers with this status, and with bytes that are no answer and have no end.
+    Endless { status: u16, signed: bool },
     /// It states that it did not run the call.
     Refuse(u16),
     /// The connection cannot be opened, so the call is not sent.
@@ -60,6 +62,8 @@
     pub slow: Rc<RefCell<Option<String>>>,
     /// Orders that engines received.
     pub orders: Rc<RefCell<Vec<(String, LoadOrder)>>>,
+    /// Bytes that were read of bodies without end.
+    pub endless_bytes: Rc<Cell<usize>>,
     pub clock: Rc<dyn Clock>,
 }
 
@@ -78,6 +82,7 @@
             refuse_probes: self.refuse_probes.clone(),
             stopped: self.stopped.clone(),
             orders: self.orders.clone(),
+            endless_bytes: self.endless_bytes.clone(),
             clock: self.clock.clone(),
         });
         Rc::new(ScriptedClient { name: upstream.name.to_string(), upstreams })
@@ -103,6 +108,7 @@
                 body: Box::new(ScriptedBody {
                     parts: parts.into(),
                     clock: self.upstreams.clock.clone(),
+                    endless_bytes: self.upstreams.endless_bytes.clone(),
                 }),
             };
             match step {
@@ -110,6 +116,9 @@
                     Ok(response(status, true, false, vec![BodyPart::Bytes(body.into())]))
                 }
                 Step::Unsigned(status) => Ok(response(status, false, false, Vec::new())),
+                Step::Endless { status, signed } => {
+                    Ok(response(status, signed, false, vec![BodyPart::Endless]))
+                }
                 Step::Refuse(status) => Ok(response(status, false, true, Vec::new())),
                 Step::Unreachable => Err(CallError::Connect("refused".into())),
                 Step::Broken => Err(CallError::Broken("reset".into())),
@@ -160,12 +169,14 @@
 enum BodyPart {
     Bytes(Bytes),
     Break,
+    Endless,
     Silence,
 }
 
 struct ScriptedBody {
     parts: VecDeque<BodyPart>,
-    pub clock: Rc<dyn Clock>,
+    clock: Rc<dyn Clock>,
+    endless_bytes: Rc<Cell<usize>>,
 }
 
 impl ResponseBody for ScriptedBody {
@@ -174,6 +185,12 @@
             match self.parts.pop_front() {
                 None => Ok(None),
                 Some(BodyPart::Bytes(bytes)) => Ok(Some(bytes)),
+                Some(BodyPart::Endless) => {
+                    let chunk = Bytes::from_static(&[b'x'; 4096]);
+                    self.endless_bytes.set(self.endless_bytes.get() + chunk.len());
+                    self.parts.push_front(BodyPart::Endless);
+                    Ok(Some(chunk))
+                }
                 Some(BodyPart::Break) => Err(CallError::Broken("reset".into())),
                 Some(BodyPart::Silence) => {
                     self.parts.push_front(BodyPart::Silence);
--- a/crates/transport/src/sse.rs
+++ b/crates/transport/src/sse.rs
@@ -5,8 +5,11 @@
 
 use crate::{CallError, ResponseStream};
 
-/// Maximum size of an event that is accepted, in bytes.
+/// Maximum size of an event that is decoded, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event that is forwarded, in bytes. A stream whose bytes never end an event is
+/// given up before it takes much memory or time.
+const MAX_FORWARDED_BYTES: usize = 64 << 10;
 
 /// Encodes one server-sent event with `payload` as JSON data.
 pub fn encode_event(payload: &impl Serialize) -> Bytes {
@@ -85,7 +88,7 @@
             numbers.push(event_number(&self.buffer[end..end + length]));
             end += length;
         }
-        if self.buffer.len() - end > MAX_EVENT_BYTES {
+        if self.buffer.len() - end > MAX_FORWARDED_BYTES {
             return Err(CallError::Malformed("event exceeds the size limit".into()));
         }
         if end == 0 {
