Name the decision on crashes by what it finds, and count crashes without a map

The module is crash_cause: blame was the old name of the diagnosis of stalls. The count of a request's crashes, which each attempt asks for, reads the facts of that request only, as before, and no longer groups those of all requests.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! Purpose: hold the configuration in force and the facts that nodes exchange: the members, the
 //! upstreams that are leaving, and the crashes of upstreams during requests; decide which request
-//! caused crashes; plan which layers engines are ordered to load; change the stored configuration for operators.
+//! caused crashes; plan which layers engines are ordered to load; change the stored configuration
+//! for operators.
 //!
 //! Invariants: the configuration's revision never decreases and grows by one with each accepted
 //! change; a change is reported as accepted or as conflicting only if that is certain; the result
@@ -11,9 +12,9 @@
 //! the same facts agree. This crate must not know how requests are served or how facts are sent
 //! between nodes.
 
-pub mod blame;
 mod change;
 mod config;
+pub mod crash_cause;
 mod diff;
 pub mod edit;
 mod fact;
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     hash::{Hash, Hasher},
     time::Duration,
 };
@@ -9,7 +9,7 @@
 
 use crate::{
     Crash, CrashId, Fact, LeavingMark, LeavingSource, Member, MemberState, RunTime,
-    blame::{self, CrashedRuns},
+    crash_cause::{self, CrashedRuns},
 };
 
 /// Largest number of members in a table; a full table drops those whose names are last in order.
@@ -210,19 +210,24 @@
     /// Number of engine processes that crashed while they ran a request, without the crashes that
     /// are cleared. If several copies of the request ran on one process, its crash counts once.
     pub fn crash_count(&self, fingerprint: Digest) -> usize {
-        self.crashed_runs().get(&fingerprint).map_or(0, CrashedRuns::len)
+        let uncleared =
+            self.crashes.values().filter(|c| c.fingerprint == fingerprint && !c.cleared);
+        uncleared
+            .map(|crash| (&crash.engine, crash.engine_incarnation))
+            .collect::<BTreeSet<_>>()
+            .len()
     }
 
     /// Whether a request is to be refused because engines crashed while they ran it, and no other
     /// request explains these crashes. `limit` is the number of crashes from which a request may be
     /// refused.
     pub fn is_poison(&self, fingerprint: Digest, limit: usize) -> bool {
-        blame::is_poison(&self.crashed_runs(), fingerprint, limit)
+        crash_cause::is_poison(&self.crashed_runs(), fingerprint, limit)
     }
 
     /// Whether another request ran on an engine process that crashed during this one.
     pub fn shares_crash(&self, fingerprint: Digest) -> bool {
-        blame::shares_crash(&self.crashed_runs(), fingerprint)
+        crash_cause::shares_crash(&self.crashed_runs(), fingerprint)
     }
 
     /// When the newest crash of a request that is not cleared was recorded, in milliseconds since
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -20,10 +20,11 @@
 /// Most failed upstreams in one datagram, so that it stays within its size limit.
 const MAX_FAILED_PER_DATAGRAM: usize = 40;
 
-/// Mean time between the first two nodes of a domain that send changes which all of them have read
-/// at once. It covers the way of a datagram and its processing.
+/// Longest delay before changes are sent, for each node of the domain. If all of them have read the
+/// changes at once, the first one is on average this much ahead of the second, which is enough for
+/// its datagrams to arrive.
 const SPREAD_PER_NODE: Duration = Duration::from_millis(5);
-/// Longest delay before changes are sent.
+/// Longest delay before changes are sent in a large domain.
 const MAX_SPREAD: Duration = Duration::from_millis(200);
 
 /// Updates that this node has not sent to the other nodes yet.
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -74,8 +74,8 @@
     assert_eq!(failure.failure.verdict, Verdict::MayHaveRun);
 }
 
-/// Guards against a stream of bytes that never end an event: it is left soon, and none of them reach
-/// the caller.
+/// Guards against a stream of bytes that never end an event: it is left soon, and none of them
+/// reach the caller.
 #[compio::test]
 async fn a_stream_of_bytes_that_are_no_events_is_left_for_another_path() {
     let fixture = Fixture::ready().await;
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -49,8 +49,8 @@
         self.fleet.borrow().crash_count(fingerprint)
     }
 
-    /// Whether a request is to be refused because of the crashes that any node recorded for it, with
-    /// the policy's limit of crashes.
+    /// Whether a request is to be refused because of the crashes that any node recorded for it,
+    /// with the policy's limit of crashes.
     pub(crate) fn is_poison(&self, fingerprint: Digest, crash_limit: u64) -> bool {
         let limit = usize::try_from(crash_limit).unwrap_or(usize::MAX);
         self.fleet.borrow().is_poison(fingerprint, limit)
