Plan the first placement only after the changes were read again

The number of engines had to stand still for one second, but a node reads every 1.6 to 2.4 s there.

Change: the number must stand still for the longest time between two reads.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,5 +45,6 @@
 pub use builder::GatewayBuilder;
 pub use node::Gateway;
 pub use peering::{exchange_datagrams, register};
+pub use planner::run_planner;
 pub use run::serve;
 pub use store::watch_store;
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -25,8 +25,9 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Largest random delay, in milliseconds, before a node tries to acquire the lease.
 const ACQUIRE_SPREAD_MS: u64 = 250;
-/// Time for which the number of engines must not have changed before the first placement, so that
-/// it covers all engines that start together.
+/// Least time for which the number of engines must not have changed before the first placement, so
+/// that it covers all engines that start together. The node must also have read the changes again
+/// meanwhile.
 const SETTLE_TIME: Duration = Duration::from_millis(1000);
 /// Time for which an order is assumed to be carried out although the engine's entry does not show
 /// its layers yet.
@@ -55,7 +56,7 @@
 }
 
 /// Acquires the planner's lease when no node holds it, and plans while this node holds it.
-pub(crate) async fn run_planner(gateway: Rc<Gateway>) {
+pub async fn run_planner(gateway: Rc<Gateway>) {
     while !gateway.stop.is_raised() {
         gateway.clock.sleep(PLAN_INTERVAL).await;
         if !gateway.catalog.borrow().has_list() || gateway.planner_active.get() {
@@ -114,7 +115,7 @@
     }
 }
 
-/// Tracks whether the number of engines has been stable for [`SETTLE_TIME`].
+/// Tracks whether the number of engines has been stable for long enough.
 #[derive(Default)]
 struct SettleTimer {
     count: usize,
@@ -135,7 +136,8 @@
         if count != self.count {
             (self.count, self.since) = (count, now);
         }
-        count > 0 && now.since(self.since) >= SETTLE_TIME
+        let settle_time = SETTLE_TIME.max(gateway.longest_read_interval());
+        count > 0 && now.since(self.since) >= settle_time
     }
 }
 
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -84,8 +84,18 @@
 impl Gateway {
     /// Time until the next read of the changes in the key-value service.
     pub(crate) fn read_interval(&self) -> Duration {
+        self.change_limit().mul_f64(rand::rng().random_range(READ_INTERVAL_SHARE))
+    }
+
+    /// Longest time between two reads of the changes.
+    pub(crate) fn longest_read_interval(&self) -> Duration {
+        self.change_limit().mul_f64(READ_INTERVAL_SHARE.end)
+    }
+
+    /// Shortest time within which a change must be in force.
+    fn change_limit(&self) -> Duration {
         let shortest = self.settings.change_limits_ms.iter().min().copied().unwrap_or_default();
-        Duration::from_millis(shortest).mul_f64(rand::rng().random_range(READ_INTERVAL_SHARE))
+        Duration::from_millis(shortest)
     }
 
     /// Applies changes that another node has read from the key-value service. Returns those that
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,4 +3,5 @@
 mod datagrams;
 mod lifecycle;
 mod log;
+mod planner;
 mod support;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -44,12 +44,17 @@
 
     /// Creates a gateway that reads `store`.
     fn with_store(store: Rc<MemoryStore>) -> Fixture {
+        Fixture::with_change_limit(store, 900)
+    }
+
+    /// Creates a gateway that reads `store` and has to apply changes within `limit_ms`.
+    pub fn with_change_limit(store: Rc<MemoryStore>, limit_ms: u64) -> Fixture {
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
-        let settings = EdgeSettings::parse(
+        let settings = EdgeSettings::parse(&format!(
             "name = \"n\"\ndomain = \"a\"\ncallers = \"127.0.0.1:1\"\nhealth = \"127.0.0.1:2\"\n\
              peers = \"127.0.0.1:3\"\nstore = \"127.0.0.1:4\"\ngrace_s = 8\nretry_ratio = 0.2\n\
-             retry_extra = 400\nretry_window_s = 10\nchange_limits_ms = [900]\n",
-        )
+             retry_extra = 400\nretry_window_s = 10\nchange_limits_ms = [{limit_ms}]\n",
+        ))
         .expect("settings are valid");
         let upstreams = Rc::new(ScriptedUpstreams {
             calls: Rc::default(),
