Keep a silent stream on its path until another attempt can be made

An engine that took no connection or sent no report within 200 ms counted as failed, and the stream left its path at once: first it closed the call, then it asked whether another attempt was allowed. With the retry budget used up, no other path, a route that may not be resumed, or a new path that refused the call, the answer was cut, although the engine went on a second later. A sound upstream may fall silent for a second.

Change: a failure says whether the process has ended (connection refused) or only does not respond. A path with an ended engine is left at once, as before. The log line of such a request names the engine that was silent.

This removes the class of fault "the router gives up an answer before it knows that it can replace it" from streams.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -62,9 +62,6 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) client: Rc<dyn upstreams::UpstreamClient>,
     pub(crate) stages: Vec<Stage>,
-    /// The only upstreams that may be the entry upstream of the next attempt; empty if there is no
-    /// such limit.
-    pub(crate) next_entries: Vec<UpstreamName>,
     /// Whether the attempt may be abandoned because an engine is very slow and a better path
     /// exists.
     pub(crate) may_leave_slow: bool,
@@ -216,6 +213,11 @@
         }
     }
 
+    /// Whether some path has capacity now.
+    pub(crate) fn has_path(&self, query: SelectionQuery<'_>) -> bool {
+        self.model_profile().is_some_and(|profile| self.find_path(&profile, query).is_ok())
+    }
+
     /// Whether some path has capacity now and contains no very slow engine.
     pub(crate) fn has_fast_path(&self, query: SelectionQuery<'_>) -> bool {
         let Some(profile) = self.model_profile() else { return false };
@@ -355,14 +357,7 @@
         gateway.load.borrow_mut().add(&loads);
         let client = gateway.client(&upstream);
         let _reservation = Reservation { gateway, loads };
-        Selection {
-            upstream,
-            client,
-            stages,
-            next_entries: Vec::new(),
-            may_leave_slow: false,
-            _reservation,
-        }
+        Selection { upstream, client, stages, may_leave_slow: false, _reservation }
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
     Gateway,
     admission::{Selection, SelectionQuery},
     lifecycle::{ActiveRequest, is_retry_safe},
+    node::FailureEvidence,
 };
 
 /// Attempts after which a request is given up, whatever its route allows, including those that an
@@ -84,7 +85,7 @@
 ) {
     gateway.clock.sleep(CRASH_CHECK_DELAY).await;
     if let Err(error) = client.probe().await {
-        gateway.mark_failed(&name, &error.to_string());
+        gateway.mark_failed(&name, FailureEvidence::of_error(&error), &error.to_string());
         let now = gateway.clock.now();
         gateway.crashes.borrow_mut().record_crash(fingerprint, now);
         tracing::info!(fingerprint, %error, "upstream crashed while it ran a request");
@@ -138,17 +139,35 @@
         attempts.count < MAX_STREAM_ATTEMPTS && self.take_retry(Verdict::MayHaveRun)
     }
 
+    /// Whether a stream may be resumed by a further attempt, for which the budget has a retry left.
+    pub(crate) fn may_resume(&self, attempts: &Attempts) -> bool {
+        attempts.count < MAX_STREAM_ATTEMPTS && self.has_retry_left(Verdict::MayHaveRun)
+    }
+
+    /// Whether the request may be retried after an attempt with this verdict, and the budget has a
+    /// retry left.
+    fn has_retry_left(&self, verdict: Verdict) -> bool {
+        let gateway = &self.gateway;
+        let (now, nodes) = (gateway.clock.now(), gateway.node_count());
+        self.is_retry_allowed(verdict) && gateway.retry_budget(&self.service).has_left(now, nodes)
+    }
+
+    /// Whether the request may be retried after an attempt with this verdict, as far as the budget
+    /// allows it.
+    fn is_retry_allowed(&self, verdict: Verdict) -> bool {
+        let gateway = &self.gateway;
+        let is_poison = gateway.crashes.borrow().is_poison(self.fingerprint, gateway.clock.now());
+        !is_poison && is_retry_safe(self.route.retry, verdict) && !self.time_left().is_zero()
+    }
+
     /// Takes a retry from the budget if the request may be retried after an attempt with this
     /// verdict. Returns whether it took one.
     fn take_retry(&self, verdict: Verdict) -> bool {
         let gateway = &self.gateway;
-        let now = gateway.clock.now();
-        let is_poison = gateway.crashes.borrow().is_poison(self.fingerprint, now);
-        let allowed =
-            !is_poison && is_retry_safe(self.route.retry, verdict) && !self.time_left().is_zero();
-        if !allowed {
+        if !self.is_retry_allowed(verdict) {
             return false;
         }
+        let now = gateway.clock.now();
         let granted = gateway.retry_budget(&self.service).take(now, gateway.node_count());
         let label = if verdict == Verdict::NotRun { "not-run" } else { "rerun" };
         let label = if granted { label } else { "over-budget" };
@@ -179,9 +198,13 @@
         let gateway = &self.gateway;
         let upstream = &selection.upstream;
         match error {
-            CallError::Refused => gateway.report_failure(&upstream.name, &error.to_string()),
+            CallError::Refused => {
+                let evidence = FailureEvidence::ProcessEnded;
+                gateway.report_failure(&upstream.name, evidence, &error.to_string());
+            }
             CallError::Connect(_) | CallError::ConnectTimeout => {
-                gateway.mark_failed(&upstream.name, &error.to_string());
+                let evidence = FailureEvidence::NoResponse;
+                gateway.mark_failed(&upstream.name, evidence, &error.to_string());
             }
             // One bad response among many says little about an engine, so streams through it
             // continue.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,7 +11,7 @@
 use keyvalue::RevisionStore;
 use pipelines::{HealthTable, LoadTable, SharedRetryBudget};
 use settings::EdgeSettings;
-use transport::StopSignal;
+use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
 use upstreams::Connector;
 
@@ -20,6 +20,26 @@
     stream_probe::ProbeTimes, updates::Outbox, wakeup::Wakeup,
 };
 
+/// What a failure of an upstream shows about its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum FailureEvidence {
+    /// Nothing listens at its address: the process has ended, with all work that it ran.
+    ProcessEnded,
+    /// It does not respond. It may have ended, or fall silent for a while and then go on.
+    NoResponse,
+}
+
+impl FailureEvidence {
+    /// The evidence that a failed call, probe or request for a report gives.
+    pub(crate) fn of_error(error: &CallError) -> FailureEvidence {
+        match error {
+            CallError::Refused => FailureEvidence::ProcessEnded,
+            _ => FailureEvidence::NoResponse,
+        }
+    }
+}
+
 /// Slowdown from which an engine counts as very slow: at this factor, a spare engine loads its
 /// layers in less time than the requests through the slow engine lose.
 const VERY_SLOW_FACTOR: f64 = 4.0;
@@ -125,13 +145,19 @@
     }
 
     /// Records a failure of an upstream, which is then avoided for some time.
-    pub(crate) fn mark_failed(&self, name: &UpstreamName, cause: &str) {
+    pub(crate) fn mark_failed(&self, name: &UpstreamName, evidence: FailureEvidence, cause: &str) {
         let catalog = self.catalog.borrow();
         let Some(upstream) = catalog.upstream(name) else { return };
         let now = self.clock.now();
-        let pause = self.health.borrow_mut().record_failure(name, upstream.incarnation, now);
+        let mut health = self.health.borrow_mut();
+        let pause = match evidence {
+            FailureEvidence::ProcessEnded => health.record_end(name, upstream.incarnation, now),
+            FailureEvidence::NoResponse => health.record_failure(name, upstream.incarnation, now),
+        };
+        drop(health);
         self.metrics.suspicions.inc();
-        tracing::info!(upstream = %name, cause, pause_ms = pause.as_millis() as u64,
+        let evidence: &str = evidence.into();
+        tracing::info!(upstream = %name, evidence, cause, pause_ms = pause.as_millis() as u64,
             "upstream is avoided");
     }
 
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -71,6 +71,14 @@
         }
     }
 
+    /// Adds the cause of a failed attempt, or a reason not to make another one, unless it was the
+    /// last one that was added.
+    pub(crate) fn add_new_cause(&self, cause: String) {
+        if self.state.borrow().causes.last() != Some(&cause) {
+            self.add_cause(cause);
+        }
+    }
+
     /// Sets the reason for which the request is given up.
     pub(crate) fn set_reason(&self, reason: &str) {
         self.state.borrow_mut().reason = Some(reason.to_owned());
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -13,7 +13,7 @@
 use types::{LayerRange, ServiceName, UpstreamName};
 use upstreams::{LoadOrder, OrderOutcome};
 
-use crate::Gateway;
+use crate::{Gateway, node::FailureEvidence};
 
 /// Key of the planner's lease.
 pub(crate) const PLANNER_KEY: &str = "gypsumrack/planner";
@@ -189,7 +189,7 @@
         }
         Err(error) => {
             tracing::info!(upstream = %placement.name, %error, "engine does not report; no order");
-            gateway.mark_failed(&placement.name, "no report");
+            gateway.mark_failed(&placement.name, FailureEvidence::of_error(&error), "no report");
             return Some(placement.name);
         }
     };
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -19,7 +19,10 @@
 use crate::{
     Gateway,
     admission::{Selection, SelectionQuery},
+    attempt::Attempts,
     lifecycle::ActiveRequest,
+    node::FailureEvidence,
+    stream::StreamFailure,
 };
 
 /// Time within which an engine must report which engines its calls wait for.
@@ -47,17 +50,62 @@
     Silent,
 }
 
+/// What this node knows about the engines on the path of a silent call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum PathState {
+    /// Nothing speaks against the path.
+    Working,
+    /// An engine may have failed, or is so slow that a better path exists. The call may still go on.
+    Doubtful,
+    /// The process of an engine has ended, so that the call cannot go on.
+    Lost,
+}
+
 impl ActiveRequest {
-    /// Whether a call that has been silent for some time should leave its path, according to what
-    /// this node knows: an engine on the path has failed, or one is very slow and a better path
-    /// exists. Starts background probes of the path's engines, and more of them once the call
-    /// `is_overdue`.
-    pub(crate) fn should_leave_path(&self, selection: &Selection, is_overdue: bool) -> bool {
+    /// Why a call that has been silent for some time has to leave its path; `None` if it stays. A
+    /// call whose path is doubtful leaves only if another attempt can be made: a sound engine may
+    /// fall silent for a second and go on.
+    pub(crate) fn reason_to_leave(
+        &self,
+        attempts: &Attempts,
+        selection: &Selection,
+        is_overdue: bool,
+    ) -> Option<StreamFailure> {
+        let name = &selection.upstream.name;
+        let allowed_entries = attempts.allowed_entries(self.route.max_entries, Some(name));
+        let query = SelectionQuery {
+            avoid: &attempts.avoided,
+            allowed_entries: &allowed_entries,
+            is_resumed: true,
+        };
+        match self.check_path(selection, query, is_overdue) {
+            PathState::Working => None,
+            PathState::Doubtful if self.may_resume(attempts) && self.has_path(query) => {
+                Some(StreamFailure::LeftPath)
+            }
+            PathState::Doubtful => {
+                self.log.add_new_cause(format!("{name}: silent, but no other path may be tried"));
+                None
+            }
+            PathState::Lost => Some(StreamFailure::LostPath),
+        }
+    }
+
+    /// The state of the path of a call that has been silent for some time. Starts background probes
+    /// of the path's engines, and more of them once the call `is_overdue`. `query` is the one for
+    /// another path.
+    fn check_path(
+        &self,
+        selection: &Selection,
+        query: SelectionQuery<'_>,
+        is_overdue: bool,
+    ) -> PathState {
         if selection.stages.is_empty() {
-            return false;
+            return PathState::Working;
         }
-        if self.has_failed_stage(selection) {
-            return true;
+        let known = self.known_state(selection);
+        if known != PathState::Working {
+            return known;
         }
         let gateway = &self.gateway;
         let now = gateway.clock.now();
@@ -73,7 +121,7 @@
             compio::runtime::spawn(probe_connections(gateway.clone(), probed)).detach();
         }
         if !is_overdue {
-            return false;
+            return PathState::Working;
         }
         let entry = &selection.upstream.name;
         if should_probe(&mut probes.blocked, entry, REPORT_INTERVAL) {
@@ -90,26 +138,30 @@
         // engines are lost, so only the first attempt may do so.
         let is_slow = selection.may_leave_slow
             && selection.stages.iter().any(|stage| gateway.is_very_slow(&stage.engine));
-        let query = SelectionQuery {
-            allowed_entries: &selection.next_entries,
-            is_resumed: true,
-            avoid: &[],
-        };
-        is_slow && self.has_fast_path(query)
+        if is_slow && self.has_fast_path(query) { PathState::Doubtful } else { PathState::Working }
     }
 
-    fn has_failed_stage(&self, selection: &Selection) -> bool {
+    /// The state of a path according to the failures of its engines that this node knows.
+    fn known_state(&self, selection: &Selection) -> PathState {
         let gateway = &self.gateway;
         let catalog = gateway.catalog.borrow();
         let health = gateway.health.borrow();
         let now = gateway.clock.now();
-        selection.stages.iter().any(|stage| match catalog.upstream(&stage.engine) {
-            Some(upstream) => {
-                upstream.addr != stage.addr
-                    || health.failing_for(&stage.engine, upstream.incarnation, now).is_some()
+        let states = selection.stages.iter().map(|stage| {
+            // An upstream whose entry is removed may go on serving for a while.
+            let Some(upstream) = catalog.upstream(&stage.engine) else {
+                return PathState::Doubtful;
+            };
+            let incarnation = upstream.incarnation;
+            if upstream.addr != stage.addr || health.has_ended(&stage.engine, incarnation, now) {
+                PathState::Lost
+            } else if health.failing_for(&stage.engine, incarnation, now).is_some() {
+                PathState::Doubtful
+            } else {
+                PathState::Working
             }
-            None => true,
-        })
+        });
+        states.max().unwrap_or(PathState::Working)
     }
 }
 
@@ -123,10 +175,13 @@
         .any(|probe| matches!(probe, Some(ProbeOutcome::Open | ProbeOutcome::Refused)));
     for (name, probe) in names.iter().zip(outcomes) {
         match probe {
-            Some(ProbeOutcome::Refused) => gateway.report_failure(name, "connection refused"),
+            Some(ProbeOutcome::Refused) => {
+                let evidence = FailureEvidence::ProcessEnded;
+                gateway.report_failure(name, evidence, "connection refused");
+            }
             Some(ProbeOutcome::Silent) if has_connectivity => {
                 let cause = "takes no connections while a stream through it is silent";
-                gateway.report_failure(name, cause);
+                gateway.report_failure(name, FailureEvidence::NoResponse, cause);
             }
             _ => {}
         }
@@ -138,7 +193,8 @@
     let Some((_, report)) = gateway.request_report(&entry).await else { return };
     let blocked_on: BTreeSet<SocketAddr> = report.blocked_on.into_iter().collect();
     for name in blocked_on.into_iter().filter_map(|addr| gateway.upstream_at(addr)) {
-        gateway.report_failure(&name, "calls wait for it at the engine before it");
+        let cause = "calls wait for it at the engine before it";
+        gateway.report_failure(&name, FailureEvidence::NoResponse, cause);
     }
 }
 
@@ -204,7 +260,8 @@
         match self.client(&upstream).report(REPORT_LIMIT).await {
             Ok(report) => Some((upstream, report)),
             Err(error) => {
-                self.mark_failed(name, &format!("no report: {error}"));
+                let evidence = FailureEvidence::of_error(&error);
+                self.mark_failed(name, evidence, &format!("no report: {error}"));
                 None
             }
         }
@@ -212,8 +269,13 @@
 
     /// Records a failure that is due to the upstream itself and not to this node's connection to
     /// it, and announces it to the other nodes.
-    pub(crate) fn report_failure(&self, name: &UpstreamName, cause: &str) {
-        self.mark_failed(name, cause);
+    pub(crate) fn report_failure(
+        &self,
+        name: &UpstreamName,
+        evidence: FailureEvidence,
+        cause: &str,
+    ) {
+        self.mark_failed(name, evidence, cause);
         self.announce_failure(name);
     }
 
@@ -227,11 +289,15 @@
                 catalog.upstream(&name).is_some_and(|upstream| upstream.incarnation == incarnation);
             is_known && self.health.borrow().failing_for(&name, incarnation, now).is_none()
         };
-        if is_new
-            && matches!(self.probe(&name).await, Some(ProbeOutcome::Refused | ProbeOutcome::Silent))
-        {
-            self.mark_failed(&name, "another node reports that it has failed");
+        if !is_new {
+            return;
         }
+        let evidence = match self.probe(&name).await {
+            Some(ProbeOutcome::Refused) => FailureEvidence::ProcessEnded,
+            Some(ProbeOutcome::Silent) => FailureEvidence::NoResponse,
+            Some(ProbeOutcome::Open) | None => return,
+        };
+        self.mark_failed(&name, evidence, "another node reports that it has failed");
     }
 
     /// Applies the slowdown that an engine has reported, and adds a slow engine to the next
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,4 +4,5 @@
 mod lifecycle;
 mod log;
 mod planner;
+mod silence;
 mod support;
--- a/crates/pipelines/src/budget.rs
+++ b/crates/pipelines/src/budget.rs
@@ -39,14 +39,20 @@
     /// Takes one retry from this node's part of the budget and returns whether there was one left.
     /// `nodes` is the number of nodes that share the budget.
     pub fn take(&mut self, now: Timestamp, nodes: usize) -> bool {
+        let has_left = self.has_left(now, nodes);
+        if has_left {
+            self.retries.push_back(now);
+        }
+        has_left
+    }
+
+    /// Whether this node's part of the budget has a retry left. `nodes` is the number of nodes that
+    /// share the budget.
+    pub fn has_left(&mut self, now: Timestamp, nodes: usize) -> bool {
         self.expire(now);
         let requests = self.requests.len() as f64;
         let allowed = self.ratio * requests + self.extra / nodes.max(1) as f64;
-        if self.retries.len() as f64 + 1.0 > allowed * USABLE_SHARE {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        self.retries.len() as f64 + 1.0 <= allowed * USABLE_SHARE
     }
 
     /// Discards requests and retries that are older than the window.
