Keep a call on its silent replica until another one may be tried

Callers of an idempotent route got a failure 300 ms after a replica fell silent, although their time was not over and the replica went on: a sound upstream may fall silent for a second.

Cause: the call was abandoned after the latency target, and only then was it known that the retry budget had nothing left, or that there was no other replica.

Change: after that time the call is abandoned only if the route allows another entry, the budget has a retry left and another replica can be used; otherwise the replica keeps the rest of the request's time.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -213,6 +213,18 @@
         }
     }
 
+    /// Whether there is a replica of a plain service besides `current` and those to avoid.
+    pub(crate) fn has_other_replica(&self, avoid: &[UpstreamName], current: &UpstreamName) -> bool {
+        let gateway = &self.gateway;
+        let catalog = gateway.catalog.borrow();
+        catalog.upstreams().any(|upstream| {
+            upstream.service == self.service
+                && upstream.name != *current
+                && !avoid.contains(&upstream.name)
+                && gateway.is_usable(upstream)
+        })
+    }
+
     /// Whether some path has capacity now.
     pub(crate) fn has_path(&self, query: SelectionQuery<'_>) -> bool {
         self.model_profile().is_some_and(|profile| self.find_path(&profile, query).is_ok())
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -146,7 +146,7 @@
 
     /// Whether the request may be retried after an attempt with this verdict, and the budget has a
     /// retry left.
-    fn has_retry_left(&self, verdict: Verdict) -> bool {
+    pub(crate) fn has_retry_left(&self, verdict: Verdict) -> bool {
         let gateway = &self.gateway;
         let (now, nodes) = (gateway.clock.now(), gateway.node_count());
         self.is_retry_allowed(verdict) && gateway.retry_budget(&self.service).has_left(now, nodes)
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use callers::{RoutedFailure, RoutedResponse};
+use futures_util::future::{Either, select};
 use http::HeaderMap;
 use transport::{Body, CallError};
 use types::{Failure, FailureKind, Verdict};
@@ -15,8 +16,8 @@
     lifecycle::ActiveRequest,
 };
 
-/// Least time that an upstream has for its response before an idempotent request is sent to another
-/// upstream.
+/// Least time that an upstream has for its response before an idempotent request may be sent to
+/// another upstream.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest response that is buffered, in bytes. Several upstreams may send bytes without end at the
 /// same time, to a node with a hundred megabytes of memory.
@@ -88,14 +89,7 @@
         attempts: &Attempts,
         selection: &Selection,
     ) -> Result<BufferedResponse, AttemptFailure> {
-        let may_rerun = self.route.retry.allows_rerun() && attempts.count < self.route.max_entries;
-        let attempt_timeout = if may_rerun {
-            self.time_left().min(self.route.latency_target.max(MIN_ATTEMPT_TIMEOUT))
-        } else {
-            self.time_left()
-        };
-        let call = self.call(selection, self.resume_after);
-        let response = selection.client.call(call, attempt_timeout).await.map_err(|error| {
+        let response = self.send_call(attempts, selection).await.map_err(|error| {
             self.avoid_after_error(selection, &error);
             let verdict = error.verdict();
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
@@ -128,6 +122,34 @@
         Ok(BufferedResponse { status, headers, body })
     }
 
+    /// Sends the request and waits for the head of the response. After the time for an attempt, the
+    /// call is abandoned if another replica may be tried; otherwise its replica, which may be silent
+    /// for a while and go on, keeps its time until the deadline.
+    async fn send_call(
+        &self,
+        attempts: &Attempts,
+        selection: &Selection,
+    ) -> Result<UpstreamResponse, CallError> {
+        let call = self.call(selection, self.resume_after);
+        let pending_call = selection.client.call(call, self.time_left());
+        let attempt_timeout = self.route.latency_target.max(MIN_ATTEMPT_TIMEOUT);
+        let sleep = self.gateway.clock.sleep(attempt_timeout);
+        match select(pending_call, sleep).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((), _)) if self.may_try_another(attempts, selection) => {
+                Err(CallError::Timeout)
+            }
+            Either::Right(((), pending_call)) => pending_call.await,
+        }
+    }
+
+    /// Whether the request may be sent to another replica while this one does not answer.
+    fn may_try_another(&self, attempts: &Attempts, selection: &Selection) -> bool {
+        attempts.count < self.route.max_entries
+            && self.has_retry_left(Verdict::MayHaveRun)
+            && self.has_other_replica(&attempts.avoided, &selection.upstream.name)
+    }
+
     /// Reads the body of a response before the deadline.
     pub(crate) async fn read_response_body(
         &self,
--- a/crates/gateway/tests/gateway/silence.rs
+++ b/crates/gateway/tests/gateway/silence.rs
@@ -75,3 +75,13 @@
     let response = fixture.send("/drafts/x").await.expect("the engine goes on");
     assert_eq!(body(response).await, Some(event(0)));
 }
+
+/// Guards against an idempotent call that fails because its replica falls silent for longer than the
+/// latency target, while the retry budget is used up.
+#[compio::test]
+async fn a_call_waits_for_its_silent_replica_when_the_retry_budget_is_used_up() {
+    let fixture = Fixture::ready_without_retries().await;
+    fixture.push_steps([Step::AnswerAfter { pause: PAUSE, body: "found" }]);
+    let response = fixture.send("/any/x").await.expect("the replica goes on");
+    assert_eq!(body(response).await.as_deref(), Some("found"));
+}
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -24,6 +24,8 @@
 pub enum Step {
     /// It answers with this status and body.
     Answer(u16, &'static str),
+    /// It answers with status 200 and this body after a pause.
+    AnswerAfter { pause: Duration, body: &'static str },
     /// It answers without a signature.
     Unsigned(u16),
     /// It answers with this status, and with bytes that are no answer and have no end.
@@ -120,6 +122,13 @@
                 Step::Answer(status, body) => {
                     Ok(response(status, true, false, vec![BodyPart::Bytes(body.into())]))
                 }
+                Step::AnswerAfter { pause, body } => {
+                    self.upstreams.clock.sleep(pause.min(limit)).await;
+                    if pause > limit {
+                        return Err(CallError::Timeout);
+                    }
+                    Ok(response(200, true, false, vec![BodyPart::Bytes(body.into())]))
+                }
                 Step::Unsigned(status) => Ok(response(status, false, false, Vec::new())),
                 Step::Endless { status, signed } => {
                     Ok(response(status, signed, false, vec![BodyPart::Endless]))
