Log and count requests whose connection ends before their answer

A caller's connection could end in the middle of a request without a line in the log: the outcome line says caller-gone for every request whose future is dropped, whether the caller left, the response could not be written, or the node closed the connection.

The server now follows each request from its head to the flush of its whole response. If the connection ends before, it logs the request's identifier and the cause: aborted, write-failed, lame-duck-close, forced-close, or, at debug level, caller-gone. It also logs a response that is sent before the request's body was read. Both are counted: gypsumrack_cut_requests_total by cause, and gypsumrack_early_responses_total. There is at most one such line for a request.

RequestBody moves to a file of its own. The part that was not read is shared with the server, which needs it to tell whether a body is still arriving.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,9 @@
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use transport::{ConnectionObserver, CutCause};
+
+use crate::Gateway;
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 20.0];
@@ -28,6 +31,10 @@
     pub(crate) in_flight: IntGauge,
     /// Requests that wait for capacity.
     pub(crate) waiting: IntGauge,
+    /// Requests whose connection ended before their response was complete, by cause.
+    pub(crate) cut_requests: IntCounterVec,
+    /// Responses sent before the request's body was read.
+    pub(crate) early_responses: IntCounter,
 }
 
 impl Metrics {
@@ -70,6 +77,16 @@
                 .expect("gauge is valid"),
             waiting: IntGauge::new("gypsumrack_waiting", "Requests that wait for room")
                 .expect("gauge is valid"),
+            cut_requests: counter_vec(
+                "gypsumrack_cut_requests_total",
+                "Requests whose connection ended before their response was complete",
+                &["cause"],
+            ),
+            early_responses: IntCounter::new(
+                "gypsumrack_early_responses_total",
+                "Responses sent before the body of the request was read",
+            )
+            .expect("counter is valid"),
             registry,
         };
         metrics.register();
@@ -86,7 +103,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(self.requests.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.resends.clone()),
@@ -96,6 +113,8 @@
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.waiting.clone()),
+            Box::new(self.cut_requests.clone()),
+            Box::new(self.early_responses.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector).expect("names of the metrics differ");
@@ -103,6 +122,16 @@
     }
 }
 
+impl ConnectionObserver for Gateway {
+    fn record_cut(&self, cause: CutCause) {
+        self.metrics.cut_requests.with_label_values(&[<&str>::from(cause)]).inc();
+    }
+
+    fn record_early_response(&self) {
+        self.metrics.early_responses.inc();
+    }
+}
+
 fn counter_vec(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), labels).expect("counter is valid")
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,6 +25,7 @@
     let drained = StopSignal::new();
     let callers = Server::bind(clock.clone(), settings.callers, stop.clone())
         .await?
+        .observer(gateway.clone())
         .lame_duck_time(REFUSE_DELAY.min(grace / 2))
         .drain_limit(grace.saturating_sub(EXIT_MARGIN));
     let health = Server::bind(clock.clone(), settings.health, drained.clone()).await?;
--- /dev/null
+++ b/crates/transport/src/connection.rs
@@ -0,0 +1,263 @@
+//! Observes the connections of callers: which request is open on a connection, and why the
+//! connection ended if that was before the request was completely answered.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    pin::Pin,
+    rc::Rc,
+    sync::{Arc, OnceLock},
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::{
+    body::{Frame, SizeHint},
+    rt::{Read, ReadBufCursor, Write},
+};
+use strum::IntoStaticStr;
+use types::RequestId;
+
+use crate::{Body, BodyAborted};
+
+/// Number of the connection over which a request was received. The server stores it in the
+/// request's extensions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
+/// The identifier under which the log lines of a connection name a request. The server stores an
+/// empty label in the request's extensions, which the handler sets once it has decoded the request.
+#[derive(Clone, Debug, Default)]
+pub struct RequestLabel(Arc<OnceLock<RequestId>>);
+
+impl RequestLabel {
+    /// Sets the identifier. Further calls have no effect.
+    pub fn set(&self, id: &RequestId) {
+        self.0.get_or_init(|| id.clone());
+    }
+
+    fn as_str(&self) -> &str {
+        self.0.get().map_or("", |id| id.as_str())
+    }
+}
+
+/// Why a connection ended before a request on it was completely answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum CutCause {
+    /// The caller closed or reset the connection.
+    CallerGone,
+    /// The handler aborted the body of the response.
+    Aborted,
+    /// The response could not be written.
+    WriteFailed,
+    /// The server closed the connection at the end of the lame-duck period.
+    LameDuckClose,
+    /// The drain limit of the stopping server passed.
+    ForcedClose,
+}
+
+/// Counts what happens on the connections of a server. The server writes the log lines.
+pub trait ConnectionObserver {
+    /// A connection ended before a request on it was completely answered.
+    fn record_cut(&self, cause: CutCause);
+
+    /// A response was sent before the request's body was read to its end.
+    fn record_early_response(&self);
+}
+
+/// The state of one connection, as its bytes and the service show it.
+pub(crate) struct ConnectionState {
+    id: ConnectionId,
+    observer: Option<Rc<dyn ConnectionObserver>>,
+    open_request: RefCell<Option<RequestLabel>>,
+    /// Whether the body of the open request's response has ended or was aborted.
+    body_end: Cell<Option<Result<(), BodyAborted>>>,
+    write_failed: Cell<bool>,
+}
+
+impl ConnectionState {
+    pub(crate) fn new(
+        id: ConnectionId,
+        observer: Option<Rc<dyn ConnectionObserver>>,
+    ) -> Rc<ConnectionState> {
+        Rc::new(ConnectionState {
+            id,
+            observer,
+            open_request: RefCell::default(),
+            body_end: Cell::default(),
+            write_failed: Cell::default(),
+        })
+    }
+
+    pub(crate) fn id(&self) -> ConnectionId {
+        self.id
+    }
+
+    /// Records that the head of a request was read.
+    pub(crate) fn open_request(&self, label: RequestLabel) {
+        *self.open_request.borrow_mut() = Some(label);
+        self.body_end.set(None);
+    }
+
+    /// Records that the handler has responded before the request's body was read to its end.
+    pub(crate) fn record_early_response(&self, status: u16) {
+        let open_request = self.open_request.borrow();
+        let request = open_request.as_ref().map_or("", RequestLabel::as_str);
+        tracing::info!(
+            request,
+            status,
+            connection = self.id.0,
+            "response is sent before the request's body was read"
+        );
+        if let Some(observer) = &self.observer {
+            observer.record_early_response();
+        }
+    }
+
+    /// Records that everything the connection had to write was written.
+    fn record_flush(&self) {
+        if self.body_end.get() == Some(Ok(())) {
+            self.open_request.take();
+        }
+    }
+
+    /// Records the end of the connection, with what `closed_by` says about a connection that did
+    /// not end by itself.
+    pub(crate) fn record_end(&self, closed_by: Option<CutCause>) {
+        let Some(request) = self.open_request.take() else { return };
+        let cause = match closed_by {
+            _ if self.body_end.get() == Some(Err(BodyAborted)) => CutCause::Aborted,
+            _ if self.write_failed.get() => CutCause::WriteFailed,
+            Some(cause) => cause,
+            None => CutCause::CallerGone,
+        };
+        let name: &str = cause.into();
+        // Callers leave often, and the handler logs the requests that it loses by that.
+        if cause == CutCause::CallerGone {
+            tracing::debug!(
+                request = request.as_str(),
+                cause = name,
+                connection = self.id.0,
+                "connection ended before its request was answered"
+            );
+        } else {
+            tracing::info!(
+                request = request.as_str(),
+                cause = name,
+                connection = self.id.0,
+                "connection ended before its request was answered"
+            );
+        }
+        if let Some(observer) = &self.observer {
+            observer.record_cut(cause);
+        }
+    }
+}
+
+/// The body of a response, which tells the connection's state how it ended.
+pub(crate) struct ObservedBody {
+    inner: Body,
+    state: Rc<ConnectionState>,
+}
+
+impl ObservedBody {
+    pub(crate) fn new(inner: Body, state: Rc<ConnectionState>) -> ObservedBody {
+        let body = ObservedBody { inner, state };
+        body.check_end();
+        body
+    }
+
+    fn check_end(&self) {
+        if hyper::body::Body::is_end_stream(&self.inner) {
+            self.state.body_end.set(Some(Ok(())));
+        }
+    }
+}
+
+impl Drop for ObservedBody {
+    fn drop(&mut self) {
+        // The response to a HEAD request ends without its body.
+        if self.state.body_end.get().is_none() {
+            self.state.body_end.set(Some(Ok(())));
+        }
+    }
+}
+
+impl hyper::body::Body for ObservedBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        let frame = std::task::ready!(Pin::new(&mut self.inner).poll_frame(context));
+        match &frame {
+            Some(Ok(_)) => self.check_end(),
+            Some(Err(error)) => self.state.body_end.set(Some(Err(*error))),
+            None => self.state.body_end.set(Some(Ok(()))),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// The bytes of a connection, which tell the connection's state what was written.
+pub(crate) struct ObservedIo<S> {
+    inner: S,
+    state: Rc<ConnectionState>,
+}
+
+impl<S> ObservedIo<S> {
+    pub(crate) fn new(inner: S, state: Rc<ConnectionState>) -> ObservedIo<S> {
+        ObservedIo { inner, state }
+    }
+
+    fn check_write<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if matches!(result, Poll::Ready(Err(_))) {
+            self.state.write_failed.set(true);
+        }
+        result
+    }
+}
+
+impl<S: Read + Unpin> Read for ObservedIo<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl<S: Write + Unpin> Write for ObservedIo<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.check_write(result)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let result = Pin::new(&mut self.inner).poll_flush(context);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.state.record_flush();
+        }
+        self.check_write(result)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,7 +10,9 @@
 mod body;
 mod client;
 mod connect;
+mod connection;
 mod error;
+mod request_body;
 mod server;
 mod sse;
 mod stop;
@@ -19,8 +21,10 @@
 pub use body::{Body, BodyAborted, BodyWriter};
 pub use client::{HttpClient, ResponseStream, Timeouts};
 pub use connect::{connect, tokio_stream};
+pub use connection::{ConnectionId, ConnectionObserver, CutCause, RequestLabel};
 pub use error::CallError;
-pub use server::{BodyError, ConnectionId, Handler, RequestBody, Server, json_response};
+pub use request_body::{BodyError, RequestBody};
+pub use server::{Handler, Server, json_response};
 pub use sse::{EventReader, EventSplitter, Events, encode_event};
 pub use stop::StopSignal;
 
--- /dev/null
+++ b/crates/transport/src/request_body.rs
@@ -0,0 +1,144 @@
+//! The body of a received request.
+
+use std::{cell::Cell, fmt, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use clock::{Clock, timeout};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Frame, Incoming};
+use serde::de::DeserializeOwned;
+use types::MAX_BODY_BYTES;
+
+/// Time in which a client must send the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The body of a received request. It is read on demand, with limits on its size and on the time.
+pub struct RequestBody {
+    source: BodySource,
+    clock: Rc<dyn Clock>,
+}
+
+enum BodySource {
+    Connection(Rc<UnreadBody>),
+    Memory(Bytes),
+}
+
+/// The part of a body that was not read yet. The server shares it with the handler, so that it can
+/// tell after the response whether the body is still arriving.
+pub(crate) struct UnreadBody(Cell<Option<Incoming>>);
+
+impl UnreadBody {
+    pub(crate) fn new(incoming: Incoming) -> Rc<UnreadBody> {
+        Rc::new(UnreadBody(Cell::new(Some(incoming))))
+    }
+
+    /// Takes the body, unless it was read to its end or cannot be read any further.
+    pub(crate) fn take(&self) -> Option<Incoming> {
+        self.0.take().filter(|incoming| !incoming.is_end_stream())
+    }
+
+    /// Reads the body to its end. If it is too large, the rest can be taken afterwards.
+    async fn collect(&self, max_bytes: usize) -> Result<Bytes, BodyError> {
+        let mut bytes = BytesMut::new();
+        let Some(incoming) = self.take() else { return Ok(Bytes::new()) };
+        let mut taken = TakenBody { unread: self, incoming: Some(incoming) };
+        while let Some(frame) = taken.next_frame().await {
+            let frame = frame.map_err(|error| BodyError::Broken(error.to_string()))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if bytes.len() + data.len() > max_bytes {
+                return Err(BodyError::TooLarge(max_bytes));
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
+}
+
+/// A body that is being read. When it is dropped before the end, also because time is up, the rest
+/// can be taken from `unread`.
+struct TakenBody<'a> {
+    unread: &'a UnreadBody,
+    incoming: Option<Incoming>,
+}
+
+impl TakenBody<'_> {
+    /// The next frame; `None` at the end of the body. There is no further frame after an error.
+    async fn next_frame(&mut self) -> Option<hyper::Result<Frame<Bytes>>> {
+        let frame = self.incoming.as_mut()?.frame().await;
+        if !matches!(frame, Some(Ok(_))) {
+            self.incoming = None;
+        }
+        frame
+    }
+}
+
+impl Drop for TakenBody<'_> {
+    fn drop(&mut self) {
+        self.unread.0.set(self.incoming.take());
+    }
+}
+
+impl RequestBody {
+    /// Creates the body of a request that is received over a connection.
+    pub(crate) fn from_connection(unread: Rc<UnreadBody>, clock: Rc<dyn Clock>) -> RequestBody {
+        RequestBody { source: BodySource::Connection(unread), clock }
+    }
+
+    /// Creates a body from bytes in memory, for requests that were not received over a connection.
+    pub fn from_bytes(bytes: Bytes, clock: Rc<dyn Clock>) -> RequestBody {
+        RequestBody { source: BodySource::Memory(bytes), clock }
+    }
+
+    /// Reads the whole body. The error message is returned to the caller.
+    pub async fn collect(self) -> Result<Bytes, String> {
+        let body = self.collect_within(MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        body.map_err(|error| error.to_string())
+    }
+
+    /// Reads the whole body, at most `max_bytes`, within `limit`.
+    pub async fn collect_within(
+        self,
+        max_bytes: usize,
+        limit: Duration,
+    ) -> Result<Bytes, BodyError> {
+        let unread = match self.source {
+            BodySource::Memory(bytes) if bytes.len() > max_bytes => {
+                return Err(BodyError::TooLarge(max_bytes));
+            }
+            BodySource::Memory(bytes) => return Ok(bytes),
+            BodySource::Connection(unread) => unread,
+        };
+        let body = timeout(&*self.clock, limit, unread.collect(max_bytes)).await;
+        body.unwrap_or(Err(BodyError::Timeout))
+    }
+
+    /// Reads the whole body and decodes it as JSON. The error message is returned to the caller.
+    pub async fn json<T: DeserializeOwned>(self) -> Result<T, String> {
+        let bytes = self.collect().await?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| format!("request body is not valid: {error}"))
+    }
+}
+
+/// Why the body of a request cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is larger than this limit, in bytes.
+    TooLarge(usize),
+    /// The connection failed, or the framing of the body is invalid.
+    Broken(String),
+    /// It did not arrive in time.
+    Timeout,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::TooLarge(max_bytes) => write!(f, "request body exceeds {max_bytes} bytes"),
+            BodyError::Broken(cause) => write!(f, "request body cannot be read: {cause}"),
+            BodyError::Timeout => f.write_str("request body did not arrive in time"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,29 +1,24 @@
-use std::{
-    cell::Cell, convert::Infallible, fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration,
-};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use clock::{Clock, timeout};
+use clock::Clock;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{
-    body::{Body as _, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
-use serde::{Serialize, de::DeserializeOwned};
-use types::{MAX_BODY_BYTES, MAX_HEADERS};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use serde::Serialize;
+use types::MAX_HEADERS;
 
-use crate::{Body, StopSignal, write_timeout::WriteTimeout};
+use crate::{
+    Body, ConnectionId, ConnectionObserver, CutCause, RequestBody, RequestLabel, StopSignal,
+    connection::{ConnectionState, ObservedBody, ObservedIo},
+    request_body::UnreadBody,
+    write_timeout::WriteTimeout,
+};
 
 /// Time in which a client must send the request line and headers. It limits how long an idle
 /// connection takes up resources.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time in which a client must send the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Default of [`Server::lame_duck_time`]. It is long enough for a request that was on its way when
 /// the server was told to stop, which then gets a response instead of a closed connection.
 const DEFAULT_LAME_DUCK_TIME: Duration = Duration::from_millis(500);
@@ -42,88 +37,6 @@
     ) -> LocalBoxFuture<'static, Response<Body>>;
 }
 
-/// Number of the connection over which a request was received. The server stores it in the
-/// request's extensions.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ConnectionId(pub u64);
-
-/// The body of a received request. It is read on demand, with limits on its size and on the time.
-pub struct RequestBody {
-    source: BodySource,
-    clock: Rc<dyn Clock>,
-}
-
-enum BodySource {
-    Connection(Incoming),
-    Memory(Bytes),
-}
-
-impl RequestBody {
-    /// Creates a body from bytes in memory, for requests that were not received over a connection.
-    pub fn from_bytes(bytes: Bytes, clock: Rc<dyn Clock>) -> RequestBody {
-        RequestBody { source: BodySource::Memory(bytes), clock }
-    }
-
-    /// Reads the whole body. The error message is returned to the caller.
-    pub async fn collect(self) -> Result<Bytes, String> {
-        let body = self.collect_within(MAX_BODY_BYTES, BODY_TIMEOUT).await;
-        body.map_err(|error| error.to_string())
-    }
-
-    /// Reads the whole body, at most `max_bytes`, within `limit`.
-    pub async fn collect_within(
-        self,
-        max_bytes: usize,
-        limit: Duration,
-    ) -> Result<Bytes, BodyError> {
-        let incoming = match self.source {
-            BodySource::Memory(bytes) if bytes.len() > max_bytes => {
-                return Err(BodyError::TooLarge(max_bytes));
-            }
-            BodySource::Memory(bytes) => return Ok(bytes),
-            BodySource::Connection(incoming) if incoming.is_end_stream() => return Ok(Bytes::new()),
-            BodySource::Connection(incoming) => incoming,
-        };
-        let limited = Limited::new(incoming, max_bytes);
-        match timeout(&*self.clock, limit, limited.collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge(max_bytes)),
-            Ok(Err(error)) => Err(BodyError::Broken(error.to_string())),
-            Err(_) => Err(BodyError::Timeout),
-        }
-    }
-
-    /// Reads the whole body and decodes it as JSON. The error message is returned to the caller.
-    pub async fn json<T: DeserializeOwned>(self) -> Result<T, String> {
-        let bytes = self.collect().await?;
-        serde_json::from_slice(&bytes)
-            .map_err(|error| format!("request body is not valid: {error}"))
-    }
-}
-
-/// Why the body of a request cannot be read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BodyError {
-    /// It is larger than this limit, in bytes.
-    TooLarge(usize),
-    /// The connection failed, or the framing of the body is invalid.
-    Broken(String),
-    /// It did not arrive in time.
-    Timeout,
-}
-
-impl fmt::Display for BodyError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            BodyError::TooLarge(max_bytes) => write!(f, "request body exceeds {max_bytes} bytes"),
-            BodyError::Broken(cause) => write!(f, "request body cannot be read: {cause}"),
-            BodyError::Timeout => f.write_str("request body did not arrive in time"),
-        }
-    }
-}
-
-impl std::error::Error for BodyError {}
-
 /// An HTTP/1.1 server.
 pub struct Server {
     clock: Rc<dyn Clock>,
@@ -131,6 +44,7 @@
     stop: StopSignal,
     drain_limit: Duration,
     lame_duck_time: Duration,
+    observer: Option<Rc<dyn ConnectionObserver>>,
 }
 
 impl Server {
@@ -147,6 +61,7 @@
             stop,
             drain_limit: Duration::ZERO,
             lame_duck_time: DEFAULT_LAME_DUCK_TIME,
+            observer: None,
         })
     }
 
@@ -163,6 +78,12 @@
         self
     }
 
+    /// Sets who counts what happens on the connections.
+    pub fn observer(mut self, observer: Rc<dyn ConnectionObserver>) -> Server {
+        self.observer = Some(observer);
+        self
+    }
+
     /// The address that the server is bound to.
     pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -199,14 +120,26 @@
                     let guard = OpenConnectionGuard::new(open_connections.clone());
                     accepted_count += 1;
                     let id = ConnectionId(accepted_count);
+                    let state = ConnectionState::new(id, self.observer.clone());
                     let (clock, handler) = (self.clock.clone(), handler.clone());
                     let (stop, force_close) = (self.stop.clone(), force_close_signal.raised());
                     let lame_duck_time = self.lame_duck_time;
                     compio::runtime::spawn(async move {
                         let _guard = guard;
-                        let serving =
-                            serve_connection(clock, stream, id, handler, stop, lame_duck_time);
-                        select(pin!(serving), pin!(force_close)).await;
+                        let serving = serve_connection(
+                            clock,
+                            stream,
+                            state.clone(),
+                            handler,
+                            stop,
+                            lame_duck_time,
+                        );
+                        let serving = pin!(serving);
+                        let closed_by = match select(serving, pin!(force_close)).await {
+                            Either::Left((closed_by, _)) => closed_by,
+                            Either::Right(_) => Some(CutCause::ForcedClose),
+                        };
+                        state.record_end(closed_by);
                     })
                     .detach();
                 }
@@ -229,30 +162,26 @@
     }
 }
 
+/// Serves one connection until it ends. Returns why this server closed it, if the caller did not
+/// and no error occurred.
 async fn serve_connection<H: Handler + 'static>(
     clock: Rc<dyn Clock>,
     stream: TcpStream,
-    id: ConnectionId,
+    state: Rc<ConnectionState>,
     handler: Rc<H>,
     stop: StopSignal,
     lame_duck_time: Duration,
-) {
+) -> Option<CutCause> {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection closed before it was served");
-        return;
+        return None;
     }
     let lame_duck_clock = clock.clone();
     let io = WriteTimeout::new(clock.clone(), HyperStream::new_plain(stream));
-    let service = service_fn(move |request: Request<Incoming>| {
-        let (clock, handler) = (clock.clone(), handler.clone());
-        async move {
-            let mut request = request.map(|incoming| {
-                let source = BodySource::Connection(incoming);
-                RequestBody { source, clock }
-            });
-            request.extensions_mut().insert(id);
-            Ok::<_, Infallible>(handler.handle(request).await)
-        }
+    let io = ObservedIo::new(io, state.clone());
+    let service = service_fn(move |request| {
+        let (clock, handler, state) = (clock.clone(), handler.clone(), state.clone());
+        async move { Ok::<_, Infallible>(respond(clock, handler, state, request).await) }
     });
     let mut connection = pin!(
         http1::Builder::new()
@@ -266,16 +195,42 @@
         stop.raised().await;
         lame_duck_clock.sleep(lame_duck_time).await;
     };
-    let result = match select(connection.as_mut(), pin!(lame_duck_end)).await {
-        Either::Left((result, _)) => result,
+    let (result, closed_by) = match select(connection.as_mut(), pin!(lame_duck_end)).await {
+        Either::Left((result, _)) => (result, None),
         Either::Right(_) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            (connection.await, Some(CutCause::LameDuckClose))
         }
     };
-    if let Err(error) = result {
-        tracing::debug!(%error, "connection ended with an error");
+    match result {
+        Ok(()) => closed_by,
+        Err(error) => {
+            tracing::debug!(%error, "connection ended with an error");
+            None
+        }
+    }
+}
+
+/// Passes one request to the handler.
+async fn respond<H: Handler + 'static>(
+    clock: Rc<dyn Clock>,
+    handler: Rc<H>,
+    state: Rc<ConnectionState>,
+    request: Request<Incoming>,
+) -> Response<ObservedBody> {
+    let (head, incoming) = request.into_parts();
+    let unread = UnreadBody::new(incoming);
+    let mut request =
+        Request::from_parts(head, RequestBody::from_connection(unread.clone(), clock));
+    let label = RequestLabel::default();
+    request.extensions_mut().insert(state.id());
+    request.extensions_mut().insert(label.clone());
+    state.open_request(label);
+    let response = handler.handle(request).await;
+    if unread.take().is_some() {
+        state.record_early_response(response.status().as_u16());
     }
+    response.map(|body| ObservedBody::new(body, state))
 }
 
 struct OpenConnectionGuard {
