Test requests that meet a change of the configuration on their way

The tests pass on the code as it is: a request holds the routing table that was in force when its head arrived until it ends, and each of these cases ends with an answer or a refusal that is true.

--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -10,8 +10,9 @@
 
 use super::{HOST, KEY};
 
-/// Decodes a routing table from its version, and an upstream from `SERVICE ADDR DOMAIN PHASE
-/// START-END`.
+/// Decodes a routing table from `VERSION [CHANGE]`, and an upstream from `SERVICE ADDR DOMAIN PHASE
+/// START-END`. A change is `empty`, which takes all routes, services and keys away, `moved`, which
+/// sends all routes to a service without upstreams, or `short`, which lets requests take 10 ms.
 pub struct TextCodec;
 
 impl CatalogCodec for TextCodec {
@@ -25,7 +26,9 @@
 
     fn decode_table(&self, value: &[u8]) -> Result<RoutingTable, String> {
         let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
-        Ok(table(text.parse().map_err(|_| format!("{text:?} is no version"))?))
+        let (version, change) = text.split_once(' ').unwrap_or((text, ""));
+        let version = version.parse().map_err(|_| format!("{version:?} is no version"))?;
+        Ok(table(version, change))
     }
 
     fn decode_upstream(&self, name: &str, value: &[u8]) -> Result<Upstream, String> {
@@ -52,19 +55,26 @@
     }
 }
 
-fn table(version: u64) -> RoutingTable {
+fn table(version: u64, change: &str) -> RoutingTable {
+    if change == "empty" {
+        let other = Organisation::from("other");
+        return RoutingTableBuilder::new(version).organisation(&other, None, ["k".into()]).build();
+    }
     let route = |prefix: &str, retry, service: &str| Route {
         name: prefix.into(),
         host: HOST.into(),
         path_prefix: prefix.into(),
         retry,
-        timeout: Duration::from_millis(1500),
+        timeout: Duration::from_millis(if change == "short" { 10 } else { 1500 }),
         latency_target: Duration::from_millis(200),
         max_gap: Some(Duration::from_millis(50)),
         priority: 1,
         max_entries: 2,
         public: false,
-        weighted_services: vec![WeightedService { service: service.into(), weight: 1 }],
+        weighted_services: vec![WeightedService {
+            service: if change == "moved" { "nowhere" } else { service }.into(),
+            weight: 1,
+        }],
     };
     let kind = AcceleratorKind { memory_mb: 1000.0, step_factor: 1.0 };
     let engine = ModelProfile {
