Read the rest of a refused body, so that its refusal is not lost

What callers saw: a request that is refused by its head (a route or key that a change of the configuration took away, a node that shuts down, a body that is too large) while its body was still arriving ended with a reset connection and without the refusal.

Cause: when the handler responds without reading the body, hyper gives the body up after the response and closes the connection. Bytes that arrive then, or were not read yet, make the kernel reset it, and a reset discards what the caller has not read. The refusal also did not say that the connection would be closed, so the caller's next request could be lost with it.

Change: after the response the server reads and discards the rest of the body, for 5 s and 8 MiB at most, and the connection can be used again. Closing the socket slowly instead would also deliver the refusal, but would swallow a request that the caller sends next. A caller that waits for permission to send its body does not send it, so its connection is closed as before.

--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -11,6 +11,10 @@
 
 /// Time in which a client must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which the rest of a body is read and discarded after the response.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
+/// Bytes of a body that are read and discarded after the response.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
 
 /// The body of a received request. It is read on demand, with limits on its size and on the time.
 pub struct RequestBody {
@@ -54,6 +58,24 @@
     }
 }
 
+/// Reads the rest of a body after the response, so that the connection can be used again: closing
+/// it with unread bytes would reset it, and the reset may overtake the response. A body that takes
+/// too long or is too large is dropped, which closes the connection.
+pub(crate) async fn discard(mut rest: Incoming, clock: Rc<dyn Clock>) {
+    let reading = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = rest.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    if timeout(&*clock, DISCARD_TIME, reading).await.is_err() {
+        tracing::debug!("rest of a request's body did not arrive in time");
+    }
+}
+
 /// A body that is being read. When it is dropped before the end, also because time is up, the rest
 /// can be taken from `unread`.
 struct TakenBody<'a> {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -4,7 +4,7 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, LocalBoxFuture, select};
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use serde::Serialize;
 use types::MAX_HEADERS;
@@ -12,7 +12,7 @@
 use crate::{
     Body, ConnectionId, ConnectionObserver, CutCause, RequestBody, RequestLabel, StopSignal,
     connection::{ConnectionState, ObservedBody, ObservedIo},
-    request_body::UnreadBody,
+    request_body::{self, UnreadBody},
     write_timeout::WriteTimeout,
 };
 
@@ -219,16 +219,21 @@
     request: Request<Incoming>,
 ) -> Response<ObservedBody> {
     let (head, incoming) = request.into_parts();
+    // A caller that waits for permission to send its body does not send it after a refusal.
+    let awaits_permission = head.headers.contains_key(header::EXPECT);
     let unread = UnreadBody::new(incoming);
-    let mut request =
-        Request::from_parts(head, RequestBody::from_connection(unread.clone(), clock));
+    let body = RequestBody::from_connection(unread.clone(), clock.clone());
+    let mut request = Request::from_parts(head, body);
     let label = RequestLabel::default();
     request.extensions_mut().insert(state.id());
     request.extensions_mut().insert(label.clone());
     state.open_request(label);
     let response = handler.handle(request).await;
-    if unread.take().is_some() {
+    if let Some(rest) = unread.take() {
         state.record_early_response(response.status().as_u16());
+        if !awaits_permission {
+            compio::runtime::spawn(request_body::discard(rest, clock)).detach();
+        }
     }
     response.map(|body| ObservedBody::new(body, state))
 }
@@ -255,7 +260,7 @@
     // Serialization fails only for maps with keys that are not strings, which no message has.
     let body = serde_json::to_vec(payload).expect("message is serializable");
     let mut headers = HeaderMap::new();
-    headers.insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    headers.insert(header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
     let mut response = Response::new(Body::from(body));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
