Keep the signal handlers installed for the life of the process

What callers saw: all requests of a node ended without an answer when its process got a second SIGTERM during its graceful shutdown, and a SIGHUP soon after the start ended the process.

Cause: compio's future for a signal installs the handler at its first poll and restores the default effect, the end of the process, when it completes. After the first SIGTERM there was no handler any more, between two SIGHUPs there was none for a moment, and before the tasks of the node had started there was none at all.

Change: SignalListener holds one more future for the signal that is never polled again, so the handler stays installed as long as the listener exists. The daemons install theirs first, before they read the settings, and keep them. The same code stood in the daemon gypsumrack, which gets the same change and a test; its test was not run on the code before. A second SIGINT still ends the process at once.

--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use clock::{Clock, RuntimeClock};
-use gateway::GatewayBuilder;
+use gateway::{GatewayBuilder, Signals};
 use platform::{
     HealthCheckHandler, PlatformCodec, RequestFrontEnd, StoreClient, UpstreamConnector,
 };
@@ -69,14 +69,19 @@
 }
 
 fn serve(args: &SettingsArgs) -> Result<(), String> {
+    let signals = Signals::install().map_err(|error| error.to_string())?;
     let settings = EdgeSettings::load(&args.settings).map_err(|error| format!("{error:?}"))?;
     let _log = start_log(&settings.log);
     let runtime = compio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
-    runtime.block_on(run(clock, settings)).map_err(|error| error.to_string())
+    runtime.block_on(run(clock, settings, signals)).map_err(|error| error.to_string())
 }
 
-async fn run(clock: Rc<dyn Clock>, settings: EdgeSettings) -> std::io::Result<()> {
+async fn run(
+    clock: Rc<dyn Clock>,
+    settings: EdgeSettings,
+    signals: Signals,
+) -> std::io::Result<()> {
     let store =
         Rc::new(StoreClient::new(clock.clone(), settings.store, STORE_TIMEOUTS, WATCH_WAIT));
     let connector = Rc::new(UpstreamConnector::new(clock.clone(), UPSTREAM_TIMEOUTS));
@@ -86,7 +91,7 @@
         .build();
     let front = Rc::new(RequestFrontEnd::new(gateway.clone()));
     let checks = Rc::new(HealthCheckHandler::new(gateway.clone()));
-    gateway::serve(gateway, front, checks).await
+    gateway::serve(gateway, front, checks, signals).await
 }
 
 /// Starts the log on standard output. A separate thread writes the lines; lines are dropped when
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,5 +46,5 @@
 pub use node::Gateway;
 pub use peering::{exchange_datagrams, register};
 pub use planner::run_planner;
-pub use run::serve;
+pub use run::{Signals, serve};
 pub use store::watch_store;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use compio::runtime::spawn;
 use futures_util::future::{join, select};
 use peers::DatagramSocket;
-use transport::{Handler, Server, StopSignal};
+use transport::{Handler, Server, SignalListener, StopSignal};
 
 use crate::{Gateway, lifecycle::EXIT_MARGIN, peering, planner, store};
 
@@ -11,12 +11,30 @@
 /// once a second and takes a node out of service after two failed probes.
 const REFUSE_DELAY: Duration = Duration::from_millis(3200);
 
+/// The signals that a node handles. They are installed before anything else, since a signal that
+/// arrives earlier ends the process.
+pub struct Signals {
+    terminate: SignalListener,
+    hang_up: SignalListener,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    pub fn install() -> io::Result<Signals> {
+        Ok(Signals {
+            terminate: SignalListener::install(SignalListener::TERMINATE)?,
+            hang_up: SignalListener::install(SignalListener::HANG_UP)?,
+        })
+    }
+}
+
 /// Serves callers and the balancer's health checks until the node is told to stop and its requests
 /// have ended.
 pub async fn serve(
     gateway: Rc<Gateway>,
     front: Rc<impl Handler + 'static>,
     health_checks: Rc<impl Handler + 'static>,
+    signals: Signals,
 ) -> io::Result<()> {
     let settings = &gateway.settings;
     let clock = gateway.clock.clone();
@@ -36,8 +54,8 @@
     spawn(peering::register(gateway.clone())).detach();
     spawn(peering::exchange_datagrams(gateway.clone(), socket)).detach();
     spawn(planner::run_planner(gateway.clone())).detach();
-    spawn(stop_on_signal(gateway.clone(), stop)).detach();
-    spawn(log_reloads()).detach();
+    spawn(stop_on_signal(gateway.clone(), stop, signals.terminate)).detach();
+    spawn(log_reloads(signals.hang_up)).detach();
     let serving = async {
         callers.run(front).await;
         drained.raise();
@@ -47,29 +65,29 @@
     Ok(())
 }
 
-async fn stop_on_signal(gateway: Rc<Gateway>, stop: StopSignal) {
-    /// Signal by which the platform asks a process to stop.
-    const SIGTERM: i32 = 15;
-    let terminated = pin!(compio::signal::unix::signal(SIGTERM));
-    let interrupted = pin!(compio::signal::ctrl_c());
-    select(terminated, interrupted).await;
+async fn stop_on_signal(gateway: Rc<Gateway>, stop: StopSignal, mut terminate: SignalListener) {
+    select(pin!(receive(&mut terminate)), pin!(compio::signal::ctrl_c())).await;
     tracing::info!("graceful shutdown starts");
     gateway.stopped_at.set(Some(gateway.clock.now()));
     stop.raise();
+    while receive(&mut terminate).await {
+        tracing::info!("node is already shutting down");
+    }
 }
 
 /// Logs that the settings file has changed. Settings are fixed for the life of the process, so a
-/// changed file is used at the next start. Handling the signal keeps it from ending the process.
-async fn log_reloads() {
-    /// Signal that announces a changed settings file.
-    const SIGHUP: i32 = 1;
-    loop {
-        match compio::signal::unix::signal(SIGHUP).await {
-            Ok(()) => tracing::info!("settings file has changed; it is used at the next start"),
-            Err(error) => {
-                tracing::warn!(%error, "signal cannot be received");
-                return;
-            }
-        }
+/// changed file is used at the next start.
+async fn log_reloads(mut hang_up: SignalListener) {
+    while receive(&mut hang_up).await {
+        tracing::info!("settings file has changed; it is used at the next start");
+    }
+}
+
+/// Waits for a signal. Returns `false` if it can no longer be received.
+async fn receive(signal: &mut SignalListener) -> bool {
+    let received = signal.recv().await;
+    if let Err(error) = &received {
+        tracing::warn!(%error, "signal cannot be received");
     }
+    received.is_ok()
 }
--- a/crates/node/src/commands/serve.rs
+++ b/crates/node/src/commands/serve.rs
@@ -6,6 +6,7 @@
 use clock::RuntimeClock;
 use settings::{LogFormat, LogSettings};
 use tracing_subscriber::EnvFilter;
+use transport::SignalListener;
 
 use super::{Exit, settings_file};
 
@@ -17,11 +18,14 @@
 }
 
 pub(crate) fn run(args: &ServeArgs) -> Result<Exit, String> {
+    // A signal that arrives before this ends the process.
+    let terminate =
+        SignalListener::install(SignalListener::TERMINATE).map_err(|error| error.to_string())?;
     let settings = settings_file::load_node(&args.settings)?;
     init_log(&settings.log);
     let runtime = compio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let clock = Rc::new(RuntimeClock::new());
-    runtime.block_on(node::run(clock, settings)).map_err(|error| error.to_string())?;
+    runtime.block_on(node::run(clock, settings, terminate)).map_err(|error| error.to_string())?;
     Ok(Exit::Success)
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs a node as a daemon, and shuts it down gracefully.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, pin::pin, rc::Rc, time::Duration};
 
 use callers::FrontEnd;
 use clock::Clock;
@@ -8,7 +8,7 @@
 use futures_util::future::{join, select};
 use operators::AdminServer;
 use settings::NodeSettings;
-use transport::{Server, StopSignal};
+use transport::{Server, SignalListener, StopSignal};
 
 use crate::{Node, NodeBuilder};
 
@@ -17,8 +17,13 @@
 /// Time for writing the last messages to other nodes, which announce that this node has left.
 const LEAVE_FLUSH_TIME: Duration = Duration::from_millis(100);
 
-/// Runs a node until it is told to stop and its requests have ended.
-pub async fn run(clock: Rc<dyn Clock>, mut settings: NodeSettings) -> io::Result<()> {
+/// Runs a node until it is told to stop, with the signal `terminate` or by an operator, and its
+/// requests have ended.
+pub async fn run(
+    clock: Rc<dyn Clock>,
+    mut settings: NodeSettings,
+    terminate: SignalListener,
+) -> io::Result<()> {
     let stop = StopSignal::new();
     let drain = Duration::from_millis(settings.drain_ms) + DRAIN_GRACE;
     let listen = settings.listen.clone();
@@ -35,7 +40,7 @@
     println!("peers {}", peers.local_addr()?);
     println!("operators {}", operators.local_addr()?);
     node.clone().start_tasks();
-    compio::runtime::spawn(stop_on_signal(stop)).detach();
+    compio::runtime::spawn(stop_on_signal(stop, terminate)).detach();
     // The server for peers also runs until then, because other nodes ask whether this node still
     // holds a claim.
     compio::runtime::spawn(node.clone().serve_peers(peers, all_ended.clone())).detach();
@@ -50,14 +55,13 @@
     Ok(())
 }
 
-async fn stop_on_signal(stop: StopSignal) {
-    /// Signal with which the platform asks a process to stop.
-    const SIGTERM: i32 = 15;
-    let terminated = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
-    let interrupted = std::pin::pin!(compio::signal::ctrl_c());
-    select(terminated, interrupted).await;
+async fn stop_on_signal(stop: StopSignal, mut terminate: SignalListener) {
+    select(pin!(terminate.recv()), pin!(compio::signal::ctrl_c())).await;
     tracing::info!("graceful shutdown starts");
     stop.raise();
+    while let Ok(()) = terminate.recv().await {
+        tracing::info!("node is already shutting down");
+    }
 }
 
 /// Raises `drain_expired` at the drain deadline, which ends the requests that still run.
--- a/crates/node/tests/daemon.rs
+++ b/crates/node/tests/daemon.rs
@@ -61,3 +61,28 @@
     assert_eq!(event["message"], "request failed");
     assert_eq!((&event["request"], &event["organisation"]), (&"r-1".into(), &"cauce".into()));
 }
+
+/// Guards against a repeated request to stop that ends the process at once, with all requests that
+/// still run.
+#[test]
+fn a_second_request_to_stop_does_not_cut_the_shutdown_short() {
+    let file = std::env::temp_dir().join(format!("gypsumrack-stop-{}.toml", std::process::id()));
+    std::fs::write(&file, SETTINGS).unwrap();
+    let mut node = Command::new(env!("CARGO_BIN_EXE_gypsumrack"))
+        .args(["serve", "--settings", file.to_str().unwrap()])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(node.stdout.take().unwrap()).lines();
+    let is_serving = lines.map_while(Result::ok).any(|line| line.starts_with("operators "));
+    for _ in 0..2 {
+        let pid = node.id().to_string();
+        let sent = Command::new("kill").args(["-s", "TERM", &pid]).status().unwrap();
+        assert!(is_serving && sent.success());
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    }
+    let status = node.wait().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    assert!(status.success(), "{status}");
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 mod request_body;
 mod server;
+mod signals;
 mod sse;
 mod stop;
 mod write_timeout;
@@ -25,6 +26,7 @@
 pub use error::CallError;
 pub use request_body::{BodyError, RequestBody};
 pub use server::{Handler, Server, json_response};
+pub use signals::SignalListener;
 pub use sse::{EventReader, EventSplitter, Events, encode_event};
 pub use stop::StopSignal;
 
