--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,8 +10,11 @@
 mod body;
 mod client;
 mod connect;
+mod connection;
 mod error;
+mod request_body;
 mod server;
+mod signals;
 mod sse;
 mod stop;
 mod write_timeout;
@@ -19,8 +22,11 @@
 pub use body::{Body, BodyAborted, BodyWriter};
 pub use client::{HttpClient, ResponseStream, Timeouts};
 pub use connect::{connect, tokio_stream};
+pub use connection::{ConnectionId, ConnectionObserver, CutCause, RequestLabel};
 pub use error::CallError;
-pub use server::{BodyError, ConnectionId, Handler, RequestBody, Server, json_response};
+pub use request_body::{BodyError, RequestBody};
+pub use server::{Handler, Server, json_response};
+pub use signals::SignalListener;
 pub use sse::{EventReader, EventSplitter, Events, encode_event};
 pub use stop::StopSignal;
 
