Write what precedes the abort of a response before closing the connection

What callers saw: a stream that broke off soon after its first events ended without any byte, not even a status. Such a request cannot be resumed after the last event, and looks as if it had got no answer.

Cause: hyper buffers the head and the chunks of a response. When the body fails in the same turn in which it began, hyper drops its buffer with the connection. A stream whose upstream had already broken off when its first events were forwarded does just that.

The existing test of an aborted stream waits for 50 ms before the abort, so it did not show this.

Change: the body reports an abort only after the next flush of the connection, which hyper does after each poll of a body that is pending.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -73,6 +73,8 @@
     open_request: RefCell<Option<RequestLabel>>,
     /// Whether the body of the open request's response has ended or was aborted.
     body_end: Cell<Option<Result<(), BodyAborted>>>,
+    /// Number of times that everything the connection had to write was written.
+    flushes: Cell<u64>,
     write_failed: Cell<bool>,
 }
 
@@ -86,6 +88,7 @@
             observer,
             open_request: RefCell::default(),
             body_end: Cell::default(),
+            flushes: Cell::default(),
             write_failed: Cell::default(),
         })
     }
@@ -117,6 +120,7 @@
 
     /// Records that everything the connection had to write was written.
     fn record_flush(&self) {
+        self.flushes.set(self.flushes.get() + 1);
         if self.body_end.get() == Some(Ok(())) {
             self.open_request.take();
         }
@@ -159,15 +163,28 @@
 pub(crate) struct ObservedBody {
     inner: Body,
     state: Rc<ConnectionState>,
+    /// Number of flushes of the connection when the body was aborted.
+    aborted_at: Option<u64>,
 }
 
 impl ObservedBody {
     pub(crate) fn new(inner: Body, state: Rc<ConnectionState>) -> ObservedBody {
-        let body = ObservedBody { inner, state };
+        let body = ObservedBody { inner, state, aborted_at: None };
         body.check_end();
         body
     }
 
+    /// Reports the abort once the head and the chunks before it are written: the connection closes
+    /// at the report, and discards what it has not written by then. The connection polls the body
+    /// again after each flush.
+    fn poll_abort(&self, aborted_at: u64) -> Poll<BodyAborted> {
+        if self.state.flushes.get() == aborted_at {
+            return Poll::Pending;
+        }
+        self.state.body_end.set(Some(Err(BodyAborted)));
+        Poll::Ready(BodyAborted)
+    }
+
     fn check_end(&self) {
         if hyper::body::Body::is_end_stream(&self.inner) {
             self.state.body_end.set(Some(Ok(())));
@@ -192,10 +209,17 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        let frame = std::task::ready!(Pin::new(&mut self.inner).poll_frame(context));
+        let frame = match self.aborted_at {
+            Some(_) => Some(Err(BodyAborted)),
+            None => std::task::ready!(Pin::new(&mut self.inner).poll_frame(context)),
+        };
         match &frame {
             Some(Ok(_)) => self.check_end(),
-            Some(Err(error)) => self.state.body_end.set(Some(Err(*error))),
+            Some(Err(BodyAborted)) => {
+                let flushes = self.state.flushes.get();
+                let aborted_at = *self.aborted_at.get_or_insert(flushes);
+                return self.poll_abort(aborted_at).map(|error| Some(Err(error)));
+            }
             None => self.state.body_end.set(Some(Ok(()))),
         }
         Poll::Ready(frame)
