Answer a request whose head arrives across the end of the lame-duck period

What callers saw: on a node that was told to stop, a kept connection was closed without an answer while the head of its next request was arriving.

Cause: at the end of the lame-duck period the server asks hyper to shut the connection down. hyper closes at once if the connection is idle, and a connection that has carried a request before counts as idle until the next head is complete. A new connection with a partial head is not closed: only there does hyper look at its buffer.

Evidence: a_head_that_arrives_across_the_end_of_the_lame_duck_period_is_answered failed before with "the second request is answered" (the caller read the end of the connection).

Change: if bytes have arrived since the last answer, the server waits for the head for up to 1 s before it shuts the connection down. The request is then in progress, and hyper lets it end. Bytes of the rest of a discarded body count as well, since the server cannot tell them apart; this only delays the close.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -71,6 +71,8 @@
     id: ConnectionId,
     observer: Option<Rc<dyn ConnectionObserver>>,
     open_request: RefCell<Option<RequestLabel>>,
+    /// Whether bytes may have arrived since the last request was answered.
+    head_begun: Cell<bool>,
     /// Whether the body of the open request's response has ended or was aborted.
     body_end: Cell<Option<Result<(), BodyAborted>>>,
     /// Number of times that everything the connection had to write was written.
@@ -87,6 +89,7 @@
             id,
             observer,
             open_request: RefCell::default(),
+            head_begun: Cell::default(),
             body_end: Cell::default(),
             flushes: Cell::default(),
             write_failed: Cell::default(),
@@ -100,9 +103,21 @@
     /// Records that the head of a request was read.
     pub(crate) fn open_request(&self, label: RequestLabel) {
         *self.open_request.borrow_mut() = Some(label);
+        self.head_begun.set(false);
         self.body_end.set(None);
     }
 
+    /// Whether the head of a request may be arriving.
+    pub(crate) fn has_partial_head(&self) -> bool {
+        self.head_begun.get()
+    }
+
+    fn record_read(&self) {
+        if self.open_request.borrow().is_none() {
+            self.head_begun.set(true);
+        }
+    }
+
     /// Records that the handler has responded before the request's body was read to its end.
     pub(crate) fn record_early_response(&self, status: u16) {
         let open_request = self.open_request.borrow();
@@ -259,7 +274,11 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        let result = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.state.record_read();
+        }
+        result
     }
 }
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -22,6 +22,8 @@
 /// Default of [`Server::lame_duck_time`]. It is long enough for a request that was on its way when
 /// the server was told to stop, which then gets a response instead of a closed connection.
 const DEFAULT_LAME_DUCK_TIME: Duration = Duration::from_millis(500);
+/// Time after the lame-duck period for which the rest of a request's head is waited for.
+const PARTIAL_HEAD_TIME: Duration = Duration::from_secs(1);
 /// Interval at which a stopping server checks whether all connections are closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay after a failed `accept`, for example when the process has run out of file descriptors.
@@ -176,7 +178,7 @@
         tracing::debug!(%error, "connection closed before it was served");
         return None;
     }
-    let lame_duck_clock = clock.clone();
+    let (lame_duck_clock, partial_head) = (clock.clone(), state.clone());
     let io = WriteTimeout::new(clock.clone(), HyperStream::new_plain(stream));
     let io = ObservedIo::new(io, state.clone());
     let service = service_fn(move |request| {
@@ -194,6 +196,14 @@
     let lame_duck_end = async {
         stop.raised().await;
         lame_duck_clock.sleep(lame_duck_time).await;
+        // The HTTP library closes a connection that has carried a request before, even inside the
+        // head of the next one.
+        let ended = lame_duck_clock.now();
+        while partial_head.has_partial_head()
+            && lame_duck_clock.now().since(ended) < PARTIAL_HEAD_TIME
+        {
+            lame_duck_clock.sleep(DRAIN_POLL_INTERVAL).await;
+        }
     };
     let (result, closed_by) = match select(connection.as_mut(), pin!(lame_duck_end)).await {
         Either::Left((result, _)) => (result, None),
