--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,4 +6,5 @@
 mod log;
 mod planner;
 mod silence;
+mod stream_ends;
 mod support;
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -40,6 +40,9 @@
     Events(Vec<u64>),
     /// A stream of events with these numbers, which then breaks inside an event.
     EventsThenBroken(Vec<u64>),
+    /// A stream of events with these numbers, which then ends inside an event without an error, as
+    /// a stream without length may.
+    EventsThenCut(Vec<u64>),
     /// A stream of events with these numbers, which then stays silent.
     EventsThenSilence(Vec<u64>),
     /// A stream of events with these numbers, a pause, and then further events up to its end.
@@ -143,6 +146,11 @@
                     parts.push(BodyPart::Break);
                     Ok(response(200, true, false, parts))
                 }
+                Step::EventsThenCut(numbers) => {
+                    let mut parts = events(&numbers);
+                    parts.push(BodyPart::Bytes("id: 99\nda".into()));
+                    Ok(response(200, true, false, parts))
+                }
                 Step::EventsThenSilence(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Silence);
