Plan without engines that name layers beyond the model

Cause: the planner took the layers of an entry as they were. A range such as..4294967295 put a gap from the model's end to there, and spare engines were ordered to load layers that do not exist; 0..4294967295 counted as a copy of the whole model. Sums of layers were 32 bits wide: with overflow checks the planner's task panics and ends, without them the sum wraps.

Evidence: layers_beyond_the_model_do_not_change_the_plan failed before with placements that the plan without the odd engine does not have; very_large_memory_does_not_overflow_a_plan with "attempt to add with overflow".

Change: an engine whose layers end beyond the model is left out of the plan: it neither counts as holding layers nor gets an order. Sums are 64 bits wide.

Conclusion: an entry outside the model changes no placement.

--- a/crates/pipelines/src/placement.rs
+++ b/crates/pipelines/src/placement.rs
@@ -58,8 +58,12 @@
 /// shares its copies. A group without spare engines goes without the layers that its copies lack.
 /// If no other group holds them either, spare engines of any domain load them.
 pub fn plan(profile: &ModelProfile, engines: &[EngineView]) -> Vec<Placement> {
+    // An engine that names layers which the model does not have is not known to hold any others.
+    let is_known =
+        |engine: &&EngineView| engine.layers.is_none_or(|layers| layers.end <= profile.layers);
+    let engines: Vec<&EngineView> = engines.iter().filter(is_known).collect();
     let mut placements: Vec<Placement> = Vec::new();
-    for group in copy_groups(profile, engines) {
+    for group in copy_groups(profile, &engines) {
         placements.extend(plan_group(profile, &group));
     }
     let held = engines.iter().filter_map(|engine| engine.layers);
@@ -70,7 +74,7 @@
     let placed: BTreeSet<UpstreamName> =
         placements.iter().map(|placement| placement.name.clone()).collect();
     let is_unplaced = |engine: &&EngineView| is_spare(engine) && !placed.contains(&engine.name);
-    let unplaced: Vec<&EngineView> = engines.iter().filter(is_unplaced).collect();
+    let unplaced: Vec<&EngineView> = engines.into_iter().filter(is_unplaced).collect();
     placements.extend(fill_gaps(profile, &unheld, &unplaced));
     placements
 }
@@ -138,16 +142,13 @@
 
 /// The groups of engines that hold copies of the model: one for each domain with enough memory for
 /// a copy, and one for all other domains together.
-fn copy_groups<'a>(profile: &ModelProfile, engines: &'a [EngineView]) -> Vec<Vec<&'a EngineView>> {
+fn copy_groups<'a>(profile: &ModelProfile, engines: &[&'a EngineView]) -> Vec<Vec<&'a EngineView>> {
     let mut domains: BTreeMap<&Domain, Vec<&EngineView>> = BTreeMap::new();
     for engine in engines {
-        domains.entry(&engine.domain).or_default().push(engine);
+        domains.entry(&engine.domain).or_default().push(*engine);
     }
-    let (mut groups, others): (Vec<_>, Vec<_>) = domains.into_values().partition(|members| {
-        let layers =
-            |engine: &&EngineView| profile.layers_within(&engine.accelerator_kind, MAX_SHARE);
-        members.iter().map(layers).sum::<u32>() >= profile.layers
-    });
+    let (mut groups, others): (Vec<_>, Vec<_>) =
+        domains.into_values().partition(|members| has_room(profile, members, MAX_SHARE));
     let others: Vec<&EngineView> = others.into_iter().flatten().collect();
     if !others.is_empty() {
         groups.push(others);
@@ -155,6 +156,13 @@
     groups
 }
 
+/// Whether a copy of the model fits into `share` of the memory of the engines in `members`.
+fn has_room(profile: &ModelProfile, members: &[&EngineView], share: f64) -> bool {
+    let layers =
+        |engine: &&EngineView| u64::from(profile.layers_within(&engine.accelerator_kind, share));
+    members.iter().map(layers).sum::<u64>() >= u64::from(profile.layers)
+}
+
 /// Spreads a whole copy over at most `limit` of the engines in `unplaced`.
 ///
 /// It takes the fewest engines that can hold the copy in `PREFERRED_MAX_SHARE` of their memory, the
@@ -182,14 +190,10 @@
         let value = |engine: &EngineView| memory(engine) / step_factor(engine);
         value(other).total_cmp(&value(one)).then_with(|| one.name.cmp(&other.name))
     });
-    let fits = |members: &[&EngineView], share: f64| {
-        let layers = |engine: &&EngineView| profile.layers_within(&engine.accelerator_kind, share);
-        members.iter().map(layers).sum::<u32>() >= profile.layers
-    };
-    let count = (1..=limit).find(|count| fits(&sorted[..*count], PREFERRED_MAX_SHARE));
+    let count = (1..=limit).find(|count| has_room(profile, &sorted[..*count], PREFERRED_MAX_SHARE));
     let members = &sorted[..count.unwrap_or(limit)];
     let mut share = SHARE_STEP;
-    while !fits(members, share) {
+    while !has_room(profile, members, share) {
         share += SHARE_STEP;
         if share > max_share {
             return Vec::new();
@@ -231,7 +235,7 @@
             if length == 0 {
                 continue;
             }
-            let layers = LayerRange { start, end: gap.end.min(start + length) };
+            let layers = LayerRange { start, end: gap.end.min(start.saturating_add(length)) };
             start = layers.end;
             placements.push(Placement { name: engine.name.clone(), layers });
         }
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -352,3 +352,34 @@
     assert!(copies(&placements).all(|count| count == 2), "two copies");
     assert!(placements.len() <= 23, "a tenth of the engines is spare");
 }
+
+/// Guards against a planner that ends, counts on copies that do not exist, or orders layers that the
+/// model does not have, because the entry of one engine names layers beyond the model.
+#[test]
+fn layers_beyond_the_model_do_not_change_the_plan() {
+    for layers in [range(0, u32::MAX), range(u32::MAX - 1, u32::MAX), range(LAYERS, LAYERS + 1)] {
+        for engines in [fleet(), loaded_fleet()] {
+            let expected = plan(&profile(), &engines);
+            let mut with_odd_engine = engines;
+            let odd = EngineView { layers: Some(layers), ..empty_engine(99, "mid", "a") };
+            with_odd_engine.push(odd);
+            assert_eq!(plan(&profile(), &with_odd_engine), expected, "{layers}");
+        }
+    }
+}
+
+/// Guards against a sum of layers that overflows because the configuration states a very large
+/// memory of an accelerator.
+#[test]
+fn very_large_memory_does_not_overflow_a_plan() {
+    let mut profile = profile();
+    let kind = AcceleratorKind { memory_mb: 1e300, step_factor: 1.0 };
+    profile.accelerators.insert("huge".into(), kind);
+    let engines: Vec<EngineView> = (0..4).map(|number| empty_engine(number, "huge", "a")).collect();
+    let held = plan(&profile, &engines).into_iter().map(|placement| placement.layers);
+    assert!(covers_model(&profile, held));
+    let gap = EngineView { layers: Some(range(1, LAYERS)), ..empty_engine(9, "mid", "a") };
+    let engines = [gap, empty_engine(0, "huge", "a")];
+    let held = plan(&profile, &engines).into_iter().map(|placement| placement.layers);
+    assert!(covers_model(&profile, held.chain([range(1, LAYERS)])));
+}
