Limit the lengths that a datagram may state

Cause: datagrams between nodes were decoded without a limit, and the decoder reserves memory for the length that a text states before it looks for its bytes. A datagram of ten bytes that states 2^64 - 1 panics the task that receives, which ends without a word; one that states a terabyte can end the process. Counts of load in a beacon were added without a check.

Evidence: length_beyond_the_datagram_is_rejected failed before with "capacity overflow", very_large_counts_of_other_nodes_do_not_overflow with "attempt to add with overflow".

Change: the decoder's limit is the size of a datagram, as the one of the links between nodes is the size of a frame, and the counts saturate.

Conclusion: no datagram makes a node reserve more than its own size. A random test feeds arbitrary bytes to the receiver.

--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -162,7 +162,8 @@
         let buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
         let BufResult(result, buffer) = self.socket.recv_from(buffer).await;
         let (length, _) = result?;
-        let config = bincode::config::standard();
+        // Without a limit, the decoder reserves memory for any length that the datagram states.
+        let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
         let decoded = bincode::serde::decode_from_slice(&buffer[..length], config);
         Ok(decoded.ok().map(|(datagram, _)| datagram))
     }
--- /dev/null
+++ b/crates/peers/tests/datagrams.rs
@@ -0,0 +1,64 @@
+//! Datagrams that no node has sent.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use peers::{Beacon, Datagram, DatagramSocket};
+use proptest::prelude::*;
+
+fn beacon() -> Datagram {
+    Datagram::Beacon(Beacon {
+        node: "n".into(),
+        table_version: 1,
+        loads: Vec::new(),
+        failing: Vec::new(),
+        slow: Vec::new(),
+        loaded: Vec::new(),
+        crashes: Vec::new(),
+    })
+}
+
+/// Sends raw datagrams and then a beacon to a socket. Returns what the socket receives before the
+/// beacon.
+fn receive_all(raw: &[Vec<u8>]) -> Vec<Option<Datagram>> {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime is available");
+    runtime.block_on(async {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let socket = DatagramSocket::bind(loopback).await.expect("a port is free");
+        let other = DatagramSocket::bind(loopback).await.expect("a port is free");
+        let addr = socket.local_addr().expect("the socket is bound");
+        let sender = UdpSocket::bind(loopback).expect("a port is free");
+        for bytes in raw {
+            sender.send_to(bytes, addr).expect("the datagram is sent");
+        }
+        assert_eq!(other.send(&beacon(), &[addr]).await, 0);
+        let mut received = Vec::new();
+        loop {
+            let next = socket.receive().await.expect("the socket is bound");
+            if next == Some(beacon()) {
+                return received;
+            }
+            received.push(next);
+        }
+    })
+}
+
+/// Guards against a node that ends, or no longer receives anything, because a datagram states a
+/// length that no datagram can have: the receiver reserved memory for it.
+#[test]
+fn length_beyond_the_datagram_is_rejected() {
+    let stated = |length: u64| [&[0, 253][..], &length.to_le_bytes()].concat();
+    let raw = [stated(u64::MAX), stated(1 << 40), stated(1 << 62), vec![0, 250], vec![1, 250]];
+    assert_eq!(receive_all(&raw), vec![None; raw.len()]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Guards against a panic on bytes that are no datagram.
+    #[test]
+    fn arbitrary_bytes_do_not_stop_the_receiver(
+        raw in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..64), 0..8),
+    ) {
+        receive_all(&raw);
+    }
+}
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -19,8 +19,8 @@
 
 impl Load {
     fn add(&mut self, other: Load) {
-        self.requests += other.requests;
-        self.entered += other.entered;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.entered = self.entered.saturating_add(other.entered);
         self.token_layers += other.token_layers;
     }
 
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -383,3 +383,17 @@
     let held = plan(&profile, &engines).into_iter().map(|placement| placement.layers);
     assert!(covers_model(&profile, held.chain([range(1, LAYERS)])));
 }
+
+/// Guards against a node that ends or miscounts because the counts in another node's message are
+/// very large.
+#[test]
+fn very_large_counts_of_other_nodes_do_not_overflow() {
+    let mut loads = LoadTable::default();
+    let load = Load { requests: u32::MAX, entered: u32::MAX, token_layers: u64::MAX as f64 };
+    let now = Timestamp::default();
+    for node in ["one", "other"] {
+        loads.set_peer(node.into(), vec![("engine".into(), load)], now);
+    }
+    loads.add(&[UpstreamLoad { upstream: "engine".into(), load }]);
+    assert_eq!(loads.total("engine").requests, u32::MAX);
+}
