Sum the weights of a route without overflow

Cause: the weights were summed in 32 bits. With overflow checks each request of the route ends in a panic, without them the sum wraps and requests go to the first services only.

Change: the sum is a float, as the comparison already was.

Conclusion: no weight can stop a route.

--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -78,8 +78,8 @@
 impl Route {
     /// Chooses the service for a request by weight. `random` is at least 0 and less than 1.
     pub fn service(&self, random: f64) -> Option<&ServiceName> {
-        let total: u32 = self.weighted_services.iter().map(|weighted| weighted.weight).sum();
-        let mut remaining = random * f64::from(total);
+        let weights = self.weighted_services.iter().map(|weighted| f64::from(weighted.weight));
+        let mut remaining = random * weights.sum::<f64>();
         for weighted in &self.weighted_services {
             remaining -= f64::from(weighted.weight);
             if remaining < 0.0 {
--- a/crates/catalog/tests/state.rs
+++ b/crates/catalog/tests/state.rs
@@ -150,3 +150,12 @@
     assert!(table.requires_key());
     assert!(table.access("k").is_none());
 }
+
+/// Guards against a request that ends in a panic, or goes to the wrong service, because the weights
+/// of its route are very large.
+#[test]
+fn weights_whose_sum_exceeds_the_range_of_a_weight_are_used() {
+    let route = route("h", "/", &[("s1", u32::MAX), ("s2", u32::MAX)]);
+    assert_eq!(route.service(0.1).map(|name| name.as_str()), Some("s1"));
+    assert_eq!(route.service(0.9).map(|name| name.as_str()), Some("s2"));
+}
