Leave out VMs that cannot be decoded

Cause: the list of VMs was decoded as a whole. One entry with a port out of range, an unknown role or a deeply nested value failed it, and the node kept the last list: it went on using VMs that leave, and learned of no new ones.

Change: each VM is decoded by itself; one that fails is logged and left out.

Conclusion: an odd VM hides only itself.

--- a/crates/vms/src/api.rs
+++ b/crates/vms/src/api.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use strum::Display;
 use types::{Domain, ServiceName};
 
@@ -11,10 +12,24 @@
 pub struct VmSnapshot {
     /// Number that grows with each change of the list.
     pub version: u64,
-    /// All VMs.
+    /// All VMs, without those that cannot be decoded.
+    #[serde(deserialize_with = "decode_vms")]
     pub vms: Vec<Vm>,
 }
 
+/// Decodes the VMs of a list. One that cannot be decoded is logged and left out.
+fn decode_vms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Vm>, D::Error> {
+    let raw_vms = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let decode = |raw: Box<RawValue>| match serde_json::from_str(raw.get()) {
+        Ok(vm) => Some(vm),
+        Err(error) => {
+            tracing::warn!(%error, "entry of the list of VMs cannot be decoded");
+            None
+        }
+    };
+    Ok(raw_vms.into_iter().filter_map(decode).collect())
+}
+
 /// One VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
--- a/crates/vms/src/lib.rs
+++ b/crates/vms/src/lib.rs
@@ -1,7 +1,7 @@
 //! The peer crate for the platform's list of VMs, which lags behind the actual state.
 //!
-//! Invariant: the list is returned exactly as the platform sent it. This crate must not know what
-//! callers conclude from the list.
+//! Invariant: the list is returned as the platform sent it, without the entries that cannot be
+//! decoded. This crate must not know what callers conclude from the list.
 
 pub mod api;
 
