Limit the times and sessions of a load report

Cause: the choice of a route multiplies the reported times by sessions and tokens. A step of 2^64 us times 2^32 sessions exceeds the range of a duration, which panics in every build: each request for the model then ended without a proper answer.

Evidence: very_large_numbers_in_a_report_do_not_end_the_choice_of_a_route failed before with "attempt to add with overflow" at step_time.rs.

Change: a report's times are taken over up to one minute and its sessions up to 65,536; the count of prefill tokens saturates. Both limits are far beyond any engine that could serve, so the odd engine is merely the last choice.

--- a/crates/routing/src/step_time.rs
+++ b/crates/routing/src/step_time.rs
@@ -16,7 +16,7 @@
     pub fn start_prefill(&mut self, route: &[Stage], tokens: u32) {
         for stage in route {
             if let Some(engine) = self.engines.get_mut(&stage.engine) {
-                engine.prefill_tokens += tokens;
+                engine.prefill_tokens = engine.prefill_tokens.saturating_add(tokens);
             }
         }
     }
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -10,6 +10,12 @@
 /// Added to the limit of the estimated round trip, so that an estimate of zero can rise.
 const ROUND_TRIP_STEP: Duration = Duration::from_millis(1);
 
+/// Longest step or prefill time that is taken over from a report. The choice of a route multiplies
+/// these times by numbers of sessions and tokens, which must not exceed the range of a duration.
+const MAX_REPORTED_TIME: Duration = Duration::from_secs(60);
+/// Largest number of sessions that is taken over from a report.
+const MAX_REPORTED_SESSIONS: u32 = 1 << 16;
+
 /// State that an engine reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -124,6 +130,12 @@
     /// Records a new report. If the engine has restarted, failures and stalls of the earlier
     /// process are discarded.
     pub fn record_report(&mut self, report: LoadReport, round_trip: Duration, now: Timestamp) {
+        let report = LoadReport {
+            running: report.running.min(MAX_REPORTED_SESSIONS),
+            step: report.step.min(MAX_REPORTED_TIME),
+            prefill: report.prefill.min(MAX_REPORTED_TIME),
+            ..report
+        };
         let restarted =
             self.report.as_ref().is_some_and(|known| known.incarnation != report.incarnation);
         if restarted {
--- a/crates/routing/tests/route.rs
+++ b/crates/routing/tests/route.rs
@@ -230,3 +230,37 @@
     table.remove_engine(&engine);
     assert_eq!(table.cached_blocks(&[19_998], &engine, at(60_000)), 0);
 }
+
+/// Guards against a node that ends requests with a panic because the load report of one engine
+/// contains very large numbers.
+#[test]
+fn very_large_numbers_in_a_report_do_not_end_the_choice_of_a_route() {
+    for slots in [0, u32::MAX] {
+        let odd = LoadReport {
+            slots,
+            running: u32::MAX,
+            step: Duration::from_micros(u64::MAX),
+            prefill: Duration::from_micros(u64::MAX),
+            ..report(0, 12, 2)
+        };
+        let mut view = LoadView::default();
+        add_engine(&mut view, "odd", "north", odd.clone());
+        add_engine(&mut view, "sound", "north", report(0, 12, 2));
+        let whole = Stage {
+            engine: "odd".into(),
+            addr: addr(1),
+            layers: LayerRange { start: 0, end: LAYERS },
+        };
+        let route = [whole];
+        view.start_request(&route, at(1));
+        view.start_prefill(&route, u32::MAX);
+        view.start_prefill(&route, u32::MAX);
+        view.observe_interval(&route, Duration::from_millis(20));
+        assert!(view.expected_step(&route) > Duration::ZERO);
+        let unlimited = RouteRequest { slot_percent: 0, ..request() };
+        let chosen = LowestLatency::new(1).choose(&view, &unlimited, at(1)).expect("a route");
+        assert_eq!(names(&chosen), ["sound"]);
+        view.engines.remove("sound");
+        assert!(LowestLatency::new(1).choose(&view, &unlimited, at(1)).is_some());
+    }
+}
