Reject the token after the largest position

Cause: an engine that states position passed the check, and the check of its next token added one to it. With overflow checks the request ends in a panic.

Evidence: token_after_the_largest_position_does_not_pass_the_check failed before with "attempt to add with overflow" at check.rs.

Change: no position follows the largest one, so such a token does not pass.

Conclusion: the attempt fails like any other with a wrong receipt, and the stream goes on elsewhere.

--- a/crates/engines/src/check.rs
+++ b/crates/engines/src/check.rs
@@ -83,7 +83,10 @@
     /// position that follows.
     fn verify_positions(&self, (first, end): (u32, u32)) -> Result<(), String> {
         let expected = match (self.next_position, self.resume) {
-            (Some(next), _) => (next, next + 1),
+            (Some(next), _) => {
+                let after = next.checked_add(1).ok_or("no position follows the largest one")?;
+                (next, after)
+            }
             (None, true) => (end.saturating_sub(1), end),
             (None, false) => (0, end),
         };
--- a/crates/engines/tests/receipts.rs
+++ b/crates/engines/tests/receipts.rs
@@ -169,3 +169,32 @@
         prop_assert!(!passes_check(&mutated), "the check did not reject {mutation:?}");
     }
 }
+
+/// Guards against a panic because an engine states the largest possible position.
+#[test]
+fn token_after_the_largest_position_does_not_pass_the_check() {
+    let stage = Stage {
+        engine: "e".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        layers: LayerRange { start: 0, end: 1 },
+    };
+    let request = Generate {
+        session: "s".into(),
+        attempt: 1,
+        model: "m".into(),
+        version: "1".into(),
+        class: Class::Interactive,
+        prompt: "p".into(),
+        given: Vec::new(),
+        max_tokens: 2,
+        route: [stage].into(),
+        resume: false,
+    };
+    let mut check = ReceiptCheck::new(&request, 1);
+    assert!(check.check(&token(&request, u32::MAX, 0)).is_ok());
+    for end in [0, u32::MAX] {
+        let mut next = token(&request, 1, 1);
+        (next.receipts[0].first, next.receipts[0].end) = (u32::MAX, end);
+        assert!(check.check(&next).is_err());
+    }
+}
