Order only layers that the model has

Cause: a model without configured stages is split as its engines report, whatever they report. A report of layers 0..4294967295 became a range with too few replicas, and spare engines were ordered to load it.

Evidence: layers_that_the_model_does_not_have_are_not_ordered failed before with an order of 0..4294967295 to the spare engine.

Change: empty ranges and those beyond the model's layers are no parts of the split.

Conclusion: a spare engine is used only for layers that requests can need.

--- a/crates/fleet/src/orders.rs
+++ b/crates/fleet/src/orders.rs
@@ -105,7 +105,7 @@
 }
 
 /// The layer ranges into which a model is split: equal parts if the configuration gives a number of
-/// stages, otherwise the ranges that engines have loaded.
+/// stages, otherwise the ranges of its layers that engines have loaded.
 fn wanted_ranges(
     model: &ModelName,
     target: &ModelConfig,
@@ -123,6 +123,7 @@
         .filter_map(|engine| engine.loaded.as_ref())
         .filter(|loaded| loaded.model == *model)
         .map(|loaded| loaded.layers)
+        .filter(|layers| !layers.is_empty() && layers.end <= target.layers)
         .collect();
     ranges.sort();
     ranges.dedup();
--- a/crates/fleet/tests/orders.rs
+++ b/crates/fleet/tests/orders.rs
@@ -120,3 +120,24 @@
     assert_eq!(executed.len(), 6);
     assert_eq!(plan_orders(&config("1", 2), &engines), []);
 }
+
+/// Guards against orders to load layers that the model does not have, because one engine reports
+/// such layers.
+#[test]
+fn layers_that_the_model_does_not_have_are_not_ordered() {
+    let config = {
+        let model = ModelConfig { version: "1".into(), layers: 24, replicas: 2, stages: None };
+        FleetConfig { models: [(MODEL.into(), model)].into(), ..FleetConfig::default() }
+    };
+    for (start, end) in [(0, u32::MAX), (24, 32), (u32::MAX, 0), (5, 5)] {
+        let layers = LayerRange { start, end };
+        let odd = LayerAssignment { layers, ..load("1", 0) };
+        let engines = [
+            engine("a", "north", Some(load("1", 0))),
+            engine("b", "north", Some(load("1", 0))),
+            engine("odd", "north", Some(odd)),
+            engine("spare", "south", None),
+        ];
+        assert_eq!(plan_orders(&config, &engines), [], "{layers}");
+    }
+}
