--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -81,7 +81,7 @@
         let mut request = request;
         while let Some(sender) = self.take_idle() {
             match self.dispatch(sender, request, timeouts).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => return Ok(ResponseStream { is_first: false, ..response }),
                 Err(DispatchError::Unsent(unsent)) => request = *unsent,
                 Err(DispatchError::Failed(error)) => return Err(error),
             }
@@ -217,6 +217,7 @@
                     status: head.status,
                     headers: head.headers,
                     body,
+                    is_first: true,
                     sender: Some(sender),
                     clock: self.clock.clone(),
                     pool: self.pool.clone(),
@@ -271,6 +272,7 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Incoming,
+    is_first: bool,
     sender: Option<SendRequest<Body>>,
     clock: Rc<dyn Clock>,
     pool: Rc<Pool>,
@@ -287,6 +289,12 @@
         &self.headers
     }
 
+    /// Whether this is the first response on its connection. A later one may be an earlier response
+    /// that the peer has sent once more.
+    pub fn is_first(&self) -> bool {
+        self.is_first
+    }
+
     /// Waits at most `limit` for the next chunk of the body; `None` is the end of the body.
     pub async fn chunk(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
         loop {
