Send a refused request again to the same upstream over a new connection

Cause: after a refusal by a later engine of its path, a stream may be sent again to the same entry upstream, with the same identifier and over the same kept connection. If the upstream then writes its earlier refusal once more, that passes for the response to the second attempt, which runs: the caller is told that the request has not run, or it runs elsewhere beside it.

Evidence: a_request_is_sent_again_to_an_upstream_that_refused_it_over_a_new_connection failed before with "assertion failed: calls[1].1.new_connection".

Change: the entry upstreams that refused a request are remembered with its attempts, and a further attempt at one of them uses a connection that has carried nothing. Requests that may run only once did so always; a_request_that_may_run_once_is_sent_over_a_new_connection guards that.

Conclusion: two attempts with one identifier never share a connection after a refusal. It costs a new connection for each such attempt, and none for others.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -68,6 +68,9 @@
     /// Whether the attempt may be abandoned because an engine is very slow and a better path
     /// exists.
     pub(crate) may_leave_slow: bool,
+    /// Whether the entry upstream has refused an earlier attempt of the request. It may send that
+    /// refusal once more, which cannot be told from the response to another attempt.
+    pub(crate) has_refused: bool,
     /// Counts the request in the load table for as long as the selection exists.
     pub(crate) _reservation: Reservation,
 }
@@ -361,6 +364,7 @@
             stages,
             next_entries: Vec::new(),
             may_leave_slow: false,
+            has_refused: false,
             _reservation,
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -46,6 +46,8 @@
     /// failed attempts that may have run, without the upstreams that no longer existed at the last
     /// failure. Empty for other requests.
     pub(crate) live_entries: Vec<UpstreamName>,
+    /// Entry upstreams of attempts at a stream that were refused.
+    pub(crate) refusing_entries: Vec<UpstreamName>,
 }
 
 impl Attempts {
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -91,7 +91,7 @@
             priority: self.priority.min(LOWEST_PRIORITY),
             // A reused connection may have been closed by the upstream meanwhile, which would leave
             // open whether the request ran.
-            new_connection: !self.route.retry.allows_rerun(),
+            new_connection: !self.route.retry.allows_rerun() || selection.has_refused,
         }
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -131,6 +131,7 @@
             selection.next_entries =
                 attempts.allowed_entries(self.route.max_entries, Some(&selection.upstream.name));
             selection.may_leave_slow = self.route.retry.allows_rerun() && attempts.count == 0;
+            selection.has_refused = attempts.refusing_entries.contains(&selection.upstream.name);
             attempts.count += 1;
             self.log.record_attempt(&selection.upstream.name);
             let (selection, response) = match self.send(selection, resume_after).await {
@@ -148,7 +149,7 @@
                 }
                 // A refusal is mostly caused by another engine on the path, which is avoided now,
                 // so the entry upstream remains usable.
-                attempts.avoided.pop();
+                attempts.refusing_entries.extend(attempts.avoided.pop());
                 continue;
             }
             if !response.signed {
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -117,6 +117,35 @@
     assert_eq!(body(response).await, None);
 }
 
+/// Guards against an earlier refusal that a faulty upstream writes once more on a kept connection:
+/// it has the identifier of the request that is sent there again, and would be taken for the answer.
+#[compio::test]
+async fn a_request_is_sent_again_to_an_upstream_that_refused_it_over_a_new_connection() {
+    let fixture = Fixture::ready().await;
+    fixture.store.write("upstreams/e3", None);
+    compio::time::sleep(Duration::from_millis(800)).await;
+    // The path without the engine that is blamed for the refusal begins with the same engine.
+    fixture.push_steps([Step::RefuseAt("10.0.1.4:80"), Step::Events(vec![0])]);
+    let response = fixture.send("/drafts/x").await.expect("the stream begins");
+    assert_eq!(body(response).await, Some(event(0)));
+    assert_eq!(fixture.called_upstreams(), ["e1", "e1"]);
+    let calls = fixture.upstreams.calls.borrow();
+    assert!(!calls[0].1.new_connection, "the first call may use an idle connection");
+    assert!(calls[1].1.new_connection);
+}
+
+/// Guards against an earlier answer on a kept connection that is taken for the answer to a request
+/// that may run only once.
+#[compio::test]
+async fn a_request_that_may_run_once_is_sent_over_a_new_connection() {
+    let fixture = Fixture::ready().await;
+    fixture.push_steps([Step::Answer(200, "filed"), Step::Events(vec![0])]);
+    fixture.send("/once/x").await.expect("the request is answered");
+    let response = fixture.send("/single/x").await.expect("the stream begins");
+    assert_eq!(body(response).await, Some(event(0)));
+    assert!(fixture.upstreams.calls.borrow().iter().all(|(_, call)| call.new_connection));
+}
+
 /// Guards against a stream that waits for a dead engine until the previous engine on its path times
 /// out.
 #[compio::test]
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -30,6 +30,8 @@
     Endless { status: u16, signed: bool },
     /// It states that it did not run the call.
     Refuse(u16),
+    /// It states that the call did not run because the engine at this address refused it.
+    RefuseAt(&'static str),
     /// The connection cannot be opened, so the call is not sent.
     Unreachable,
     /// The connection breaks after the call was sent.
@@ -120,6 +122,11 @@
                     Ok(response(status, signed, false, vec![BodyPart::Endless]))
                 }
                 Step::Refuse(status) => Ok(response(status, false, true, Vec::new())),
+                Step::RefuseAt(addr) => {
+                    let refusing_engine = addr.parse().ok();
+                    let refusal = response(503, false, true, Vec::new());
+                    Ok(UpstreamResponse { refusing_engine, ..refusal })
+                }
                 Step::Unreachable => Err(CallError::Connect("refused".into())),
                 Step::Broken => Err(CallError::Broken("reset".into())),
                 Step::Events(numbers) => Ok(response(200, true, false, events(&numbers))),
