Continue a broken stream only with the rest of it

Cause: of the answer of the upstream that should continue a stream only an error status from 400 on was looked at, and the stream was then aborted at once. Any other answer was joined to the stream, and one without events ended it.

Evidence: before, the stream with events 0 and 1 went on, by the answer of the next upstream: 302 "moved": both events, then "moved"; 200 of another media type with the text "HTTP/1.1 500 error": both events, then that text; 204, and 200 without events: both events, and the end of a complete stream; 500 and 404: aborted. So an_answer_that_does_not_continue_a_broken_stream_is_not_joined_to_it and a_broken_stream_that_only_gets_errors_is_aborted failed.

Change: an answer continues a stream only if it is a success, has the media type of the stream and begins with complete events. Any other one is a failed attempt: the next one follows within the limits of attempts, entry upstreams and retries, and may use the same entry upstream again, since that one answers; without a next one the stream is aborted. A stream that broke after its last event is now aborted too, as nothing tells it from one whose rest is missing; its caller can resume it.

Conclusion: what reaches the caller after a break are complete events of a stream that continues.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,7 @@
 
 use callers::{RoutedFailure, RoutedResponse};
 use futures_util::future::{Either, select};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use transport::{Body, BodyWriter, CallError, EventSplitter, Events};
 use types::{FailureKind, Verdict};
 use upstreams::UpstreamResponse;
@@ -59,6 +59,8 @@
     /// The request has left its path: an engine on the path failed, or is so slow that another path
     /// is better.
     LeftPath,
+    /// An upstream that should continue a broken stream answered with something else.
+    NotContinued(String),
 }
 
 impl From<CallError> for StreamFailure {
@@ -72,6 +74,9 @@
         match self {
             StreamFailure::Call(error) => error.fmt(f),
             StreamFailure::LeftPath => f.write_str("an engine on the path failed or is very slow"),
+            StreamFailure::NotContinued(answer) => {
+                write!(f, "answered with {answer} instead of the rest of the stream")
+            }
         }
     }
 }
@@ -80,16 +85,35 @@
     fn kind(&self) -> FailureKind {
         match self {
             StreamFailure::Call(error) => failure_kind(error),
-            StreamFailure::LeftPath => FailureKind::Upstream,
+            StreamFailure::LeftPath | StreamFailure::NotContinued(_) => FailureKind::Upstream,
         }
     }
 }
 
+/// Media type of a response.
+struct MediaType(Option<HeaderValue>);
+
+impl MediaType {
+    fn of(headers: &HeaderMap) -> MediaType {
+        MediaType(headers.get(header::CONTENT_TYPE).cloned())
+    }
+
+    /// The type without its parameters; empty if the response does not state it.
+    fn essence(&self) -> &[u8] {
+        let value = self.0.as_ref().map_or(&[][..], |value| value.as_bytes());
+        value.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii()
+    }
+
+    fn is_same(&self, other: &MediaType) -> bool {
+        self.essence().eq_ignore_ascii_case(other.essence())
+    }
+}
+
 impl ActiveRequest {
     /// Sends the request until a stream begins, and returns a response whose body forwards it.
     pub(crate) async fn run_stream(self) -> Result<RoutedResponse, RoutedFailure> {
         let mut attempts = Attempts::default();
-        let stream = self.open(&mut attempts, self.resume_after, false).await?;
+        let stream = self.open(&mut attempts, self.resume_after, None).await?;
         let (status, headers) = (stream.status, stream.headers.clone());
         self.log.record_first_byte();
         if !StatusCode::from_u16(status).is_ok_and(|status| status.is_success()) {
@@ -100,12 +124,14 @@
     }
 
     /// Sends the request, with retries, until an upstream's stream has its first events or an
-    /// upstream answers with an error status. Fails if the request is given up.
+    /// upstream answers with an error status. Fails if the request is given up. If the caller already
+    /// has a part of a stream, of the media type `continued`, only a stream that continues it is
+    /// returned.
     async fn open(
         &self,
         attempts: &mut Attempts,
         resume_after: Option<u64>,
-        is_resumed: bool,
+        continued: Option<&MediaType>,
     ) -> Result<OpenStream, RoutedFailure> {
         loop {
             if self.time_left().is_zero() {
@@ -118,7 +144,7 @@
             let allowed_entries = attempts.allowed_entries(self.route.max_entries, None);
             // A request that may have run cannot be refused as "not run", so it waits for capacity
             // as long as a stream that the caller already has a part of.
-            let is_resumed = is_resumed || attempts.possibly_run > 0;
+            let is_resumed = continued.is_some() || attempts.possibly_run > 0;
             let query = SelectionQuery {
                 avoid: &attempts.avoided,
                 allowed_entries: &allowed_entries,
@@ -170,10 +196,10 @@
                 unforwarded: None,
                 ended: false,
             };
-            if stream.status >= StatusCode::BAD_REQUEST.as_u16() {
+            if continued.is_none() && stream.status >= StatusCode::BAD_REQUEST.as_u16() {
                 return Ok(stream);
             }
-            match self.next_events(&mut stream, self.first_event_limit()).await {
+            match self.first_events(&mut stream, continued).await {
                 Ok(()) => {
                     self.record_path_acceptance(&stream.selection);
                     return Ok(stream);
@@ -209,7 +235,9 @@
                 self.avoid_after_error(selection, error);
                 (error.verdict(), true)
             }
-            StreamFailure::LeftPath => (Verdict::MayHaveRun, false),
+            StreamFailure::LeftPath | StreamFailure::NotContinued(_) => {
+                (Verdict::MayHaveRun, false)
+            }
         };
         let text = cause.to_string();
         if verdict == Verdict::NotRun || !self.route.retry.allows_rerun() {
@@ -249,6 +277,31 @@
         }
     }
 
+    /// Reads the first events of a stream. One that should continue a stream of the media type
+    /// `continued` is a failure if it has no events: the caller would take its stream for complete.
+    async fn first_events(
+        &self,
+        stream: &mut OpenStream,
+        continued: Option<&MediaType>,
+    ) -> Result<(), StreamFailure> {
+        let Some(media_type) = continued else {
+            return self.next_events(stream, self.first_event_limit()).await;
+        };
+        let status = stream.status;
+        let is_success = StatusCode::from_u16(status).is_ok_and(|status| status.is_success());
+        if !is_success {
+            return Err(StreamFailure::NotContinued(format!("status {status}")));
+        }
+        if !MediaType::of(&stream.headers).is_same(media_type) {
+            return Err(StreamFailure::NotContinued("another media type".into()));
+        }
+        self.next_events(stream, self.first_event_limit()).await?;
+        if stream.unforwarded.is_none() {
+            return Err(StreamFailure::NotContinued("no events".into()));
+        }
+        Ok(())
+    }
+
     /// Reads until there are complete events or the stream ends. After `max_gap` without an event,
     /// the stream is overdue.
     async fn next_events(
@@ -299,6 +352,7 @@
     /// Forwards events until the stream has ended, and resumes the stream when it breaks.
     async fn forward(self, mut attempts: Attempts, mut stream: OpenStream, mut writer: BodyWriter) {
         let mut last_event = self.resume_after;
+        let media_type = MediaType::of(&stream.headers);
         loop {
             let cause = match self.forward_events(&mut stream, &mut last_event, &mut writer).await {
                 ForwardOutcome::Complete => {
@@ -312,13 +366,13 @@
             let may_retry = self.record_stream_failure(&mut attempts, &stream.selection, &cause);
             drop(stream);
             let resumed = if may_retry && last_event.is_some() {
-                self.open(&mut attempts, last_event, true).await.ok()
+                self.open(&mut attempts, last_event, Some(&media_type)).await.ok()
             } else {
                 None
             };
             match resumed {
-                Some(next) if next.status < StatusCode::BAD_REQUEST.as_u16() => stream = next,
-                _ => {
+                Some(next) => stream = next,
+                None => {
                     self.log.end("broken-off", Verdict::MayHaveRun, 0);
                     writer.abort().await;
                     return;
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -117,6 +117,46 @@
     assert_eq!(body(response).await, None);
 }
 
+/// Guards against the text of an error in the middle of a stream, and against a stream that ends as
+/// if it were complete, when the upstream that should continue it answers with something else.
+#[compio::test]
+async fn an_answer_that_does_not_continue_a_broken_stream_is_not_joined_to_it() {
+    for answer in [
+        Step::Answer(500, "id: 2\ndata: error\n\n"),
+        Step::Answer(404, "error\n\n"),
+        Step::Answer(302, "moved\n\n"),
+        Step::Answer(204, ""),
+        Step::Answer(200, "HTTP/1.1 500 error\r\n\r\n"),
+        Step::Answer(200, "id: 2\ndata: error\n\n"),
+        Step::Events(vec![]),
+    ] {
+        let fixture = Fixture::ready().await;
+        let steps = [Step::EventsThenBroken(vec![0, 1]), answer.clone(), Step::Events(vec![2, 3])];
+        fixture.push_steps(steps);
+        let response = fixture.send("/drafts/x").await.expect("the stream begins");
+        let expected: String = (0..4).map(event).collect();
+        assert_eq!(body(response).await, Some(expected), "{answer:?}");
+        assert_eq!(fixture.upstreams.calls.borrow()[2].1.resume_after, Some(1));
+    }
+}
+
+/// Guards against a stream that ends as if it were complete after no upstream has continued it.
+#[compio::test]
+async fn a_broken_stream_that_only_gets_errors_is_aborted() {
+    let answers = [Step::Answer(500, "error\n\n"), Step::Events(vec![]), Step::Unsigned(200)];
+    for answer in answers {
+        let fixture = Fixture::ready().await;
+        fixture.push_steps([Step::EventsThenBroken(vec![0, 1])]);
+        fixture.push_steps(vec![answer; 8]);
+        let response = fixture.send("/drafts/x").await.expect("the stream begins");
+        assert_eq!(body(response).await, None);
+        let mut entries = fixture.called_upstreams();
+        entries.sort_unstable();
+        entries.dedup();
+        assert!(entries.len() <= 2, "the route allows two entry upstreams");
+    }
+}
+
 /// Guards against an earlier refusal that a faulty upstream writes once more on a kept connection:
 /// it has the identifier of the request that is sent there again, and would be taken for the answer.
 #[compio::test]
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -11,7 +11,7 @@
 use catalog::Upstream;
 use clock::Clock;
 use futures_util::{FutureExt, future::LocalBoxFuture};
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue, header};
 use transport::CallError;
 use upstreams::{
     Call, Connector, EngineReport, LoadOrder, OrderOutcome, ResponseBody, UpstreamResponse,
@@ -113,6 +113,12 @@
                     endless_bytes: self.upstreams.endless_bytes.clone(),
                 }),
             };
+            let stream = |parts| {
+                let mut response = response(200, true, false, parts);
+                let event_stream = HeaderValue::from_static("text/event-stream");
+                response.headers.insert(header::CONTENT_TYPE, event_stream);
+                response
+            };
             match step {
                 Step::Answer(status, body) => {
                     Ok(response(status, true, false, vec![BodyPart::Bytes(body.into())]))
@@ -129,17 +135,17 @@
                 }
                 Step::Unreachable => Err(CallError::Connect("refused".into())),
                 Step::Broken => Err(CallError::Broken("reset".into())),
-                Step::Events(numbers) => Ok(response(200, true, false, events(&numbers))),
+                Step::Events(numbers) => Ok(stream(events(&numbers))),
                 Step::EventsThenBroken(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Bytes("id: 99\nda".into()));
                     parts.push(BodyPart::Break);
-                    Ok(response(200, true, false, parts))
+                    Ok(stream(parts))
                 }
                 Step::EventsThenSilence(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Silence);
-                    Ok(response(200, true, false, parts))
+                    Ok(stream(parts))
                 }
                 Step::Silent => {
                     self.upstreams.clock.sleep(limit).await;
