Start background tasks again that have panicked

What was seen: a report from another operator: machines that read the list of workers stopped following it.

Cause: the runtime catches the panic of a task that nobody waits for, and drops the task. A node whose task for the key-value service, for datagrams, for the planner or for an engine has panicked goes on without it for the rest of its life: it counts as ready and serves with what it knows.

Evidence: a_node_follows_the_store_again_after_its_task_has_panicked failed before: the version of the configuration stayed 1 after the odd entry was gone and version 9 was written.

Change: `clock::supervise` starts a task again half a second after a panic and logs an error. The gateway's tasks for the service, the registration, the planner, the beacons, the updates and the received datagrams, and the node's tasks for the configuration, the list of VMs, the orders and the engines run under it. Each of them reads its state anew when it starts.

Conclusion: a panic costs a pause and a line in the log. Panics remain faults; entries that cause one at each read still keep the node from the entries after them, so decoding must not panic.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod manual;
 mod runtime;
+mod supervise;
 mod timeout;
 
 use std::{
@@ -20,6 +21,7 @@
 
 pub use manual::ManualClock;
 pub use runtime::RuntimeClock;
+pub use supervise::supervise;
 pub use timeout::{Elapsed, timeout};
 
 /// A source of time and timers.
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -5,6 +5,7 @@
 use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
 
 use catalog::UpdateOutcome;
+use clock::supervise;
 use compio::runtime::spawn;
 use futures_util::future::join3;
 use keyvalue::{KvError, api::Expected};
@@ -234,6 +235,10 @@
 
 /// Keeps this node registered in the key-value service.
 pub async fn register(gateway: Rc<Gateway>) {
+    supervise(&*gateway.clock, "registration", || keep_registered(gateway.clone())).await;
+}
+
+async fn keep_registered(gateway: Rc<Gateway>) {
     let key = format!("{NODE_PREFIX}{}", gateway.settings.name);
     while !gateway.stop.is_raised() {
         if let Err(error) = maintain_entry(&gateway, &key).await {
@@ -326,8 +331,10 @@
 
 /// Exchanges datagrams with the other nodes.
 pub async fn exchange_datagrams(gateway: Rc<Gateway>, socket: DatagramSocket) {
-    let socket = Rc::new(socket);
-    let beacons = send_beacons(gateway.clone(), socket.clone());
-    let changes = send_updates(gateway.clone(), socket.clone());
-    join3(beacons, changes, receive_datagrams(gateway, socket)).await;
+    let (clock, socket) = (&*gateway.clock, &Rc::new(socket));
+    let beacons = supervise(clock, "beacons", || send_beacons(gateway.clone(), socket.clone()));
+    let updates = supervise(clock, "updates", || send_updates(gateway.clone(), socket.clone()));
+    let datagrams =
+        supervise(clock, "datagrams", || receive_datagrams(gateway.clone(), socket.clone()));
+    join3(beacons, updates, datagrams).await;
 }
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use catalog::{ModelProfile, Phase, Upstream};
-use clock::Timestamp;
+use clock::{Timestamp, supervise};
 use futures_util::future::join_all;
 use keyvalue::Lease;
 use pipelines::{EngineView, Placement, plan};
@@ -57,6 +57,10 @@
 
 /// Acquires the planner's lease when no node holds it, and plans while this node holds it.
 pub async fn run_planner(gateway: Rc<Gateway>) {
+    supervise(&*gateway.clock, "planner", || plan_under_lease(gateway.clone())).await;
+}
+
+async fn plan_under_lease(gateway: Rc<Gateway>) {
     while !gateway.stop.is_raised() {
         gateway.clock.sleep(PLAN_INTERVAL).await;
         if !gateway.catalog.borrow().has_list() || gateway.planner_active.get() {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,6 +4,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use catalog::UpdateOutcome;
+use clock::supervise;
 use compio::runtime::spawn;
 use futures_util::future::{Either, select};
 use keyvalue::{Changes, Item, KvError};
@@ -20,9 +21,14 @@
 /// Time after an outage within which upstreams that still run write lapsed entries again.
 const LAPSE_GRACE: Duration = Duration::from_millis(2000);
 
-/// Keeps the catalog of this node up to date with the key-value service. A single watch covers all
-/// keys, since revisions are counted over all keys and each pending watch counts as a call.
+/// Keeps the catalog of this node up to date with the key-value service.
 pub async fn watch_store(gateway: Rc<Gateway>) {
+    supervise(&*gateway.clock, "store", || follow_store(gateway.clone())).await;
+}
+
+/// Reads all keys and watches for changes. A single watch covers all keys, since revisions are
+/// counted over all keys and each pending watch counts as a call.
+async fn follow_store(gateway: Rc<Gateway>) {
     let mut pause = MIN_RETRY_DELAY;
     loop {
         let error = match read_all(&gateway).await {
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -374,6 +374,20 @@
     assert!(fixture.called_upstreams().iter().all(|name| name == "r2"));
 }
 
+/// Guards against a node that no longer follows the key-value service, without a word, after its
+/// task has panicked.
+#[compio::test]
+async fn a_node_follows_the_store_again_after_its_task_has_panicked() {
+    let fixture = Fixture::ready().await;
+    fixture.store.write("upstreams/odd", Some("drafts 10.0.1.9:80 panic up -"));
+    compio::time::sleep(Duration::from_millis(800)).await;
+    fixture.store.write("upstreams/odd", None);
+    fixture.store.write("table", Some("9"));
+    compio::time::sleep(Duration::from_millis(1300)).await;
+    let text = String::from_utf8(fixture.gateway.metrics().to_vec()).unwrap();
+    assert!(text.contains("gypsumrack_table_version 9"), "{text}");
+}
+
 /// Guards against a watch that was lost in an outage of the key-value service and stays pending
 /// forever. On three days of fault-injection tests, nodes kept an old configuration after the
 /// service had recovered.
--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -11,7 +11,7 @@
 use super::{HOST, KEY};
 
 /// Decodes a routing table from its version, and an upstream from `SERVICE ADDR DOMAIN PHASE
-/// START-END`.
+/// START-END`. An upstream in the domain `panic` makes the decoder panic.
 pub struct TextCodec;
 
 impl CatalogCodec for TextCodec {
@@ -34,6 +34,7 @@
         let [service, addr, domain, phase, layers] = fields[..] else {
             return Err("not five fields".into());
         };
+        assert_ne!(domain, "panic", "the decoder is to panic");
         let layers = layers.split_once('-').map(|(start, end)| LayerRange {
             start: start.parse().unwrap_or_default(),
             end: end.parse().unwrap_or_default(),
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -6,7 +6,9 @@
 mod orders;
 mod vms;
 
-use std::rc::Rc;
+use std::{future::Future, rc::Rc};
+
+use clock::supervise;
 
 pub(crate) use cancel::CancelCall;
 
@@ -16,14 +18,27 @@
     /// Starts all background tasks of the node.
     pub fn start_tasks(self: Rc<Self>) {
         self.join_fleet();
-        compio::runtime::spawn(config::watch_config(self.clone())).detach();
-        compio::runtime::spawn(config::read_config(self.clone())).detach();
+        self.start_supervised("configuration watch", config::watch_config);
+        self.start_supervised("configuration read", config::read_config);
         compio::runtime::spawn(members::announce_leave(self.clone())).detach();
         if let Some(calls) = self.cancel_receiver.take() {
             compio::runtime::spawn(cancel::send_cancels(self.clock.clone(), calls)).detach();
         }
         compio::runtime::spawn(expire_drain(self.clone())).detach();
-        compio::runtime::spawn(vms::poll_vms(self.clone())).detach();
-        compio::runtime::spawn(orders::send_orders(self)).detach();
+        self.start_supervised("list of VMs", vms::poll_vms);
+        self.start_supervised("orders", orders::send_orders);
+    }
+
+    /// Starts a task that is started again if it panics.
+    fn start_supervised<F: Future<Output = ()> + 'static>(
+        self: &Rc<Self>,
+        name: &'static str,
+        start: impl Fn(Rc<Node>) -> F + 'static,
+    ) {
+        let node = self.clone();
+        compio::runtime::spawn(async move {
+            supervise(&*node.clock, name, || start(node.clone())).await;
+        })
+        .detach();
     }
 }
--- a/crates/node/src/tasks/vms.rs
+++ b/crates/node/src/tasks/vms.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use clock::supervise;
 use routing::EngineState;
 use types::{NodeName, ServiceName, UpstreamName};
 use vms::api::{Vm, VmRole, VmSnapshot};
@@ -83,7 +84,12 @@
             let state = EngineState::new(vm.addr, vm.domain.clone());
             self.view.borrow_mut().engines.insert(name.clone(), state);
             self.engines.borrow_mut().insert(name.clone(), client.clone());
-            compio::runtime::spawn(poll_engine(self.clone(), name.clone(), client)).detach();
+            let (node, name) = (self.clone(), name.clone());
+            compio::runtime::spawn(async move {
+                let poll = || poll_engine(node.clone(), name.clone(), client.clone());
+                supervise(&*node.clock, "engine", poll).await;
+            })
+            .detach();
         }
         if let Some(state) = self.view.borrow_mut().engines.get_mut(name) {
             state.leaving = leaving;
