--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -65,6 +65,9 @@
     /// Whether the attempt may be abandoned because an engine is very slow and a better path
     /// exists.
     pub(crate) may_leave_slow: bool,
+    /// Whether the entry upstream has refused an earlier attempt of the request. It may send that
+    /// refusal once more, which cannot be told from the response to another attempt.
+    pub(crate) has_refused: bool,
     /// Counts the request in the load table for as long as the selection exists.
     pub(crate) _reservation: Reservation,
 }
@@ -369,7 +372,14 @@
         gateway.load.borrow_mut().add(&loads);
         let client = gateway.client(&upstream);
         let _reservation = Reservation { gateway, loads };
-        Selection { upstream, client, stages, may_leave_slow: false, _reservation }
+        Selection {
+            upstream,
+            client,
+            stages,
+            may_leave_slow: false,
+            has_refused: false,
+            _reservation,
+        }
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,7 @@
 
 use callers::{RoutedFailure, RoutedResponse};
 use futures_util::future::{Either, select};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use transport::{Body, BodyWriter, CallError, EventSplitter, Events};
 use types::{FailureKind, Verdict};
 use upstreams::UpstreamResponse;
@@ -61,6 +61,8 @@
     LeftPath,
     /// The process of an engine on the path has ended.
     LostPath,
+    /// An upstream that should continue a broken stream answered with something else.
+    NotContinued(String),
 }
 
 impl From<CallError> for StreamFailure {
@@ -75,6 +77,9 @@
             StreamFailure::Call(error) => error.fmt(f),
             StreamFailure::LeftPath => f.write_str("an engine on the path is silent or very slow"),
             StreamFailure::LostPath => f.write_str("an engine on the path has ended"),
+            StreamFailure::NotContinued(answer) => {
+                write!(f, "answered with {answer} instead of the rest of the stream")
+            }
         }
     }
 }
@@ -83,16 +88,37 @@
     fn kind(&self) -> FailureKind {
         match self {
             StreamFailure::Call(error) => failure_kind(error),
-            StreamFailure::LeftPath | StreamFailure::LostPath => FailureKind::Upstream,
+            StreamFailure::LeftPath | StreamFailure::LostPath | StreamFailure::NotContinued(_) => {
+                FailureKind::Upstream
+            }
         }
     }
 }
 
+/// Media type of a response.
+struct MediaType(Option<HeaderValue>);
+
+impl MediaType {
+    fn of(headers: &HeaderMap) -> MediaType {
+        MediaType(headers.get(header::CONTENT_TYPE).cloned())
+    }
+
+    /// The type without its parameters; empty if the response does not state it.
+    fn essence(&self) -> &[u8] {
+        let value = self.0.as_ref().map_or(&[][..], |value| value.as_bytes());
+        value.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii()
+    }
+
+    fn is_same(&self, other: &MediaType) -> bool {
+        self.essence().eq_ignore_ascii_case(other.essence())
+    }
+}
+
 impl ActiveRequest {
     /// Sends the request until a stream begins, and returns a response whose body forwards it.
     pub(crate) async fn run_stream(self) -> Result<RoutedResponse, RoutedFailure> {
         let mut attempts = Attempts::default();
-        let stream = self.open(&mut attempts, self.resume_after, false).await?;
+        let stream = self.open(&mut attempts, self.resume_after, None).await?;
         let (status, headers) = (stream.status, stream.headers.clone());
         self.log.record_first_byte();
         if !StatusCode::from_u16(status).is_ok_and(|status| status.is_success()) {
@@ -103,12 +129,14 @@
     }
 
     /// Sends the request, with retries, until an upstream's stream has its first events or an
-    /// upstream answers with an error status. Fails if the request is given up.
+    /// upstream answers with an error status. Fails if the request is given up. If the caller already
+    /// has a part of a stream, of the media type `continued`, only a stream that continues it is
+    /// returned.
     async fn open(
         &self,
         attempts: &mut Attempts,
         resume_after: Option<u64>,
-        is_resumed: bool,
+        continued: Option<&MediaType>,
     ) -> Result<OpenStream, RoutedFailure> {
         loop {
             if self.time_left().is_zero() {
@@ -121,7 +149,7 @@
             let allowed_entries = attempts.allowed_entries(self.route.max_entries, None);
             // A request that may have run cannot be refused as "not run", so it waits for capacity
             // as long as a stream that the caller already has a part of.
-            let is_resumed = is_resumed || attempts.possibly_run > 0;
+            let is_resumed = continued.is_some() || attempts.possibly_run > 0;
             let query = SelectionQuery {
                 avoid: &attempts.avoided,
                 allowed_entries: &allowed_entries,
@@ -132,6 +160,7 @@
                 Err(reason) => return Err(self.no_selection_failure(attempts, reason)),
             };
             selection.may_leave_slow = self.route.retry.allows_rerun() && attempts.count == 0;
+            selection.has_refused = attempts.refusing_entries.contains(&selection.upstream.name);
             attempts.count += 1;
             self.log.record_attempt(&selection.upstream.name);
             let sent = self.send(attempts, selection, resume_after).await;
@@ -150,7 +179,7 @@
                 }
                 // A refusal is mostly caused by another engine on the path, which is avoided now,
                 // so the entry upstream remains usable.
-                attempts.avoided.pop();
+                attempts.refusing_entries.extend(attempts.avoided.pop());
                 continue;
             }
             if !response.signed {
@@ -171,10 +200,10 @@
                 unforwarded: None,
                 ended: false,
             };
-            if stream.status >= StatusCode::BAD_REQUEST.as_u16() {
+            if continued.is_none() && stream.status >= StatusCode::BAD_REQUEST.as_u16() {
                 return Ok(stream);
             }
-            match self.next_events(attempts, &mut stream, self.first_event_limit()).await {
+            match self.first_events(attempts, &mut stream, continued).await {
                 Ok(()) => {
                     self.record_path_acceptance(&stream.selection);
                     return Ok(stream);
@@ -210,7 +239,9 @@
                 self.avoid_after_error(selection, error);
                 (error.verdict(), true)
             }
-            StreamFailure::LeftPath | StreamFailure::LostPath => (Verdict::MayHaveRun, false),
+            StreamFailure::LeftPath | StreamFailure::LostPath | StreamFailure::NotContinued(_) => {
+                (Verdict::MayHaveRun, false)
+            }
         };
         let text = cause.to_string();
         if verdict == Verdict::NotRun || !self.route.retry.allows_rerun() {
@@ -251,6 +282,32 @@
         }
     }
 
+    /// Reads the first events of a stream. One that should continue a stream of the media type
+    /// `continued` is a failure if it has no events: the caller would take its stream for complete.
+    async fn first_events(
+        &self,
+        attempts: &Attempts,
+        stream: &mut OpenStream,
+        continued: Option<&MediaType>,
+    ) -> Result<(), StreamFailure> {
+        let Some(media_type) = continued else {
+            return self.next_events(attempts, stream, self.first_event_limit()).await;
+        };
+        let status = stream.status;
+        let is_success = StatusCode::from_u16(status).is_ok_and(|status| status.is_success());
+        if !is_success {
+            return Err(StreamFailure::NotContinued(format!("status {status}")));
+        }
+        if !MediaType::of(&stream.headers).is_same(media_type) {
+            return Err(StreamFailure::NotContinued("another media type".into()));
+        }
+        self.next_events(attempts, stream, self.first_event_limit()).await?;
+        if stream.unforwarded.is_none() {
+            return Err(StreamFailure::NotContinued("no events".into()));
+        }
+        Ok(())
+    }
+
     /// Reads until there are complete events or the stream ends. After `max_gap` without an event,
     /// the stream is overdue.
     async fn next_events(
@@ -305,6 +362,7 @@
     /// its path.
     async fn forward(self, mut attempts: Attempts, mut stream: OpenStream, mut writer: BodyWriter) {
         let mut last_event = self.resume_after;
+        let media_type = MediaType::of(&stream.headers);
         loop {
             let forwarded =
                 self.forward_events(&attempts, &mut stream, &mut last_event, &mut writer).await;
@@ -317,7 +375,8 @@
                 ForwardOutcome::CallerGone => return,
                 ForwardOutcome::Broken(cause) => cause,
             };
-            match self.resume(&mut attempts, stream, cause, last_event).await {
+            let resumed = self.resume(&mut attempts, stream, cause, last_event, &media_type).await;
+            match resumed {
                 Some(next) => stream = next,
                 None => {
                     self.log.end("broken-off", Verdict::MayHaveRun, 0);
@@ -337,20 +396,14 @@
         stream: OpenStream,
         cause: StreamFailure,
         last_event: Option<u64>,
+        media_type: &MediaType,
     ) -> Option<OpenStream> {
         let may_retry = self.record_stream_failure(attempts, &stream.selection, &cause);
         let fallback = matches!(cause, StreamFailure::LeftPath).then_some(stream);
         if !may_retry || last_event.is_none() {
             return fallback;
         }
-        match self.open(attempts, last_event, true).await {
-            Ok(next) if next.status < StatusCode::BAD_REQUEST.as_u16() => Some(next),
-            Ok(next) => {
-                self.log.add_cause(format!("answered with status {}", next.status));
-                fallback
-            }
-            Err(_) => fallback,
-        }
+        self.open(attempts, last_event, Some(media_type)).await.ok().or(fallback)
     }
 
     async fn forward_events(
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -117,6 +117,75 @@
     assert_eq!(body(response).await, None);
 }
 
+/// Guards against the text of an error in the middle of a stream, and against a stream that ends as
+/// if it were complete, when the upstream that should continue it answers with something else.
+#[compio::test]
+async fn an_answer_that_does_not_continue_a_broken_stream_is_not_joined_to_it() {
+    for answer in [
+        Step::Answer(500, "id: 2\ndata: error\n\n"),
+        Step::Answer(404, "error\n\n"),
+        Step::Answer(302, "moved\n\n"),
+        Step::Answer(204, ""),
+        Step::Answer(200, "HTTP/1.1 500 error\r\n\r\n"),
+        Step::Answer(200, "id: 2\ndata: error\n\n"),
+        Step::Events(vec![]),
+    ] {
+        let fixture = Fixture::ready().await;
+        let steps = [Step::EventsThenBroken(vec![0, 1]), answer.clone(), Step::Events(vec![2, 3])];
+        fixture.push_steps(steps);
+        let response = fixture.send("/drafts/x").await.expect("the stream begins");
+        let expected: String = (0..4).map(event).collect();
+        assert_eq!(body(response).await, Some(expected), "{answer:?}");
+        assert_eq!(fixture.upstreams.calls.borrow()[2].1.resume_after, Some(1));
+    }
+}
+
+/// Guards against a stream that ends as if it were complete after no upstream has continued it.
+#[compio::test]
+async fn a_broken_stream_that_only_gets_errors_is_aborted() {
+    let answers = [Step::Answer(500, "error\n\n"), Step::Events(vec![]), Step::Unsigned(200)];
+    for answer in answers {
+        let fixture = Fixture::ready().await;
+        fixture.push_steps([Step::EventsThenBroken(vec![0, 1])]);
+        fixture.push_steps(vec![answer; 8]);
+        let response = fixture.send("/drafts/x").await.expect("the stream begins");
+        assert_eq!(body(response).await, None);
+        let mut entries = fixture.called_upstreams();
+        entries.sort_unstable();
+        entries.dedup();
+        assert!(entries.len() <= 2, "the route allows two entry upstreams");
+    }
+}
+
+/// Guards against an earlier refusal that a faulty upstream writes once more on a kept connection:
+/// it has the identifier of the request that is sent there again, and would be taken for the answer.
+#[compio::test]
+async fn a_request_is_sent_again_to_an_upstream_that_refused_it_over_a_new_connection() {
+    let fixture = Fixture::ready().await;
+    fixture.store.write("upstreams/e3", None);
+    compio::time::sleep(Duration::from_millis(800)).await;
+    // The path without the engine that is blamed for the refusal begins with the same engine.
+    fixture.push_steps([Step::RefuseAt("10.0.1.4:80"), Step::Events(vec![0])]);
+    let response = fixture.send("/drafts/x").await.expect("the stream begins");
+    assert_eq!(body(response).await, Some(event(0)));
+    assert_eq!(fixture.called_upstreams(), ["e1", "e1"]);
+    let calls = fixture.upstreams.calls.borrow();
+    assert!(!calls[0].1.new_connection, "the first call may use an idle connection");
+    assert!(calls[1].1.new_connection);
+}
+
+/// Guards against an earlier answer on a kept connection that is taken for the answer to a request
+/// that may run only once.
+#[compio::test]
+async fn a_request_that_may_run_once_is_sent_over_a_new_connection() {
+    let fixture = Fixture::ready().await;
+    fixture.push_steps([Step::Answer(200, "filed"), Step::Events(vec![0])]);
+    fixture.send("/once/x").await.expect("the request is answered");
+    let response = fixture.send("/single/x").await.expect("the stream begins");
+    assert_eq!(body(response).await, Some(event(0)));
+    assert!(fixture.upstreams.calls.borrow().iter().all(|(_, call)| call.new_connection));
+}
+
 /// Guards against a stream that waits for a dead engine until the previous engine on its path times
 /// out.
 #[compio::test]
@@ -305,6 +374,20 @@
     assert!(fixture.called_upstreams().iter().all(|name| name == "r2"));
 }
 
+/// Guards against a node that no longer follows the key-value service, without a word, after its
+/// task has panicked.
+#[compio::test]
+async fn a_node_follows_the_store_again_after_its_task_has_panicked() {
+    let fixture = Fixture::ready().await;
+    fixture.store.write("upstreams/odd", Some("drafts 10.0.1.9:80 panic up -"));
+    compio::time::sleep(Duration::from_millis(800)).await;
+    fixture.store.write("upstreams/odd", None);
+    fixture.store.write("table", Some("9"));
+    compio::time::sleep(Duration::from_millis(1300)).await;
+    let text = String::from_utf8(fixture.gateway.metrics().to_vec()).unwrap();
+    assert!(text.contains("gypsumrack_table_version 9"), "{text}");
+}
+
 /// Guards against a watch that was lost in an outage of the key-value service and stays pending
 /// forever. On three days of fault-injection tests, nodes kept an old configuration after the
 /// service had recovered.
--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -12,7 +12,8 @@
 
 /// Decodes a routing table from `VERSION [CHANGE]`, and an upstream from `SERVICE ADDR DOMAIN PHASE
 /// START-END`. A change is `empty`, which takes all routes, services and keys away, `moved`, which
-/// sends all routes to a service without upstreams, or `short`, which lets requests take 10 ms.
+/// sends all routes to a service without upstreams, or `short`, which lets requests take 10 ms. An
+/// upstream in the domain `panic` makes the decoder panic.
 pub struct TextCodec;
 
 impl CatalogCodec for TextCodec {
@@ -37,6 +38,7 @@
         let [service, addr, domain, phase, layers] = fields[..] else {
             return Err("not five fields".into());
         };
+        assert_ne!(domain, "panic", "the decoder is to panic");
         let layers = layers.split_once('-').map(|(start, end)| LayerRange {
             start: start.parse().unwrap_or_default(),
             end: end.parse().unwrap_or_default(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -11,7 +11,7 @@
 use catalog::Upstream;
 use clock::{Clock, Timestamp};
 use futures_util::{FutureExt, future::LocalBoxFuture};
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue, header};
 use transport::CallError;
 use upstreams::{
     Call, Connector, EngineReport, LoadOrder, OrderOutcome, ResponseBody, UpstreamResponse,
@@ -32,6 +32,8 @@
     Endless { status: u16, signed: bool },
     /// It states that it did not run the call.
     Refuse(u16),
+    /// It states that the call did not run because the engine at this address refused it.
+    RefuseAt(&'static str),
     /// The connection cannot be opened, so the call is not sent.
     Unreachable,
     /// The connection breaks after the call was sent.
@@ -121,6 +123,12 @@
                     endless_bytes: self.upstreams.endless_bytes.clone(),
                 }),
             };
+            let stream = |parts| {
+                let mut response = response(200, true, false, parts);
+                let event_stream = HeaderValue::from_static("text/event-stream");
+                response.headers.insert(header::CONTENT_TYPE, event_stream);
+                response
+            };
             match step {
                 Step::Answer(status, body) => {
                     Ok(response(status, true, false, vec![BodyPart::Bytes(body.into())]))
@@ -137,14 +145,19 @@
                     Ok(response(status, signed, false, vec![BodyPart::Endless]))
                 }
                 Step::Refuse(status) => Ok(response(status, false, true, Vec::new())),
+                Step::RefuseAt(addr) => {
+                    let refusing_engine = addr.parse().ok();
+                    let refusal = response(503, false, true, Vec::new());
+                    Ok(UpstreamResponse { refusing_engine, ..refusal })
+                }
                 Step::Unreachable => Err(CallError::Connect("refused".into())),
                 Step::Broken => Err(CallError::Broken("reset".into())),
-                Step::Events(numbers) => Ok(response(200, true, false, events(&numbers))),
+                Step::Events(numbers) => Ok(stream(events(&numbers))),
                 Step::EventsThenBroken(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Bytes("id: 99\nda".into()));
                     parts.push(BodyPart::Break);
-                    Ok(response(200, true, false, parts))
+                    Ok(stream(parts))
                 }
                 Step::EventsThenCut(numbers) => {
                     let mut parts = events(&numbers);
@@ -154,7 +167,7 @@
                 Step::EventsThenSilence(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Silence);
-                    Ok(response(200, true, false, parts))
+                    Ok(stream(parts))
                 }
                 Step::EventsAroundPause { before, pause, after } => {
                     let mut parts = events(&before);
