Add one decision on crashes of engines, on the parts of requests

Cause: two counts of crashes, both by the fingerprint of a whole request. Requests that share a part but are not alike never meet.

Change: the crate `crashes` holds the decision for both dialects, without input and output. A crash of an engine process is one event with the requests that had begun no answer there. A part is refused for an organisation when requests with it took part in three successive crashes (each started after the crash before it, so that engines lost together are one crash), no answer with it has begun since, and nothing more specific explains them but for a coincidence. Of unrelated parts the one with most crashes is chosen; equal ones wait for more evidence. The requests of an organisation as a whole count as an explanation too, so that one that crashes engines by ever new parts does not make another one's part look guilty. A part that two organisations prove is refused for all. An answer that begins clears its parts for all organisations and ends their refusal. Notes from other nodes merge by union, so that neither order nor repetition matters; crashes, their requests and refusals are bounded.

The decision on whole requests (`fleet::crash_cause`) moves here with its tests unchanged; only their import differs.

--- /dev/null
+++ b/crates/crashes/src/refusal.rs
@@ -0,0 +1,145 @@
+use std::{collections::HashMap, time::Duration};
+
+use clock::Timestamp;
+use strum::{Display, IntoStaticStr};
+use types::Digest;
+
+use crate::RequestParts;
+
+/// Time for which a refusal is kept after a request with the part last arrived.
+pub(crate) const REFUSAL_LIFETIME: Duration = Duration::from_secs(600);
+
+/// From where a node knows that a part is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RefusalSource {
+    /// It decided so itself.
+    Decision,
+    /// Another node told it.
+    Peer,
+    /// It read the key-value service.
+    Store,
+}
+
+/// A part that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RefusedPart {
+    /// The part.
+    pub part: Digest,
+    /// The organisation for which it is refused; `None` for all.
+    pub organisation: Option<Digest>,
+}
+
+/// What is known of a refused part.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RefusalState {
+    pub(crate) crashes: u32,
+    pub(crate) source: RefusalSource,
+    pub(crate) since: Timestamp,
+    pub(crate) last_seen: Timestamp,
+    /// Whether a request with the part began an answer, which ends the refusal for good.
+    pub(crate) withdrawn: bool,
+}
+
+/// The parts that are refused.
+#[derive(Debug, Default)]
+pub(crate) struct RefusalTable {
+    states: HashMap<RefusedPart, RefusalState>,
+}
+
+impl RefusalTable {
+    pub(crate) fn get(&self, refused: &RefusedPart) -> Option<&RefusalState> {
+        self.states.get(refused)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&RefusedPart, &RefusalState)> {
+        self.states.iter()
+    }
+
+    /// The parts that are refused for two organisations or more, with the crashes during the
+    /// requests of all.
+    pub(crate) fn shared_parts(&self) -> Vec<(Digest, u32)> {
+        let mut organisations: HashMap<Digest, (usize, u32)> = HashMap::new();
+        for (refused, state) in &self.states {
+            if refused.organisation.is_some() && !state.withdrawn {
+                let (count, crashes) = organisations.entry(refused.part).or_default();
+                *count += 1;
+                *crashes = crashes.saturating_add(state.crashes);
+            }
+        }
+        let shared = organisations.into_iter().filter(|(_, (count, _))| *count > 1);
+        shared.map(|(part, (_, crashes))| (part, crashes)).collect()
+    }
+
+    /// Whether a part is refused for an organisation.
+    pub(crate) fn is_refused(&self, part: Digest, organisation: Digest) -> bool {
+        let scopes = [Some(organisation), None];
+        scopes.into_iter().any(|organisation| {
+            let refused = RefusedPart { part, organisation };
+            self.states.get(&refused).is_some_and(|state| !state.withdrawn)
+        })
+    }
+
+    /// The refusal that applies to a request, which is kept alive by this.
+    pub(crate) fn check(
+        &mut self,
+        request: &RequestParts,
+        now: Timestamp,
+    ) -> Option<(RefusedPart, RefusalState)> {
+        let scopes = [Some(request.organisation), None];
+        for part in request.shared.iter().copied() {
+            for organisation in scopes {
+                let refused = RefusedPart { part, organisation };
+                if let Some(state) = self.states.get_mut(&refused).filter(|state| !state.withdrawn)
+                {
+                    state.last_seen = now;
+                    return Some((refused, *state));
+                }
+            }
+        }
+        None
+    }
+
+    /// Merges what is known of a refused part. Returns whether that is new.
+    pub(crate) fn merge(
+        &mut self,
+        refused: RefusedPart,
+        state: RefusalState,
+        limit: usize,
+    ) -> bool {
+        if let Some(known) = self.states.get_mut(&refused) {
+            known.last_seen = known.last_seen.max(state.last_seen);
+            known.crashes = known.crashes.max(state.crashes);
+            let is_new = state.withdrawn && !known.withdrawn;
+            known.withdrawn |= state.withdrawn;
+            return is_new;
+        }
+        self.states.insert(refused, state);
+        if self.states.len() > limit {
+            let rank = |entry: &(&RefusedPart, &RefusalState)| (entry.1.last_seen, *entry.0);
+            let oldest = self.states.iter().min_by_key(rank).map(|(refused, _)| *refused);
+            if let Some(oldest) = oldest {
+                self.states.remove(&oldest);
+            }
+        }
+        self.states.contains_key(&refused)
+    }
+
+    /// Ends the refusals of the given parts. Returns those that ended.
+    pub(crate) fn withdraw(&mut self, parts: &[Digest]) -> Vec<RefusedPart> {
+        let applying = self
+            .states
+            .iter_mut()
+            .filter(|(refused, state)| !state.withdrawn && parts.contains(&refused.part));
+        applying
+            .map(|(refused, state)| {
+                state.withdrawn = true;
+                *refused
+            })
+            .collect()
+    }
+
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        self.states.retain(|_, state| now.since(state.last_seen) < REFUSAL_LIFETIME);
+    }
+}
--- a/crates/fleet/src/crash_cause.rs
+++ b/crates/crashes/src/request_cause.rs
@@ -7,10 +7,9 @@
     time::Duration,
 };
 
-use types::{Digest, UpstreamName};
+use types::Digest;
 
-/// One process of an engine: the engine's name and incarnation.
-pub type EngineProcess = (UpstreamName, u64);
+use crate::EngineProcess;
 
 /// The engine processes that crashed while they ran a request, each with the time for which the
 /// request had run there, if it is known.
--- a/crates/fleet/tests/crash_cause.rs
+++ b/crates/crashes/tests/request_cause.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use fleet::crash_cause::{CrashedRuns, is_poison};
+use crashes::{CrashedRuns, is_poison};
 use proptest::prelude::*;
 use types::{Digest, UpstreamName};
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,8 +2,7 @@
 //! changes to the configuration of the fleet.
 //!
 //! Purpose: hold the configuration in force and the facts that nodes exchange: the members, the
-//! upstreams that are leaving, and the crashes of upstreams during requests; decide which request
-//! caused crashes; plan which layers engines are ordered to load; change the stored configuration
+//! upstreams that are leaving, and the crashes of upstreams during requests; plan which layers engines are ordered to load; change the stored configuration
 //! for operators.
 //!
 //! Invariants: the configuration's revision never decreases and grows by one with each accepted
@@ -14,7 +13,6 @@
 
 mod change;
 mod config;
-pub mod crash_cause;
 mod diff;
 pub mod edit;
 mod fact;
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -4,13 +4,11 @@
     time::Duration,
 };
 
+use crashes::CrashedRuns;
 use types::{Digest, NodeName, UpstreamName};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::{
-    Crash, CrashId, Fact, LeavingMark, LeavingSource, Member, MemberState, RunTime,
-    crash_cause::{self, CrashedRuns},
-};
+use crate::{Crash, CrashId, Fact, LeavingMark, LeavingSource, Member, MemberState, RunTime};
 
 /// Largest number of members in a table; a full table drops those whose names are last in order.
 /// The fleet is designed for 400 nodes.
@@ -222,12 +220,12 @@
     /// request explains these crashes. `limit` is the number of crashes from which a request may be
     /// refused.
     pub fn is_poison(&self, fingerprint: Digest, limit: usize) -> bool {
-        crash_cause::is_poison(&self.crashed_runs(), fingerprint, limit)
+        crashes::is_poison(&self.crashed_runs(), fingerprint, limit)
     }
 
     /// Whether another request ran on an engine process that crashed during this one.
     pub fn shares_crash(&self, fingerprint: Digest) -> bool {
-        crash_cause::shares_crash(&self.crashed_runs(), fingerprint)
+        crashes::shares_crash(&self.crashed_runs(), fingerprint)
     }
 
     /// When the newest crash of a request that is not cleared was recorded, in milliseconds since
