Refuse requests with a part of a prompt that crashes engines, on all nodes

Cause: a node counted crashes by the fingerprint of a whole request, only when the connection to the entry upstream broke. No two requests with the part are alike, so no count reached two.

Each attempt is remembered with the processes of its engines until its answer begins, and for 4 s after it fails, since calls that wait for a dead engine are cut off after 3 s. When a process is found to have ended (a refused probe, a refused call, another incarnation, or an engine named in a refusal that then refuses a probe), the attempts on it are its suspects; each takes part in one crash. Nodes send crashes, answers that began and refused parts to all others at once, and repeat them to two nodes a second. A request with a refused part is refused as not run (503): it was not sent, and 502 would say less than is known. A stream that broke before it began waits 30 ms for the probe of its upstream before it is sent again, so that a retry does not crash another engine unnoticed. The field `crashes` of the beacons goes.

--- a/crates/callers/src/routed.rs
+++ b/crates/callers/src/routed.rs
@@ -4,7 +4,7 @@
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Method};
 use transport::{Body, RequestBody};
-use types::{Failure, RequestId};
+use types::{Digest, Failure, RequestId};
 
 /// A request that is routed by its host and path.
 pub struct RoutedRequest {
@@ -28,6 +28,9 @@
     pub deadline: Option<Duration>,
     /// Number of tokens, for a request that generates text with a model.
     pub generation: Option<GenerationSize>,
+    /// Identifiers of the parts of the prompt that other requests may have as well, in the order of
+    /// the prompt.
+    pub shared_parts: Arc<[Digest]>,
     /// Number of the last event that the caller received, if it resumes a stream.
     pub resume_after: Option<u64>,
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use types::{Stage, UpstreamName};
 
-use crate::{Gateway, lifecycle::ActiveRequest};
+use crate::{Gateway, crashes::RunGuard, lifecycle::ActiveRequest};
 
 /// Share of an engine's KV cache capacity, which is what the weights leave of its memory, that may
 /// be reserved for requests. The rest is left for requests that other nodes have admitted since
@@ -68,6 +68,8 @@
     /// Whether the attempt may be abandoned because an engine is very slow and a better path
     /// exists.
     pub(crate) may_leave_slow: bool,
+    /// Counts the attempt as one that may crash its upstreams.
+    pub(crate) run: RunGuard,
     /// Counts the request in the load table for as long as the selection exists.
     pub(crate) _reservation: Reservation,
 }
@@ -156,11 +158,26 @@
     Full,
     /// No upstream can serve the request.
     NoUpstream,
+    /// The request would crash its upstreams.
+    Poison,
 }
 
 impl ActiveRequest {
     /// Chooses the upstreams for an attempt, and waits for capacity if there is none.
     pub(crate) async fn admit(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
+        self.wait_for_crash_check().await;
+        if self.refusal().is_some() {
+            return Err(NoSelection::Poison);
+        }
+        let selection = self.select(query).await?;
+        // A part of the prompt may have been refused while the request waited.
+        if self.refusal().is_some() {
+            return Err(NoSelection::Poison);
+        }
+        Ok(selection)
+    }
+
+    async fn select(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         let gateway = &self.gateway;
         if query.is_resumed || gateway.wait_queue.is_empty() {
             match self.choose(query) {
@@ -354,6 +371,7 @@
         let gateway = self.gateway.clone();
         gateway.load.borrow_mut().add(&loads);
         let client = gateway.client(&upstream);
+        let run = self.start_run(&upstream, &stages);
         let _reservation = Reservation { gateway, loads };
         Selection {
             upstream,
@@ -361,6 +379,7 @@
             stages,
             next_entries: Vec::new(),
             may_leave_slow: false,
+            run,
             _reservation,
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! The result of an attempt, and whether the request may be retried.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use http::StatusCode;
 use transport::CallError;
@@ -8,7 +8,6 @@
 use upstreams::UpstreamResponse;
 
 use crate::{
-    Gateway,
     admission::{Selection, SelectionQuery},
     lifecycle::{ActiveRequest, is_retry_safe},
 };
@@ -29,8 +28,6 @@
 
 /// Time for which a replica of a plain service is avoided after its response was lost or malformed.
 const AVOID_AFTER_BAD_RESPONSE: Duration = Duration::from_millis(500);
-/// Delay between a broken connection and the probe that tells whether its upstream has crashed.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
 
 /// The attempts of a request so far.
 #[derive(Default)]
@@ -73,24 +70,6 @@
     }
 }
 
-/// Counts a crash for a request if its upstream can no longer be reached. A broken connection alone
-/// is not counted: links break too, and distinct requests may have equal content and thus one
-/// fingerprint.
-async fn confirm_crash(
-    gateway: Rc<Gateway>,
-    name: UpstreamName,
-    client: Rc<dyn upstreams::UpstreamClient>,
-    fingerprint: u64,
-) {
-    gateway.clock.sleep(CRASH_CHECK_DELAY).await;
-    if let Err(error) = client.probe().await {
-        gateway.mark_failed(&name, &error.to_string());
-        let now = gateway.clock.now();
-        gateway.crashes.borrow_mut().record_crash(fingerprint, now);
-        tracing::info!(fingerprint, %error, "upstream crashed while it ran a request");
-    }
-}
-
 impl ActiveRequest {
     /// Records a failed attempt. Returns whether the request may be retried, and if so takes a
     /// retry from the budget.
@@ -143,7 +122,7 @@
     fn take_retry(&self, verdict: Verdict) -> bool {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
-        let is_poison = gateway.crashes.borrow().is_poison(self.fingerprint, now);
+        let is_poison = self.refusal().is_some();
         let allowed =
             !is_poison && is_retry_safe(self.route.retry, verdict) && !self.time_left().is_zero();
         if !allowed {
@@ -162,11 +141,12 @@
     /// Records that an upstream answered the request.
     pub(crate) fn record_success(&self, selection: &Selection) {
         self.gateway.health.borrow_mut().record_success(&selection.upstream.name);
-        self.gateway.crashes.borrow_mut().clear(self.fingerprint);
+        self.record_answer(selection);
     }
 
     /// Records that all engines of a path have accepted the request.
     pub(crate) fn record_path_acceptance(&self, selection: &Selection) {
+        self.record_begin(selection);
         let mut health = self.gateway.health.borrow_mut();
         for stage in &selection.stages {
             health.record_acceptance(&stage.engine);
@@ -179,7 +159,10 @@
         let gateway = &self.gateway;
         let upstream = &selection.upstream;
         match error {
-            CallError::Refused => gateway.report_failure(&upstream.name, &error.to_string()),
+            CallError::Refused => {
+                gateway.observe_crash(upstream);
+                gateway.report_failure(&upstream.name, &error.to_string());
+            }
             CallError::Connect(_) | CallError::ConnectTimeout => {
                 gateway.mark_failed(&upstream.name, &error.to_string());
             }
@@ -199,13 +182,7 @@
             _ => {}
         }
         if matches!(error, CallError::Broken(_)) {
-            let confirm = confirm_crash(
-                gateway.clone(),
-                upstream.name.clone(),
-                selection.client.clone(),
-                self.fingerprint,
-            );
-            compio::runtime::spawn(confirm).detach();
+            self.check_crash(selection);
         }
     }
 
@@ -217,6 +194,7 @@
             Some(name) => name,
             None => selection.upstream.name.clone(),
         };
+        self.record_refused_run(selection, &name);
         let catalog = gateway.catalog.borrow();
         let Some(upstream) = catalog.upstream(&name) else { return };
         let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
--- a/crates/gateway/src/audience.rs
+++ b/crates/gateway/src/audience.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Up to `count` other nodes, chosen at random.
+    pub(crate) fn random_nodes(&self, count: usize) -> Audience {
+        let members = self.members.borrow();
+        let addrs = members.values().map(|member| member.addr);
+        Audience { direct: addrs.choose_multiple(&mut rand::rng(), count), relays: Vec::new() }
+    }
+
     /// The other nodes of this node's failure domain.
     pub(crate) fn own_domain(&self) -> Audience {
         let members = self.members.borrow();
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -154,6 +154,7 @@
             NoSelection::NoUpstream => {
                 (FailureKind::Unavailable, "no upstream can serve the request")
             }
+            NoSelection::Poison => return self.refuse_poison(attempts),
         };
         self.give_up(attempts, kind, message)
     }
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -5,6 +5,7 @@
 
 use catalog::{CatalogCodec, CatalogState};
 use clock::Clock;
+use crashes::CrashTable;
 use keyvalue::RevisionStore;
 use pipelines::{HealthTable, LoadTable};
 use settings::EdgeSettings;
@@ -12,7 +13,7 @@
 use upstreams::Connector;
 
 use crate::{
-    Gateway, admission::WaitQueue, crashes::CrashTable, metrics::Metrics, updates::Outbox,
+    Gateway, admission::WaitQueue, crashes::RunTable, metrics::Metrics, updates::Outbox,
     wakeup::Wakeup,
 };
 
@@ -61,6 +62,7 @@
             retry_budgets: RefCell::default(),
             wait_queue: WaitQueue::default(),
             crashes: RefCell::new(CrashTable::default()),
+            runs: RunTable::default(),
             members: RefCell::default(),
             metrics: Metrics::new(),
             store_lost_at: Cell::new(None),
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,58 +1,348 @@
-use std::{collections::HashMap, time::Duration};
+//! Finds out which requests an engine was running when its process crashed, and refuses requests
+//! that crash engines. The decision is that of [`crashes::CrashTable`]; this module observes, asks
+//! and tells the other nodes.
 
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hasher},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use callers::RoutedFailure;
+use catalog::{Phase, Upstream};
 use clock::Timestamp;
+use crashes::{
+    Applied, CrashNote, EngineProcess, Refusal, RefusalSource, RefusedPart, RequestParts, Suspect,
+};
+use transport::CallError;
+use types::{Digest, Failure, FailureKind, Organisation, Stage, UpstreamName, Verdict};
+
+use crate::{
+    Gateway,
+    admission::Selection,
+    attempt::Attempts,
+    lifecycle::ActiveRequest,
+    refused_parts::{describe, log_refusal, log_withdrawal},
+};
 
-/// Upstream crashes during a request after which the request is refused.
-const CRASH_LIMIT: u32 = 2;
-/// Time for which a request is remembered after its last crash.
-const CRASH_LIFETIME: Duration = Duration::from_secs(60);
-/// Most requests that are remembered. Crashes are rare; the limit only bounds memory use.
-const MAX_ENTRIES: usize = 256;
+/// Time for which an attempt that has failed is remembered. Calls that wait for a crashed engine
+/// are cut off after three seconds, at times before the crash is noticed.
+const ENDED_LIFETIME: Duration = Duration::from_secs(4);
+/// Delay between a broken connection and the probe that tells whether its upstream has crashed.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Time from a broken connection until the result of that probe is known.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(30);
 
-/// Number of upstreams that crashed during a request, by the request's fingerprint.
-#[derive(Debug, Default)]
-pub(crate) struct CrashTable {
-    entries: HashMap<u64, (u32, Timestamp)>,
+/// The attempts that may have been running when an engine of theirs crashed: those that are in
+/// flight and whose answer has not begun, and those that have failed lately.
+#[derive(Default)]
+pub(crate) struct RunTable {
+    runs: RefCell<HashMap<u64, Run>>,
+    next_id: Cell<u64>,
 }
 
-impl CrashTable {
-    /// Counts a crash that this node has observed.
-    pub(crate) fn record_crash(&mut self, fingerprint: u64, now: Timestamp) {
-        self.expire(now);
-        if self.entries.len() < MAX_ENTRIES {
-            let entry = self.entries.entry(fingerprint).or_insert((0, now));
-            *entry = (entry.0 + 1, now);
+struct Run {
+    parts: RequestParts,
+    processes: Vec<EngineProcess>,
+    started: Timestamp,
+    ended: Option<Timestamp>,
+}
+
+/// Keeps an attempt in the [`RunTable`].
+pub(crate) struct RunGuard {
+    gateway: Rc<Gateway>,
+    id: u64,
+}
+
+impl RunGuard {
+    /// Removes the attempt: its answer has begun, or it has not run.
+    fn remove(&self) {
+        self.gateway.runs.runs.borrow_mut().remove(&self.id);
+    }
+
+    /// Keeps only one engine of the attempt's path as one that may have crashed.
+    fn keep_only(&self, name: &UpstreamName) {
+        if let Some(run) = self.gateway.runs.runs.borrow_mut().get_mut(&self.id) {
+            run.processes.retain(|(engine, _)| engine == name);
         }
     }
+}
 
-    /// Raises the number of crashes to the one that another node has announced.
-    pub(crate) fn merge(&mut self, fingerprint: u64, crashes: u32, now: Timestamp) {
-        if self.entries.len() < MAX_ENTRIES || self.entries.contains_key(&fingerprint) {
-            let entry = self.entries.entry(fingerprint).or_insert((0, now));
-            if crashes > entry.0 {
-                *entry = (crashes, now);
-            }
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        let mut runs = self.gateway.runs.runs.borrow_mut();
+        if let Some(run) = runs.get_mut(&self.id) {
+            run.ended = Some(now);
+        }
+        runs.retain(|_, run| run.ended.is_none_or(|ended| now.since(ended) < ENDED_LIFETIME));
+    }
+}
+
+impl RunTable {
+    /// Removes the attempts that were sent to `process` before `crashed_at`, and returns their
+    /// requests. An attempt takes part in one crash at most, because engines that fail together, as
+    /// in the loss of a failure domain, are one event.
+    fn take_suspects(&self, process: &EngineProcess, crashed_at: Timestamp) -> Vec<Suspect> {
+        let taken =
+            |_: &u64, run: &mut Run| run.processes.contains(process) && run.started <= crashed_at;
+        let mut runs = self.runs.borrow_mut();
+        let suspects = runs.extract_if(taken);
+        suspects.map(|(_, run)| Suspect { parts: run.parts, started: run.started }).collect()
+    }
+}
+
+/// The parts of a request. Digests are the same on every node.
+pub(crate) fn request_parts(
+    organisation: Option<&Organisation>,
+    shared: Arc<[Digest]>,
+    target: &str,
+    body: &Bytes,
+) -> RequestParts {
+    let name = organisation.map_or("", |name| name.as_str()).as_bytes();
+    RequestParts {
+        organisation: short_digest(&[name]),
+        shared,
+        fingerprint: short_digest(&[name, target.as_bytes(), body]),
+    }
+}
+
+/// A digest of 64 bits, which is short in a datagram.
+fn short_digest(parts: &[&[u8]]) -> Digest {
+    // The default hasher without a random seed gives the same result in all processes of one
+    // release.
+    let mut hasher = BuildHasherDefault::<DefaultHasher>::default().build_hasher();
+    for part in parts {
+        hasher.write(part);
+        hasher.write_u8(0);
+    }
+    Digest(u128::from(hasher.finish()))
+}
+
+impl ActiveRequest {
+    /// Remembers an attempt until its answer begins.
+    pub(crate) fn start_run(&self, upstream: &Upstream, stages: &[Stage]) -> RunGuard {
+        let gateway = self.gateway.clone();
+        let catalog = gateway.catalog.borrow();
+        let later = stages.iter().filter_map(|stage| catalog.upstream(&stage.engine));
+        let engines = later.map(|engine| (engine.name.clone(), engine.incarnation));
+        let mut processes: Vec<EngineProcess> = engines.collect();
+        if processes.is_empty() {
+            processes.push((upstream.name.clone(), upstream.incarnation));
+        }
+        drop(catalog);
+        let id = gateway.runs.next_id.get();
+        gateway.runs.next_id.set(id + 1);
+        // A request whose answer has begun elsewhere does not crash engines by its prompt.
+        if !self.has_begun.get() {
+            let (parts, started) = (self.parts.clone(), gateway.clock.now());
+            let run = Run { parts, processes, started, ended: None };
+            gateway.runs.runs.borrow_mut().insert(id, run);
+        }
+        RunGuard { gateway, id }
+    }
+
+    /// Records that the answer has begun, which shows that the prompt crashes no engine.
+    pub(crate) fn record_begin(&self, selection: &Selection) {
+        selection.run.remove();
+        if !self.has_begun.replace(true) {
+            let notes = self.gateway.crashes.borrow_mut().record_begin(&self.parts);
+            self.gateway.tell_crash_notes(notes);
+        }
+    }
+
+    /// Records that the request was answered.
+    pub(crate) fn record_answer(&self, selection: &Selection) {
+        selection.run.remove();
+        let notes = self.gateway.crashes.borrow_mut().record_success(&self.parts);
+        self.gateway.tell_crash_notes(notes);
+    }
+
+    /// Records that an attempt was refused, by `refusing_engine` if that is another one than the
+    /// entry upstream. The request did not run, but it may have crashed that engine.
+    pub(crate) fn record_refused_run(&self, selection: &Selection, refusing: &UpstreamName) {
+        if *refusing == selection.upstream.name {
+            selection.run.remove();
+            return;
+        }
+        selection.run.keep_only(refusing);
+        self.gateway.check_engine(refusing);
+    }
+
+    /// Why the request must not be sent any more, if so.
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
+        self.gateway.check_parts(&self.parts)
+    }
+
+    /// The failure of a request that is refused because it would crash its upstreams.
+    pub(crate) fn refuse_poison(&self, attempts: &Attempts) -> RoutedFailure {
+        let Some(refusal) = self.refusal() else {
+            return self.give_up(attempts, FailureKind::Upstream, "upstreams have crashed");
+        };
+        let mut routed = self.gateway.poison_failure(&refusal);
+        if attempts.verdict() != Verdict::NotRun {
+            routed.failure.verdict = Verdict::MayHaveRun;
         }
+        self.log.set_reason(&routed.failure.message);
+        self.log.end("refused", routed.failure.verdict, 0);
+        routed
     }
 
-    /// Forgets a request that was answered: it did not cause the crash.
-    pub(crate) fn clear(&mut self, fingerprint: u64) {
-        self.entries.remove(&fingerprint);
+    /// Waits until it is known whether the last attempt has crashed its upstream.
+    pub(crate) async fn wait_for_crash_check(&self) {
+        if let Some(until) = self.crash_check.take() {
+            let clock = &self.gateway.clock;
+            clock.sleep(until.since(clock.now())).await;
+        }
     }
 
-    /// Whether too many upstreams have crashed during a request for it to be sent again.
-    pub(crate) fn is_poison(&self, fingerprint: u64, now: Timestamp) -> bool {
-        self.entries
-            .get(&fingerprint)
-            .is_some_and(|(count, last)| *count >= CRASH_LIMIT && now.since(*last) < CRASH_LIFETIME)
+    /// Starts a check whether the upstream of a broken call has crashed. A broken connection alone
+    /// is no crash: links break too, and distinct requests may have equal content and thus one
+    /// fingerprint.
+    pub(crate) fn check_crash(&self, selection: &Selection) {
+        let gateway = self.gateway.clone();
+        if !self.has_begun.get() {
+            self.crash_check.set(Some(gateway.clock.now() + CRASH_CHECK_TIME));
+        }
+        let check = confirm_crash(
+            gateway,
+            selection.upstream.clone(),
+            selection.client.clone(),
+            self.parts.clone(),
+        );
+        compio::runtime::spawn(check).detach();
+    }
+}
+
+/// Records a crash of an upstream that can no longer be reached after a call to it broke.
+async fn confirm_crash(
+    gateway: Rc<Gateway>,
+    upstream: Arc<Upstream>,
+    client: Rc<dyn upstreams::UpstreamClient>,
+    parts: RequestParts,
+) {
+    let broken_at = gateway.clock.now();
+    gateway.clock.sleep(CRASH_CHECK_DELAY).await;
+    let Err(error) = client.probe().await else { return };
+    gateway.mark_failed(&upstream.name, &error.to_string());
+    if matches!(error, CallError::Refused) {
+        gateway.observe_crash(&upstream);
+    }
+    // Counted for the request itself also if its answer had begun, or if the upstream may only be
+    // out of reach.
+    let parts = RequestParts { shared: Arc::default(), ..parts };
+    let process = (upstream.name.clone(), upstream.incarnation);
+    gateway.record_crash(process, vec![Suspect { parts, started: broken_at }]);
+}
+
+impl Gateway {
+    /// Records that an engine's process has ended although it was not about to leave.
+    pub(crate) fn observe_crash(&self, upstream: &Upstream) {
+        let process = (upstream.name.clone(), upstream.incarnation);
+        // An engine whose entry is gone or says that it is leaving stops in an orderly way.
+        let known = self.catalog.borrow().upstream(&upstream.name).cloned();
+        if known.is_some_and(|known| known.phase == Phase::Serving) {
+            self.report_suspects(process);
+        }
+    }
+
+    /// Records that another process runs under the name of an engine that was not about to leave.
+    pub(crate) fn observe_restart(&self, before: &Upstream) {
+        if before.phase == Phase::Serving {
+            self.report_suspects((before.name.clone(), before.incarnation));
+        }
+    }
+
+    /// Records the requests of this node that a crashed process was running.
+    fn report_suspects(&self, process: EngineProcess) {
+        let now = self.clock.now();
+        let crashed_at = self.crashes.borrow().crashed_at(&process).unwrap_or(now);
+        let suspects = self.runs.take_suspects(&process, crashed_at);
+        if !suspects.is_empty() {
+            self.record_crash(process, suspects);
+        }
+    }
+
+    fn record_crash(&self, process: EngineProcess, suspects: Vec<Suspect>) {
+        let now = self.clock.now();
+        let requests = suspects.len();
+        let is_known = self.crashes.borrow().crashed_at(&process).is_some();
+        let note = self.crashes.borrow_mut().record_crash(process.clone(), suspects, now);
+        let Some(note) = note else { return };
+        let (upstream, boot) = process;
+        if is_known {
+            tracing::debug!(%upstream, boot, requests, "crashed upstream ran further requests");
+        } else {
+            tracing::info!(%upstream, boot, requests, "upstream crashed while it ran requests");
+        }
+        self.outbox.push_crash_notes([note]);
+        self.decide_on_crashes();
+    }
+
+    /// Refuses the parts that explain the crashes known so far.
+    fn decide_on_crashes(&self) {
+        let now = self.clock.now();
+        let decisions = self.crashes.borrow_mut().decide(now);
+        self.tell_crash_notes(decisions);
+    }
+
+    /// Logs what this node has found out, and tells the other nodes.
+    fn tell_crash_notes(&self, notes: Vec<CrashNote>) {
+        for note in &notes {
+            if let CrashNote::Refused { part, organisation, crashes, withdrawn, .. } = *note {
+                let refused = RefusedPart { part, organisation };
+                if withdrawn {
+                    log_withdrawal(&refused);
+                } else {
+                    log_refusal(&refused, crashes, RefusalSource::Decision);
+                }
+                self.metrics.refused_parts.inc();
+                self.outbox.push_refused_part(refused);
+            }
+        }
+        self.outbox.push_crash_notes(notes);
+    }
+
+    /// Applies the notes of another node.
+    pub(crate) fn apply_crash_notes(&self, notes: Vec<CrashNote>) {
+        let now = self.clock.now();
+        let mut has_new = false;
+        for note in notes {
+            let applied = self.crashes.borrow_mut().apply(note, RefusalSource::Peer, now);
+            has_new |= applied != Applied::Known;
+            match applied {
+                Applied::Crash(process, _) => self.report_suspects(process),
+                Applied::Refused(refused) => {
+                    let crashes = self.crashes.borrow().refused_crashes(&refused);
+                    log_refusal(&refused, crashes.unwrap_or_default(), RefusalSource::Peer);
+                }
+                Applied::Withdrawn(refused) => log_withdrawal(&refused),
+                Applied::Known | Applied::Begun => {}
+            }
+        }
+        if has_new {
+            self.decide_on_crashes();
+        }
     }
 
-    /// Fingerprints of the remembered requests, each with its number of crashes.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (u64, u32)> {
-        self.entries.iter().map(|(fingerprint, (count, _))| (*fingerprint, *count))
+    /// The failure of a request that would crash its upstreams. One that is sent again has run
+    /// before; one that only shares a part with others has not.
+    pub(crate) fn poison_failure(&self, refusal: &Refusal) -> RoutedFailure {
+        let (cause, verdict) = match refusal {
+            Refusal::Request { .. } => ("request", Verdict::MayHaveRun),
+            Refusal::Part { .. } => ("part", Verdict::NotRun),
+        };
+        self.metrics.poison.with_label_values(&[cause]).inc();
+        Failure::new(FailureKind::Poison, verdict, describe(refusal)).into()
     }
 
-    fn expire(&mut self, now: Timestamp) {
-        self.entries.retain(|_, (_, last)| now.since(*last) < CRASH_LIFETIME);
+    /// Why a request with these parts must not be sent, if so.
+    pub(crate) fn check_parts(&self, parts: &RequestParts) -> Option<Refusal> {
+        let now = self.clock.now();
+        self.crashes.borrow_mut().check(parts, now)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! chosen upstreams; the response is forwarded, a failed attempt is retried or resumed, and the
 //! request ends with a verdict and one log line. There is one background task each to watch the
 //! key-value service, to keep the node registered there, to exchange datagrams with the other
-//! nodes, and to plan: the planner orders engines to load layers.
+//! nodes, to store refused parts of prompts, and to plan: the planner orders engines to load
+//! layers.
 //!
 //! Invariants: a request that may not be repeated is sent again only if it has not run; each event
 //! of a stream reaches the caller once and in order; a truncated response is never presented as
@@ -35,6 +36,7 @@
 mod outcome;
 mod peering;
 mod planner;
+mod refused_parts;
 mod run;
 mod store;
 mod stream;
@@ -46,5 +48,6 @@
 pub use node::Gateway;
 pub use peering::{exchange_datagrams, register};
 pub use planner::run_planner;
+pub use refused_parts::store_refused_parts;
 pub use run::serve;
 pub use store::watch_store;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -1,16 +1,12 @@
 //! Processes a request from its arrival to its verdict.
 
-use std::{
-    hash::{BuildHasher, Hasher},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use callers::{RoutedFailure, RoutedRequest, RoutedResponse, Router};
 use catalog::{Access, ModelProfile, RetryPolicy, Route, RoutingTable};
 use clock::Timestamp;
+use crashes::RequestParts;
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderMap, Method, StatusCode, header};
 use rand::Rng;
@@ -18,7 +14,7 @@
 use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
 use upstreams::Call;
 
-use crate::{Gateway, admission::Selection, outcome::OutcomeLog};
+use crate::{Gateway, admission::Selection, crashes::request_parts, outcome::OutcomeLog};
 
 /// Longest time for a request that states no deadline, if the timeout of its route is longer.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -59,8 +55,12 @@
     /// Number of the last event that the caller already has.
     pub(crate) resume_after: Option<u64>,
     pub(crate) deadline: Timestamp,
-    /// Hash that is the same for all attempts of a request.
-    pub(crate) fingerprint: u64,
+    /// What tells it apart from other requests when engines crash.
+    pub(crate) parts: RequestParts,
+    /// Whether the answer has begun.
+    pub(crate) has_begun: Cell<bool>,
+    /// When it is known whether the last attempt has crashed its upstream.
+    pub(crate) crash_check: Cell<Option<Timestamp>>,
     pub(crate) log: OutcomeLog,
 }
 
@@ -181,11 +181,10 @@
             return Err(reject(RoutedFailure::retry_after(failure, UNCONFIGURED_RETRY_AFTER)));
         };
         let organisation = access.as_ref().map(|access| access.organisation.clone());
-        let fingerprint = fingerprint(organisation.as_ref(), &request.target, &body);
-        if self.crashes.borrow().is_poison(fingerprint, arrived) {
-            let message = "upstreams have crashed while they ran this request";
-            let failure = Failure::new(FailureKind::Poison, Verdict::MayHaveRun, message);
-            return Err(reject(failure.into()));
+        let shared = request.shared_parts;
+        let parts = request_parts(organisation.as_ref(), shared, &request.target, &body);
+        if let Some(refusal) = self.check_parts(&parts) {
+            return Err(reject(self.poison_failure(&refusal)));
         }
         self.retry_budget(&service).count_request(arrived);
         let tokens = request.generation.map_or(0, |generation| {
@@ -211,7 +210,9 @@
             tokens,
             resume_after: request.resume_after,
             deadline,
-            fingerprint,
+            parts,
+            has_begun: Cell::new(false),
+            crash_check: Cell::new(None),
         })
     }
 }
@@ -258,20 +259,6 @@
     }
 }
 
-/// A hash that is the same on every node for each attempt of a request.
-fn fingerprint(organisation: Option<&Organisation>, target: &str, body: &Bytes) -> u64 {
-    // The default hasher without a random seed gives the same result in all processes of one
-    // release.
-    let mut hasher =
-        std::hash::BuildHasherDefault::<std::hash::DefaultHasher>::default().build_hasher();
-    hasher.write(organisation.map_or("", |name| name.as_str()).as_bytes());
-    hasher.write_u8(0);
-    hasher.write(target.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(body);
-    hasher.finish()
-}
-
 impl Router for Gateway {
     fn route(
         self: Rc<Self>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,10 @@
     pub(crate) events: IntCounter,
     /// Times that an upstream was marked as failing.
     pub(crate) suspicions: IntCounter,
+    /// Requests refused because engines crash while they run them, by what is refused.
+    pub(crate) poison: IntCounterVec,
+    /// Times that this node refused a part of a prompt, or ended such a refusal.
+    pub(crate) refused_parts: IntCounter,
     /// Orders sent to engines, by outcome.
     pub(crate) orders: IntCounterVec,
     /// Version of the routing table in force.
@@ -60,6 +64,16 @@
                 "Times that an upstream was found to fail",
             )
             .expect("counter is valid"),
+            poison: counter_vec(
+                "gypsumrack_poison_requests_total",
+                "Requests refused because upstreams crash while they run them",
+                &["cause"],
+            ),
+            refused_parts: IntCounter::new(
+                "gypsumrack_refused_parts_total",
+                "Decisions to refuse a part of a prompt, or to refuse it no longer",
+            )
+            .expect("counter is valid"),
             orders: counter_vec("gypsumrack_orders_total", "Orders to engines", &["outcome"]),
             table_version: IntGauge::new(
                 "gypsumrack_table_version",
@@ -86,12 +100,14 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(self.requests.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.resends.clone()),
             Box::new(self.events.clone()),
             Box::new(self.suspicions.clone()),
+            Box::new(self.poison.clone()),
+            Box::new(self.refused_parts.clone()),
             Box::new(self.orders.clone()),
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -15,8 +15,10 @@
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
 use upstreams::Connector;
 
+use crashes::CrashTable;
+
 use crate::{
-    admission::WaitQueue, crashes::CrashTable, metrics::Metrics, peering::Member,
+    admission::WaitQueue, crashes::RunTable, metrics::Metrics, peering::Member,
     stream_probe::ProbeTimes, updates::Outbox, wakeup::Wakeup,
 };
 
@@ -43,7 +45,9 @@
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     pub(crate) wait_queue: WaitQueue,
+    /// Crashes of engines, and the parts of prompts that are refused for them.
     pub(crate) crashes: RefCell<CrashTable>,
+    pub(crate) runs: RunTable,
     /// The other nodes that are registered in the key-value service.
     pub(crate) members: RefCell<BTreeMap<NodeName, Member>>,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -38,7 +38,7 @@
 /// Time for which an engine's report that it is slow is repeated in beacons. It is long enough to
 /// include a beacon to nodes of other failure domains.
 const SLOW_REPORT_LIFETIME: Duration = Duration::from_secs(2);
-/// Most failing upstreams, slow engines, loaded layers and crashes, of each kind, in one beacon.
+/// Most failing upstreams, slow engines and loaded layers, of each kind, in one beacon.
 const MAX_REPORTS: usize = 8;
 
 /// Another node, as described by its entry in the key-value service.
@@ -124,7 +124,6 @@
             failing: failing.collect(),
             slow: self.slow_engines(),
             loaded: self.unregistered_layers(),
-            crashes: self.crashes.borrow().iter().take(MAX_REPORTS).collect(),
         }
     }
 
@@ -176,6 +175,7 @@
                     spawn(self.clone().check_failure(name, incarnation)).detach();
                 }
             }
+            Datagram::Crashes(notes) => self.apply_crash_notes(notes),
             Datagram::RelayBeacon(beacon) => {
                 self.apply_beacon(beacon.clone());
                 return Some(Datagram::Beacon(beacon));
@@ -205,9 +205,6 @@
         let node = beacon.node.clone();
         self.observe_table_version(beacon.table_version);
         self.load.borrow_mut().set_peer(beacon.node, reserved, now);
-        for (fingerprint, crashes) in beacon.crashes {
-            self.crashes.borrow_mut().merge(fingerprint, crashes, now);
-        }
         for (name, incarnation, percent) in beacon.slow {
             self.health.borrow_mut().set_slowdown(
                 &name,
@@ -281,7 +278,6 @@
         let lifetime = MIN_LOAD_LIFETIME.max(interval * remote_rounds * MAX_LOST_BEACONS);
         gateway.load.borrow_mut().expire(gateway.clock.now(), lifetime);
         let beacon = gateway.beacon();
-        // A count of crashes alone does not cause a beacon.
         let is_idle = beacon.table_version == announced_table
             && beacon.loads.is_empty()
             && beacon.failing.is_empty()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,7 @@
 use peers::DatagramSocket;
 use transport::{Handler, Server, StopSignal};
 
-use crate::{Gateway, lifecycle::EXIT_MARGIN, peering, planner, store};
+use crate::{Gateway, lifecycle::EXIT_MARGIN, peering, planner, refused_parts, store};
 
 /// Time after the stop signal for which new connections are still accepted. The balancer probes
 /// once a second and takes a node out of service after two failed probes.
@@ -35,6 +35,7 @@
     spawn(peering::register(gateway.clone())).detach();
     spawn(peering::exchange_datagrams(gateway.clone(), socket)).detach();
     spawn(planner::run_planner(gateway.clone())).detach();
+    spawn(refused_parts::store_refused_parts(gateway.clone())).detach();
     spawn(stop_on_signal(gateway.clone(), stop)).detach();
     spawn(log_reloads()).detach();
     let serving = async {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,7 +9,7 @@
 use keyvalue::{Changes, Item, KvError};
 use types::UpstreamName;
 
-use crate::{Gateway, peering::NODE_PREFIX, planner::PLANNER_KEY};
+use crate::{Gateway, peering::NODE_PREFIX, planner::PLANNER_KEY, refused_parts::REFUSED_PREFIX};
 
 /// Delay before the next read after a failed one. It doubles with each further failure, up to
 /// [`MAX_RETRY_DELAY`] times [`Gateway::fleet_scale`].
@@ -138,6 +138,8 @@
         apply_table(gateway, item);
     } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
         gateway.apply_member(name, item.value.as_deref());
+    } else if let Some(rest) = item.key.strip_prefix(REFUSED_PREFIX) {
+        gateway.apply_refused_part(rest, item.value.as_deref());
     } else if item.key == PLANNER_KEY {
         gateway.planner_active.set(item.value.is_some());
     }
@@ -187,7 +189,7 @@
             true
         }
         (before, Some(upstream)) => {
-            let changed = before.is_none_or(|before| {
+            let changed = before.as_ref().is_none_or(|before| {
                 before.phase != upstream.phase
                     || before.layers != upstream.layers
                     || !before.is_same_incarnation(&upstream)
@@ -198,6 +200,10 @@
                     layers = upstream.layers.map(|layers| layers.to_string()),
                     boot = upstream.incarnation, "upstream has changed");
             }
+            if let Some(before) = before.filter(|before| before.incarnation < upstream.incarnation)
+            {
+                gateway.observe_restart(&before);
+            }
             changed
         }
         (None, None) => false,
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -178,6 +178,15 @@
 }
 
 impl Gateway {
+    /// Probes an engine that another one names as the cause of a refusal.
+    pub(crate) fn check_engine(self: &Rc<Self>, name: &UpstreamName) {
+        let now = self.clock.now();
+        if self.probes.borrow_mut().connection.take_turn(name, PROBE_INTERVAL, now) {
+            let names = vec![name.clone()];
+            compio::runtime::spawn(probe_connections(self.clone(), names)).detach();
+        }
+    }
+
     /// Decides at random whether this node is one of those that probe an engine in this interval.
     fn draw_prober(&self) -> bool {
         rand::rng().random::<f64>() < PROBING_NODES / self.node_count() as f64
@@ -191,7 +200,10 @@
         for _ in 0..PROBE_ATTEMPTS {
             match timeout(&*self.clock, PROBE_LIMIT, client.probe()).await {
                 Ok(Ok(())) => return Some(ProbeOutcome::Open),
-                Ok(Err(CallError::Refused)) => return Some(ProbeOutcome::Refused),
+                Ok(Err(CallError::Refused)) => {
+                    self.observe_crash(&upstream);
+                    return Some(ProbeOutcome::Refused);
+                }
                 Ok(Err(_)) | Err(_) => {}
             }
         }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -5,13 +5,19 @@
 
 use std::{cell::RefCell, ops::Range, rc::Rc, time::Duration};
 
-use futures_util::future::join;
+use crashes::{CrashNote, RefusedPart};
+use futures_util::future::{join, join3};
 use keyvalue::Item;
 use peers::{Datagram, DatagramSocket, StoreChange};
 use rand::Rng;
 use types::UpstreamName;
 
-use crate::{Gateway, audience::UPDATE_RELAYS, store, wakeup::Wakeup};
+use crate::{
+    Gateway,
+    audience::{Audience, UPDATE_RELAYS},
+    store,
+    wakeup::Wakeup,
+};
 
 /// Interval between two reads of the changes, as a share of the shortest time within which a change
 /// must be in force. It is drawn anew for each read, so that the nodes do not read at the same time
@@ -27,12 +33,23 @@
 /// Longest delay before changes are sent in a large domain.
 const MAX_SPREAD: Duration = Duration::from_millis(200);
 
+/// Time for which notes about crashes are collected in a small fleet before they are sent. A lost
+/// failure domain gives many at the same time.
+const CRASH_NOTE_DELAY: Duration = Duration::from_millis(10);
+/// Time between two repetitions of what a node knows about crashes, in a small fleet.
+const CRASH_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Nodes that get each repetition.
+const CRASH_REPEAT_NODES: usize = 2;
+
 /// Updates that this node has not sent to the other nodes yet.
 #[derive(Default)]
 pub(crate) struct Outbox {
     changes: UpdateQueue<StoreChange>,
     /// Failed upstreams, each with the incarnation that failed.
     failed: UpdateQueue<(UpstreamName, u64)>,
+    crash_notes: UpdateQueue<CrashNote>,
+    /// Parts of prompts whose entries in the key-value service may have to be written.
+    refused_parts: UpdateQueue<RefusedPart>,
 }
 
 /// Updates of one kind that wait to be sent.
@@ -73,6 +90,22 @@
         self.changes.push(StoreChange { key: key.into(), value, revision });
     }
 
+    /// Adds notes about crashes.
+    pub(crate) fn push_crash_notes(&self, notes: impl IntoIterator<Item = CrashNote>) {
+        notes.into_iter().for_each(|note| self.crash_notes.push(note));
+    }
+
+    /// Adds a part of prompts whose refusal has begun or ended.
+    pub(crate) fn push_refused_part(&self, refused: RefusedPart) {
+        self.refused_parts.push(refused);
+    }
+
+    /// Waits for parts whose refusal has begun or ended.
+    pub(crate) async fn refused_parts(&self) -> Vec<RefusedPart> {
+        self.refused_parts.wait().await;
+        self.refused_parts.take()
+    }
+
     /// Drops changes that another node has sent.
     fn drop_sent(&self, sent: &[StoreChange]) {
         self.changes.updates.borrow_mut().retain(|change| {
@@ -133,7 +166,8 @@
 
 /// Sends this node's updates to the other nodes.
 pub(crate) async fn send_updates(gateway: Rc<Gateway>, socket: Rc<DatagramSocket>) {
-    join(send_failures(&gateway, &socket), send_changes(&gateway, &socket)).await;
+    let crashes = join(send_crash_notes(&gateway, &socket), repeat_crash_notes(&gateway, &socket));
+    join3(send_failures(&gateway, &socket), send_changes(&gateway, &socket), crashes).await;
 }
 
 async fn send_failures(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
@@ -152,6 +186,39 @@
     }
 }
 
+/// Sends notes about crashes to all other nodes, those of a short interval together.
+async fn send_crash_notes(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
+    loop {
+        gateway.outbox.crash_notes.wait().await;
+        let scale = gateway.fleet_scale();
+        gateway.clock.sleep(CRASH_NOTE_DELAY.mul_f64(scale * scale)).await;
+        let notes = gateway.outbox.crash_notes.take();
+        send_notes(notes, &gateway.all_nodes_directly(), socket).await;
+    }
+}
+
+/// Repeats to a few other nodes what this node knows of crashes, for those that have missed it or
+/// have started since.
+async fn repeat_crash_notes(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
+    loop {
+        gateway.clock.sleep(CRASH_REPEAT_INTERVAL.mul_f64(gateway.fleet_scale())).await;
+        let notes = gateway.crashes.borrow().notes(gateway.clock.now());
+        if !notes.is_empty() {
+            send_notes(notes, &gateway.random_nodes(CRASH_REPEAT_NODES), socket).await;
+        }
+    }
+}
+
+async fn send_notes(notes: Vec<CrashNote>, audience: &Audience, socket: &DatagramSocket) {
+    let mut unsent = 0;
+    for datagram in Datagram::of_crash_notes(notes) {
+        unsent += audience.send(socket, datagram).await;
+    }
+    if unsent > 0 {
+        tracing::debug!(unsent, "notes about crashes could not be sent");
+    }
+}
+
 /// Sends changes after a random delay. Nodes often read the same changes at the same time; those
 /// that another node has sent meanwhile are not sent again.
 async fn send_changes(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
--- a/crates/gateway/tests/gateway/datagrams.rs
+++ b/crates/gateway/tests/gateway/datagrams.rs
@@ -173,7 +173,6 @@
         failing: Vec::new(),
         slow: Vec::new(),
         loaded: Vec::new(),
-        crashes: Vec::new(),
     };
     peer.send(&Datagram::Beacon(beacon), &[addr]).await;
     compio::time::sleep(DATAGRAM_TIME).await;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -63,6 +63,7 @@
             slow: Rc::default(),
             refuse_probes: Rc::default(),
             stopped: Rc::default(),
+            crashing_body: Rc::default(),
             orders: Rc::default(),
             endless_bytes: Rc::default(),
             clock: clock.clone(),
@@ -156,6 +157,7 @@
         body: RequestBody::from_bytes(Bytes::from_static(b"body"), clock),
         deadline: Some(Duration::from_millis(1000)),
         generation: Some(GenerationSize { prompt: 10, output: 10, output_hint: None }),
+        shared_parts: Vec::new().into(),
         resume_after: None,
     }
 }
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -58,6 +58,9 @@
     pub refuse_probes: Rc<Cell<bool>>,
     /// Upstreams that refuse connection probes because their process has stopped.
     pub stopped: Rc<RefCell<Vec<String>>>,
+    /// Start of the bodies of requests that crash the upstream which gets them. Its process has then
+    /// stopped.
+    pub crashing_body: Rc<Cell<Option<&'static str>>>,
     /// The engine that reports that it is slow, if any.
     pub slow: Rc<RefCell<Option<String>>>,
     /// Orders that engines received.
@@ -81,6 +84,7 @@
             slow: self.slow.clone(),
             refuse_probes: self.refuse_probes.clone(),
             stopped: self.stopped.clone(),
+            crashing_body: self.crashing_body.clone(),
             orders: self.orders.clone(),
             endless_bytes: self.endless_bytes.clone(),
             clock: self.clock.clone(),
@@ -96,7 +100,14 @@
         limit: Duration,
     ) -> LocalBoxFuture<'_, Result<UpstreamResponse, CallError>> {
         async move {
+            let crashing_body = self.upstreams.crashing_body.get();
+            let crashes =
+                crashing_body.is_some_and(|start| call.body.starts_with(start.as_bytes()));
             self.upstreams.calls.borrow_mut().push((self.name.clone(), call));
+            if crashes {
+                self.upstreams.stopped.borrow_mut().push(self.name.clone());
+                return Err(CallError::Broken("reset".into()));
+            }
             let step =
                 self.upstreams.steps.borrow_mut().pop_front().expect("the script has a step");
             let response = |status, signed, not_run, parts: Vec<BodyPart>| UpstreamResponse {
