--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -104,7 +104,7 @@
             return PathState::Working;
         }
         let known = self.known_state(selection);
-        if known != PathState::Working {
+        if known == PathState::Lost {
             return known;
         }
         let gateway = &self.gateway;
@@ -120,8 +120,8 @@
         if !probed.is_empty() {
             compio::runtime::spawn(probe_connections(gateway.clone(), probed)).detach();
         }
-        if !is_overdue {
-            return PathState::Working;
+        if !is_overdue || known == PathState::Doubtful {
+            return known;
         }
         let entry = &selection.upstream.name;
         if should_probe(&mut probes.blocked, entry, REPORT_INTERVAL) {
@@ -234,6 +234,15 @@
 }
 
 impl Gateway {
+    /// Probes an engine that another one names as the cause of a refusal.
+    pub(crate) fn check_engine(self: &Rc<Self>, name: &UpstreamName) {
+        let now = self.clock.now();
+        if self.probes.borrow_mut().connection.take_turn(name, PROBE_INTERVAL, now) {
+            let names = vec![name.clone()];
+            compio::runtime::spawn(probe_connections(self.clone(), names)).detach();
+        }
+    }
+
     /// Decides at random whether this node is one of those that probe an engine in this interval.
     fn draw_prober(&self) -> bool {
         rand::rng().random::<f64>() < PROBING_NODES / self.node_count() as f64
@@ -247,7 +256,10 @@
         for _ in 0..PROBE_ATTEMPTS {
             match timeout(&*self.clock, PROBE_LIMIT, client.probe()).await {
                 Ok(Ok(())) => return Some(ProbeOutcome::Open),
-                Ok(Err(CallError::Refused)) => return Some(ProbeOutcome::Refused),
+                Ok(Err(CallError::Refused)) => {
+                    self.observe_crash(&upstream);
+                    return Some(ProbeOutcome::Refused);
+                }
                 Ok(Err(_)) | Err(_) => {}
             }
         }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway with test doubles in place of its peers.
 
 mod config_changes;
+mod crashing_parts;
 mod datagrams;
 mod lifecycle;
 mod log;
