--- a/crates/peers/tests/datagrams.rs
+++ b/crates/peers/tests/datagrams.rs
@@ -13,7 +13,6 @@
         failing: Vec::new(),
         slow: Vec::new(),
         loaded: Vec::new(),
-        crashes: Vec::new(),
     })
 }
 
