Tell crashes to other nodes whole, and test crashes of later engines and restarts

A note on a crash with eight requests whose part identifiers have 128 bits could exceed a datagram and was left out; a note has at most six now.

--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -17,7 +17,7 @@
 mod table;
 
 pub use event::{EngineProcess, RequestParts, Suspect};
-pub use note::CrashNote;
+pub use note::{CrashNote, SuspectNote};
 pub use refusal::{RefusalSource, RefusedPart};
 pub use request_cause::{CrashedRuns, is_poison, shares_crash};
 pub use table::{Applied, CrashTable, MAX_EVENTS, MAX_REFUSALS, MAX_SUSPECTS, Refusal};
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -140,6 +140,43 @@
     assert!(calls <= MAX_CRASHES, "{calls} engines crashed");
 }
 
+/// Guards against crashes that are counted only if the engine which the request was sent to has
+/// crashed.
+#[compio::test]
+async fn crashes_of_later_engines_of_a_path_count() {
+    let nodes = nodes(2).await;
+    connect(&nodes).await;
+    nodes.iter().for_each(|node| node.upstreams.crashes_last.set(true));
+    let (calls, failure) = send_crashing(&nodes, 10).await;
+    assert!(calls <= MAX_CRASHES, "{calls} engines crashed");
+    assert!(failure.is_some_and(|failure| failure.failure.kind == FailureKind::Poison));
+}
+
+/// Guards against a crash that no probe sees because the engine is back under its name.
+#[compio::test]
+async fn a_restart_under_the_same_name_counts_as_a_crash() {
+    let nodes = nodes(1).await;
+    let node = &nodes[0];
+    node.upstreams.crashing_body.set(None);
+    for number in 0..3 {
+        node.push_steps([Step::Silent]);
+        let crashing = prompt(CRASHING_PART, format!("{CRASHING_BODY} {number}"));
+        let running = compio::runtime::spawn(node.gateway.clone().route(crashing));
+        compio::time::sleep(DATAGRAM_TIME).await;
+        let called = node.called_upstreams().pop().expect("an engine was called");
+        let value = node.store.items.borrow()[&format!("upstreams/{called}")].value.clone();
+        let value = String::from_utf8(value.expect("the entry exists")).expect("it is text");
+        node.store.write(&format!("upstreams/{called}"), Some(&format!("{value} {}", number + 2)));
+        node.push_steps([Step::Silent, Step::Silent]);
+        compio::time::sleep(Duration::from_millis(1100)).await;
+        running.cancel().await;
+        node.upstreams.steps.borrow_mut().clear();
+    }
+    let crashing = prompt(CRASHING_PART, format!("{CRASHING_BODY} again"));
+    let failure = node.gateway.clone().route(crashing).await.err().expect("it is refused");
+    assert_eq!(failure.failure.kind, FailureKind::Poison);
+}
+
 /// Guards against a part that is condemned by links that break.
 #[compio::test]
 async fn broken_calls_to_engines_that_run_on_condemn_no_part() {
--- a/crates/gateway/tests/gateway/datagrams.rs
+++ b/crates/gateway/tests/gateway/datagrams.rs
@@ -3,7 +3,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use crashes::{CrashNote, SuspectNote};
 use peers::{Beacon, Datagram, DatagramSocket, StoreChange};
+use types::Digest;
 
 use crate::support::{Fixture, Step, body, event};
 
@@ -221,3 +223,31 @@
     let (_, call) = calls.last().expect("the request was sent");
     call.stages.iter().map(|stage| stage.engine.to_string()).collect()
 }
+
+/// Guards against a crash with many requests whose note exceeds a datagram and is never sent.
+#[compio::test]
+async fn a_crash_with_many_requests_reaches_another_node_whole() {
+    let suspect = |number: u128| SuspectNote {
+        organisation: Digest(u128::MAX),
+        shared: (0..8).map(|part| Digest(u128::MAX - part)).collect(),
+        fingerprint: Digest(u128::MAX - number),
+        age_ms: u32::MAX,
+    };
+    let suspects: Vec<SuspectNote> = (0..48).map(suspect).collect();
+    let process = ("an-upstream-with-a-long-name-of-more-than-forty-bytes".into(), u64::MAX);
+    let note = CrashNote::Crash { process, age_ms: 1000, suspects: suspects.clone() };
+    let (sender, receiver) = (bind().await, bind().await);
+    let addr = receiver.local_addr().expect("the socket is bound");
+    for datagram in Datagram::of_crash_notes(vec![note]) {
+        assert_eq!(sender.send(&datagram, &[addr]).await, 0);
+    }
+    let mut arrived = Vec::new();
+    for datagram in received_updates(&receiver).await {
+        let Datagram::Crashes(notes) = datagram else { panic!("{datagram:?} is no crash") };
+        arrived.extend(notes.into_iter().flat_map(|note| match note {
+            CrashNote::Crash { suspects, .. } => suspects,
+            note => panic!("{note:?} is no crash"),
+        }));
+    }
+    assert_eq!(arrived, suspects);
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -64,6 +64,7 @@
             refuse_probes: Rc::default(),
             stopped: Rc::default(),
             crashing_body: Rc::default(),
+            crashes_last: Rc::default(),
             orders: Rc::default(),
             endless_bytes: Rc::default(),
             clock: clock.clone(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -61,6 +61,8 @@
     /// Start of the bodies of requests that crash the upstream which gets them. Its process has then
     /// stopped.
     pub crashing_body: Rc<Cell<Option<&'static str>>>,
+    /// Whether such a request crashes the last engine of its path, for which the call then waits.
+    pub crashes_last: Rc<Cell<bool>>,
     /// The engine that reports that it is slow, if any.
     pub slow: Rc<RefCell<Option<String>>>,
     /// Orders that engines received.
@@ -85,6 +87,7 @@
             refuse_probes: self.refuse_probes.clone(),
             stopped: self.stopped.clone(),
             crashing_body: self.crashing_body.clone(),
+            crashes_last: self.crashes_last.clone(),
             orders: self.orders.clone(),
             endless_bytes: self.endless_bytes.clone(),
             clock: self.clock.clone(),
@@ -103,7 +106,13 @@
             let crashing_body = self.upstreams.crashing_body.get();
             let crashes =
                 crashing_body.is_some_and(|start| call.body.starts_with(start.as_bytes()));
+            let last = call.stages.last().map(|stage| stage.engine.to_string());
             self.upstreams.calls.borrow_mut().push((self.name.clone(), call));
+            if crashes && self.upstreams.crashes_last.get() {
+                self.upstreams.stopped.borrow_mut().extend(last);
+                self.upstreams.clock.sleep(limit).await;
+                return Err(CallError::Timeout);
+            }
             if crashes {
                 self.upstreams.stopped.borrow_mut().push(self.name.clone());
                 return Err(CallError::Broken("reset".into()));
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -10,9 +10,9 @@
 /// Largest total size of the changes in one datagram. The remaining bytes are for the kind of the
 /// datagram and the number of changes.
 const MAX_CHANGES_BYTES: usize = 1380;
-/// Most requests or parts in one note about a crash. A request with eight shared parts of 64 bits
-/// has about a hundred bytes.
-const MAX_NOTE_ENTRIES: usize = 8;
+/// Most requests or parts in one note about a crash, so that it fits into a datagram. A request with
+/// eight shared parts has up to 180 bytes.
+const MAX_NOTE_ENTRIES: usize = 6;
 /// Largest number of upstreams in [`Beacon::loads`]. This number fits into a datagram if the names
 /// have up to 16 bytes.
 pub const MAX_BEACON_ENTRIES: usize = 40;
@@ -127,33 +127,28 @@
         batches.into_iter().map(Datagram::StoreChanges).collect()
     }
 
-    /// Puts notes about crashes into datagrams.
+    /// Puts notes about crashes into datagrams, as many into each as fit. A crash with many requests is
+    /// split into several notes.
     pub fn of_crash_notes(notes: Vec<CrashNote>) -> Vec<Datagram> {
-        pack_crash_notes(notes)
-    }
-}
-
-/// Puts notes about crashes into datagrams, as many into each as fit. A crash with many requests is
-/// split into several notes.
-fn pack_crash_notes(notes: Vec<CrashNote>) -> Vec<Datagram> {
-    let mut batches: Vec<Vec<CrashNote>> = Vec::new();
-    let mut batch_bytes = MAX_CHANGES_BYTES;
-    for note in notes.into_iter().flat_map(|note| note.split(MAX_NOTE_ENTRIES)) {
-        let config = bincode::config::standard();
-        let Ok(bytes) = bincode::serde::encode_to_vec(&note, config) else { continue };
-        if bytes.len() > MAX_CHANGES_BYTES {
-            continue;
-        }
-        batch_bytes += bytes.len();
-        match batches.last_mut() {
-            Some(batch) if batch_bytes <= MAX_CHANGES_BYTES => batch.push(note),
-            _ => {
-                batch_bytes = bytes.len();
-                batches.push(vec![note]);
+        let mut batches: Vec<Vec<CrashNote>> = Vec::new();
+        let mut batch_bytes = MAX_CHANGES_BYTES;
+        for note in notes.into_iter().flat_map(|note| note.split(MAX_NOTE_ENTRIES)) {
+            let config = bincode::config::standard();
+            let Ok(bytes) = bincode::serde::encode_to_vec(&note, config) else { continue };
+            if bytes.len() > MAX_CHANGES_BYTES {
+                continue;
+            }
+            batch_bytes += bytes.len();
+            match batches.last_mut() {
+                Some(batch) if batch_bytes <= MAX_CHANGES_BYTES => batch.push(note),
+                _ => {
+                    batch_bytes = bytes.len();
+                    batches.push(vec![note]);
+                }
             }
         }
+        batches.into_iter().map(Datagram::Crashes).collect()
     }
-    batches.into_iter().map(Datagram::Crashes).collect()
 }
 
 /// UDP socket that sends and receives [`Datagram`]s.
