--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -182,7 +182,7 @@
                 Step::EventsThenCut(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Bytes("id: 99\nda".into()));
-                    Ok(response(200, true, false, parts))
+                    Ok(stream(parts))
                 }
                 Step::EventsThenSilence(numbers) => {
                     let mut parts = events(&numbers);
@@ -193,7 +193,7 @@
                     let mut parts = events(&before);
                     parts.push(BodyPart::Pause(pause));
                     parts.extend(events(&after));
-                    Ok(response(200, true, false, parts))
+                    Ok(stream(parts))
                 }
                 Step::Silent => {
                     self.upstreams.clock.sleep(limit).await;
