Read on after the rejection of an invalid head, so that it is not lost

What callers saw: a request whose head is invalid or too large ended with a reset connection, and possibly without the answer 400 or 431, when the caller was still sending.

Cause: the same as for the refusals by a valid head. hyper rejects such a request itself and closes the connection with unread bytes, which resets it.

Evidence: the_rejection_of_an_invalid_head_reaches_a_caller_that_is_still_sending failed before with "the connection is open: Os { code: 32, kind: BrokenPipe }".

Change: after such a rejection, when the end of the connection has been sent, the server reads and discards what still arrives, within the same bounds as for the rest of a refused body. Only here the socket itself is read, since the bytes after an invalid head have no framing and no request can follow them.

--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -11,10 +11,10 @@
 
 /// Time in which a client must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time for which the rest of a body is read and discarded after the response.
-const DISCARD_TIME: Duration = Duration::from_secs(5);
-/// Bytes of a body that are read and discarded after the response.
-const MAX_DISCARDED_BYTES: usize = 8 << 20;
+/// Time for which the rest of a request is read and discarded after the response.
+pub(crate) const DISCARD_TIME: Duration = Duration::from_secs(5);
+/// Bytes of a request that are read and discarded after the response.
+pub(crate) const MAX_DISCARDED_BYTES: usize = 8 << 20;
 
 /// The body of a received request. It is read on demand, with limits on its size and on the time.
 pub struct RequestBody {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,7 +1,11 @@
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
-use clock::Clock;
-use compio::net::{TcpListener, TcpStream};
+use clock::{Clock, timeout};
+use compio::{
+    BufResult,
+    io::AsyncRead,
+    net::{TcpListener, TcpStream},
+};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::{HeaderMap, Request, Response, header};
@@ -12,7 +16,7 @@
 use crate::{
     Body, ConnectionId, ConnectionObserver, CutCause, RequestBody, RequestLabel, StopSignal,
     connection::{ConnectionState, ObservedBody, ObservedIo},
-    request_body::{self, UnreadBody},
+    request_body::{self, DISCARD_TIME, MAX_DISCARDED_BYTES, UnreadBody},
     write_timeout::WriteTimeout,
 };
 
@@ -29,6 +33,9 @@
 /// Delay after a failed `accept`, for example when the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
 /// Handles the requests that a server receives.
 pub trait Handler {
     /// Responds to one request. The future runs in the task of the connection and is dropped when
@@ -178,7 +185,7 @@
         tracing::debug!(%error, "connection closed before it was served");
         return None;
     }
-    let (lame_duck_clock, partial_head) = (clock.clone(), state.clone());
+    let (socket, own_clock, partial_head) = (stream.clone(), clock.clone(), state.clone());
     let io = WriteTimeout::new(clock.clone(), HyperStream::new_plain(stream));
     let io = ObservedIo::new(io, state.clone());
     let service = service_fn(move |request| {
@@ -195,14 +202,12 @@
     );
     let lame_duck_end = async {
         stop.raised().await;
-        lame_duck_clock.sleep(lame_duck_time).await;
+        own_clock.sleep(lame_duck_time).await;
         // The HTTP library closes a connection that has carried a request before, even inside the
         // head of the next one.
-        let ended = lame_duck_clock.now();
-        while partial_head.has_partial_head()
-            && lame_duck_clock.now().since(ended) < PARTIAL_HEAD_TIME
-        {
-            lame_duck_clock.sleep(DRAIN_POLL_INTERVAL).await;
+        let ended = own_clock.now();
+        while partial_head.has_partial_head() && own_clock.now().since(ended) < PARTIAL_HEAD_TIME {
+            own_clock.sleep(DRAIN_POLL_INTERVAL).await;
         }
     };
     let (result, closed_by) = match select(connection.as_mut(), pin!(lame_duck_end)).await {
@@ -216,11 +221,36 @@
         Ok(()) => closed_by,
         Err(error) => {
             tracing::debug!(%error, "connection ended with an error");
+            if error.is_parse() {
+                discard_input(&*own_clock, socket).await;
+            }
             None
         }
     }
 }
 
+/// Reads and discards what still arrives after an invalid head was rejected: closing the connection
+/// with unread bytes would reset it, and the reset may overtake the rejection. The end of the
+/// connection has been sent, so the caller sends no further request.
+async fn discard_input(clock: &dyn Clock, mut socket: TcpStream) {
+    let reading = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        let mut buffer = Vec::with_capacity(DISCARD_BUFFER_BYTES);
+        while left > 0 {
+            buffer.clear();
+            let BufResult(result, used) = socket.read(buffer).await;
+            buffer = used;
+            match result {
+                Ok(length) if length > 0 => left = left.saturating_sub(length),
+                _ => return,
+            }
+        }
+    };
+    if timeout(clock, DISCARD_TIME, reading).await.is_err() {
+        tracing::debug!("caller goes on sending after its request was rejected");
+    }
+}
+
 /// Passes one request to the handler.
 async fn respond<H: Handler + 'static>(
     clock: Rc<dyn Clock>,
--- a/crates/transport/tests/unread_bodies.rs
+++ b/crates/transport/tests/unread_bodies.rs
@@ -1,5 +1,4 @@
-//! Tests of responses that are sent while the request's body is still arriving, over real
-//! connections: closing a connection with unread bytes resets it, and the reset may overtake the
+//! Tests of responses that are sent while the request is still arriving, over real connections: closing a connection with unread bytes resets it, and the reset may overtake the
 //! response.
 
 use std::{
@@ -166,3 +165,20 @@
     .await;
     assert!(held < Duration::from_millis(100), "the connection was open for {held:?}");
 }
+
+/// Guards against a rejection of an invalid request that is lost with its connection, because the
+/// caller is still sending.
+#[compio::test]
+async fn the_rejection_of_an_invalid_head_reaches_a_caller_that_is_still_sending() {
+    call_server(|mut stream| {
+        stream.write_all(b"POST /gone HTTP/9.9\r\nhost: h\r\n\r\n").unwrap();
+        for _ in 0..PIECES {
+            std::thread::sleep(Duration::from_millis(5));
+            stream.write_all(&[b'x'; PIECE_BYTES]).expect("the connection is open");
+        }
+        let mut response = String::new();
+        stream.read_to_string(&mut response).expect("the rejection arrives");
+        assert!(response.starts_with("HTTP/1.1 400 "), "{response}");
+    })
+    .await;
+}
