Believe an upstream that says in an answer that it is leaving

Callers saw requests fail at workers that had said in their answers that they leave (header Server-Leaving), and rule DRAIN forbids such requests.

Cause: no code read the header. A leaving upstream was known from its entry in the key-value service only, so that a node used it as long as the service was away, behind, or did not list it as leaving at all.

Change: the platform's client tells an UpstreamObserver what the headers of every answer say: calls, refusals, heads of streams, orders, reports. The gateway keeps it as a mark of the name and incarnation in the catalog, which turns the phase of the known entry into Leaving, so that admission, choice of replicas and planner see it in one place. Later entries of the incarnation do not take it back; another incarnation is not affected. The other nodes are told once, through relays, and believe it. If no other upstream is left, a leaving one is used for half of the shortest change limit. An answer with 421 or to another request says nothing about the upstream that was called; an invalid header has no effect and is counted.

Before, with an observer that ignores what it is told (present behaviour), 10 of the 11 new gateway tests fail, among them: an_upstream_that_leaves_stays_out_whatever_the_key_value_service_says: left ["r2", "r1", "r2", ...], right ["r2"; 8]: the service is away the_planner_replaces_engines_once_as_soon_as_they_say_that_they_leave: left [], right ["e5", "e6"] what_another_node_says_about_a_leaving_engine_is_believed_and_...: left [], right [Leaving([("e2", 1), ("e4", 7)])] engines_that_leave_together_serve_for_a_while_and_then_get_no_requests: a call reached a leaving engine an_upstream_that_restarts_after_leaving_is_used_again passes before too: it guards the end of the mark. After: all pass, with the property test of the catalog and the decoding tests of the platform.

Conclusion: from the answer that says so on, no new work goes to the upstream while another one can do it.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -5,19 +5,22 @@
 //! fill in, and the rules by which newer revisions replace older ones.
 //!
 //! Invariants: a [`RoutingTable`] is immutable; neither the table nor the entry of an upstream is
-//! ever replaced by an older revision. This crate must not know where the data comes from.
+//! ever replaced by an older revision; an incarnation of an upstream that is marked as leaving stays
+//! leaving, whatever its entries say. This crate must not know where the data comes from.
 //!
 //! Terms: the *registry* is the set of entries that upstreams write to the platform's key-value
 //! service. A revision of the registry is a revision of that service.
 
 mod codec;
 mod engine;
+mod leaving;
 mod state;
 mod table;
 mod upstream;
 
 pub use codec::CatalogCodec;
 pub use engine::{AcceleratorKind, ModelProfile};
+pub use leaving::{LeavingMark, LeavingSource};
 pub use state::{CatalogState, UpdateOutcome};
 pub use table::{
     Access, RetryPolicy, Route, RoutingTable, RoutingTableBuilder, Service, WeightedService,
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -2,7 +2,7 @@
 
 use types::{LayerRange, UpstreamName};
 
-use crate::{RoutingTable, Upstream};
+use crate::{LeavingMark, Phase, RoutingTable, Upstream, leaving::LeavingMarks};
 
 /// Result of applying a revision of the configuration or of an upstream's entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,14 +23,19 @@
     /// Layers that engines have reported but their registry entries do not contain yet, with the
     /// incarnation of the engine.
     reported: BTreeMap<UpstreamName, (u64, LayerRange)>,
+    /// Upstreams that are leaving, whatever their entries say.
+    leaving: LeavingMarks,
     /// Whether a list of all registered upstreams has been applied.
     has_list: bool,
 }
 
 /// The newest known entry of an upstream.
 struct KnownEntry {
-    /// `None` if the entry was deleted or is invalid.
+    /// `None` if the entry was deleted or is invalid. Its phase is that of the entry, unless the
+    /// upstream is marked as leaving.
     upstream: Option<Arc<Upstream>>,
+    /// Phase according to the entry itself.
+    registered_phase: Option<Phase>,
     /// Revision of the registry at which the entry was written.
     revision: u64,
 }
@@ -60,11 +65,60 @@
         self.upstreams.values().filter_map(|known| known.upstream.as_ref())
     }
 
-    /// The registered upstream called `name`.
+    /// The registered upstream called `name`. Its phase is [`Phase::Leaving`] if its entry says so
+    /// or if it is marked as leaving.
     pub fn upstream(&self, name: &str) -> Option<&Arc<Upstream>> {
         self.upstreams.get(name)?.upstream.as_ref()
     }
 
+    /// The phase of an upstream according to its entry alone.
+    pub fn registered_phase(&self, name: &str) -> Option<Phase> {
+        self.upstreams.get(name)?.registered_phase
+    }
+
+    /// The mark of an incarnation of an upstream as leaving.
+    pub fn leaving_mark(&self, name: &UpstreamName, incarnation: u64) -> Option<&LeavingMark> {
+        self.leaving.get(name, incarnation)
+    }
+
+    /// The mark of an upstream whose entry says that it serves, but that is marked as leaving.
+    pub fn mark_against_entry(&self, upstream: &Upstream) -> Option<&LeavingMark> {
+        let mark = self.leaving_mark(&upstream.name, upstream.incarnation)?;
+        (self.registered_phase(&upstream.name) == Some(Phase::Serving)).then_some(mark)
+    }
+
+    /// Marks an incarnation of an upstream as leaving, also while it has no entry. The outcome is
+    /// `Ignored` if the other nodes need not be told: the incarnation is already known to leave, or
+    /// a later one is registered.
+    pub fn mark_leaving(
+        &mut self,
+        name: &UpstreamName,
+        incarnation: u64,
+        mark: LeavingMark,
+    ) -> UpdateOutcome {
+        let known = self.upstreams.get_mut(name).and_then(|known| known.upstream.as_mut());
+        if self.leaving.get(name, incarnation).is_some() {
+            return UpdateOutcome::Ignored;
+        }
+        let mut outcome = UpdateOutcome::Applied;
+        if let Some(known) = known {
+            let is_known = known.incarnation == incarnation && known.phase == Phase::Leaving;
+            if is_known || known.incarnation > incarnation {
+                outcome = UpdateOutcome::Ignored;
+            }
+            if known.incarnation == incarnation {
+                Arc::make_mut(known).phase = Phase::Leaving;
+            }
+        }
+        let upstreams = &self.upstreams;
+        let is_registered = |name: &UpstreamName, incarnation| {
+            let known = upstreams.get(name).and_then(|known| known.upstream.as_ref());
+            known.is_some_and(|known| known.incarnation == incarnation)
+        };
+        self.leaving.insert(name, incarnation, mark, is_registered);
+        outcome
+    }
+
     /// The layers that an engine holds according to the registry or, if its entry contains none,
     /// to the engine's own report.
     pub fn layers(&self, upstream: &Upstream) -> Option<LayerRange> {
@@ -108,7 +162,14 @@
         if upstream.as_ref().is_none_or(|upstream| upstream.layers.is_some()) {
             self.reported.remove(name);
         }
-        let known = KnownEntry { upstream: upstream.map(Arc::new), revision };
+        let registered_phase = upstream.as_ref().map(|upstream| upstream.phase);
+        let upstream = upstream.map(|mut upstream| {
+            if self.leaving.get(name, upstream.incarnation).is_some() {
+                upstream.phase = Phase::Leaving;
+            }
+            Arc::new(upstream)
+        });
+        let known = KnownEntry { upstream, registered_phase, revision };
         self.upstreams.insert(name.clone(), known);
         UpdateOutcome::Applied
     }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -52,6 +52,8 @@
     pub(crate) avoid: &'a [UpstreamName],
     /// The only upstreams that may be the entry upstream; empty if there is no such limit.
     pub(crate) allowed_entries: &'a [UpstreamName],
+    /// Whether upstreams that are leaving may be used while they still serve.
+    pub(crate) with_leaving: bool,
     /// Whether the request is resumed: the caller already has a part of the stream, or an earlier
     /// attempt may have run.
     pub(crate) is_resumed: bool,
@@ -205,8 +207,18 @@
         }
     }
 
-    /// Chooses the upstreams for an attempt from those that have capacity now.
+    /// Chooses the upstreams for an attempt from those that have capacity now. Upstreams that are
+    /// leaving are chosen only if there are no others.
     fn choose(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
+        match self.choose_now(query) {
+            Err(NoSelection::NoUpstream) if self.gateway.has_last_uses(&self.service) => {
+                self.choose_now(SelectionQuery { with_leaving: true, ..query })
+            }
+            chosen => chosen,
+        }
+    }
+
+    fn choose_now(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         match self.model_profile() {
             Some(profile) => self.choose_engines(&profile, query),
             None => self.choose_replica(query),
@@ -260,7 +272,9 @@
                     continue;
                 };
                 let Some(kind) = profile.accelerators.get(accelerator_kind) else { continue };
-                if !gateway.is_usable(upstream) {
+                let is_usable = gateway.is_usable(upstream)
+                    || (query.with_leaving && gateway.is_in_last_use(upstream));
+                if !is_usable {
                     continue;
                 }
                 let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
@@ -323,8 +337,10 @@
             .upstreams()
             .filter(|upstream| upstream.service == self.service)
             .filter(|upstream| {
-                upstream.phase == catalog::Phase::Serving && !query.avoid.contains(&upstream.name)
+                upstream.phase == catalog::Phase::Serving
+                    || (query.with_leaving && gateway.is_in_last_use(upstream))
             })
+            .filter(|upstream| !query.avoid.contains(&upstream.name))
             .collect();
         let usable: Vec<&Arc<Upstream>> =
             replicas.iter().copied().filter(|upstream| gateway.is_usable(upstream)).collect();
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -46,7 +46,8 @@
 
     /// Creates the gateway.
     pub fn build(self) -> Rc<Gateway> {
-        Rc::new(Gateway {
+        Rc::new_cyclic(|own| Gateway {
+            own: own.clone(),
             clock: self.clock,
             settings: self.settings,
             store: self.store,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,11 @@
     pub(crate) events: IntCounter,
     /// Times that an upstream was marked as failing.
     pub(crate) suspicions: IntCounter,
+    /// Upstreams that were found to be leaving although their entry says that they serve, by who
+    /// said so.
+    pub(crate) leaving_marks: IntCounterVec,
+    /// Notices of upstreams that were not valid and had no effect, by notice.
+    pub(crate) invalid_notices: IntCounterVec,
     /// Orders sent to engines, by outcome.
     pub(crate) orders: IntCounterVec,
     /// Version of the routing table in force.
@@ -60,6 +65,16 @@
                 "Times that an upstream was found to fail",
             )
             .expect("counter is valid"),
+            leaving_marks: counter_vec(
+                "gypsumrack_upstreams_leaving_total",
+                "Upstreams that said that they are leaving before their entry did",
+                &["source"],
+            ),
+            invalid_notices: counter_vec(
+                "gypsumrack_invalid_notices_total",
+                "Headers by which upstreams announce something and that were not valid",
+                &["notice"],
+            ),
             orders: counter_vec("gypsumrack_orders_total", "Orders to engines", &["outcome"]),
             table_version: IntGauge::new(
                 "gypsumrack_table_version",
@@ -86,12 +101,14 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(self.requests.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.resends.clone()),
             Box::new(self.events.clone()),
             Box::new(self.suspicions.clone()),
+            Box::new(self.leaving_marks.clone()),
+            Box::new(self.invalid_notices.clone()),
             Box::new(self.orders.clone()),
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,7 +2,7 @@
     cell::{Cell, RefCell, RefMut},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
@@ -16,8 +16,8 @@
 use upstreams::Connector;
 
 use crate::{
-    admission::WaitQueue, crashes::CrashTable, metrics::Metrics, peering::Member,
-    stream_probe::ProbeTimes, updates::Outbox, wakeup::Wakeup,
+    admission::WaitQueue, crashes::CrashTable, metrics::Metrics, observer::GatewayObserver,
+    peering::Member, stream_probe::ProbeTimes, updates::Outbox, wakeup::Wakeup,
 };
 
 /// What a failure of an upstream shows about its process.
@@ -47,6 +47,8 @@
 /// This node: its clients of the upstreams and of the key-value service, and its view of the
 /// catalog. Its `RefCell`s are never borrowed across an await.
 pub struct Gateway {
+    /// This gateway, for the observers of its clients, which it owns.
+    pub(crate) own: Weak<Gateway>,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) settings: EdgeSettings,
     pub(crate) store: Rc<dyn RevisionStore>,
@@ -110,7 +112,8 @@
         {
             return cached.client.clone();
         }
-        let client = self.connector.connect(upstream);
+        let observer = Rc::new(GatewayObserver::new(self.own.clone(), upstream));
+        let client = self.connector.connect(upstream, observer);
         let cached = CachedClient { upstream: Rc::new(upstream.clone()), client: client.clone() };
         clients.insert(upstream.name.clone(), cached);
         client
--- /dev/null
+++ b/crates/gateway/src/observer.rs
@@ -0,0 +1,38 @@
+//! Applies what upstreams say about themselves beside their answers.
+
+use std::rc::Weak;
+
+use catalog::Upstream;
+use types::UpstreamName;
+use upstreams::{Notice, UpstreamObserver};
+
+use crate::Gateway;
+
+/// Observer of one incarnation of an upstream.
+pub(crate) struct GatewayObserver {
+    gateway: Weak<Gateway>,
+    name: UpstreamName,
+    incarnation: u64,
+}
+
+impl GatewayObserver {
+    /// Creates an observer of `upstream`. It has no effect once the gateway is gone.
+    pub(crate) fn new(gateway: Weak<Gateway>, upstream: &Upstream) -> GatewayObserver {
+        let (name, incarnation) = (upstream.name.clone(), upstream.incarnation);
+        GatewayObserver { gateway, name, incarnation }
+    }
+}
+
+impl UpstreamObserver for GatewayObserver {
+    fn is_leaving(&self) {
+        let Some(gateway) = self.gateway.upgrade() else { return };
+        gateway.record_own_leaving(&self.name, self.incarnation);
+    }
+
+    fn sent_invalid_notice(&self, notice: Notice) {
+        let Some(gateway) = self.gateway.upgrade() else { return };
+        let notice: &str = notice.into();
+        gateway.metrics.invalid_notices.with_label_values(&[notice]).inc();
+        tracing::debug!(upstream = %self.name, notice, "upstream sent an invalid notice");
+    }
+}
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -176,6 +176,13 @@
                     spawn(self.clone().check_failure(name, incarnation)).detach();
                 }
             }
+            Datagram::Leaving(upstreams) => {
+                self.apply_leaving(upstreams);
+            }
+            Datagram::RelayLeaving(upstreams) => {
+                let new = self.apply_leaving(upstreams);
+                return (!new.is_empty()).then_some(Datagram::Leaving(new));
+            }
             Datagram::RelayBeacon(beacon) => {
                 self.apply_beacon(beacon.clone());
                 return Some(Datagram::Beacon(beacon));
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -193,6 +193,10 @@
             return Some(placement.name);
         }
     };
+    if !gateway.takes_orders(&upstream) {
+        tracing::info!(upstream = %placement.name, "engine is leaving; no order");
+        return Some(placement.name);
+    }
     let order = LoadOrder { layers: placement.layers, expected_orders };
     let outcome = client.order_layers(order).await;
     let (label, not_executed) = match &outcome {
@@ -238,7 +242,9 @@
             let catalog = gateway.catalog.borrow();
             let current = catalog.upstream(&placement.name);
             current.is_none_or(|current| {
-                current.incarnation != upstream.incarnation || current.layers.is_some()
+                current.incarnation != upstream.incarnation
+                    || current.layers.is_some()
+                    || current.phase == Phase::Leaving
             })
         };
         if needs_no_confirmation {
@@ -257,6 +263,16 @@
     }
 }
 
+impl Gateway {
+    /// Whether an engine may still get an order that was planned before its report.
+    fn takes_orders(&self, engine: &Upstream) -> bool {
+        let catalog = self.catalog.borrow();
+        catalog.upstream(&engine.name).is_some_and(|current| {
+            current.incarnation == engine.incarnation && current.phase == Phase::Serving
+        })
+    }
+}
+
 /// The planner's view of the engines of a service.
 fn engine_views(
     gateway: &Gateway,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -168,7 +168,10 @@
 
 /// Applies a change of an upstream's entry. Returns whether it changes the catalog of this node.
 fn apply_upstream(gateway: &Rc<Gateway>, name: &UpstreamName, item: &Item) -> bool {
-    let before = gateway.catalog.borrow().upstream(name).cloned();
+    let (before, before_phase) = {
+        let catalog = gateway.catalog.borrow();
+        (catalog.upstream(name).cloned(), catalog.registered_phase(name))
+    };
     let decoded = item.value.as_ref().and_then(|value| {
         let decoded = gateway.codec.decode_upstream(name, value);
         if let Err(error) = &decoded {
@@ -188,15 +191,18 @@
         }
         (before, Some(upstream)) => {
             let changed = before.is_none_or(|before| {
-                before.phase != upstream.phase
+                before_phase != Some(upstream.phase)
                     || before.layers != upstream.layers
                     || !before.is_same_incarnation(&upstream)
             });
             if changed {
+                let belief = gateway.leaving_belief(&upstream);
                 tracing::info!(upstream = %name, revision = item.revision,
                     service = %upstream.service, phase = ?upstream.phase,
                     layers = upstream.layers.map(|layers| layers.to_string()),
-                    boot = upstream.incarnation, "upstream has changed");
+                    boot = upstream.incarnation, leaving_source = belief.map(|(source, _)| source),
+                    leaving_ms = belief.map(|(_, age)| age.as_millis() as u64),
+                    "upstream has changed");
             }
             changed
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -126,6 +126,7 @@
                 avoid: &attempts.avoided,
                 allowed_entries: &allowed_entries,
                 is_resumed,
+                ..SelectionQuery::default()
             };
             let mut selection = match self.admit(query).await {
                 Ok(selection) => selection,
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -77,6 +77,7 @@
             avoid: &attempts.avoided,
             allowed_entries: &allowed_entries,
             is_resumed: true,
+            ..SelectionQuery::default()
         };
         match self.check_path(selection, query, is_overdue) {
             PathState::Working => None,
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -1,11 +1,11 @@
 //! Updates that nodes send one another without delay: changes in the key-value service, and
-//! upstreams that have failed. With the changes, each node can read the service at long intervals
+//! upstreams that have failed or are leaving. With the changes, each node can read the service at long intervals
 //! and still learns of a change at once, even while the service rejects the node's calls. A node
 //! that receives a failure verifies it itself.
 
 use std::{cell::RefCell, ops::Range, rc::Rc, time::Duration};
 
-use futures_util::future::join;
+use futures_util::future::join3;
 use keyvalue::Item;
 use peers::{Datagram, DatagramSocket, StoreChange};
 use rand::Rng;
@@ -20,6 +20,9 @@
 /// Most failed upstreams in one datagram, so that it stays within its size limit.
 const MAX_FAILED_PER_DATAGRAM: usize = 40;
 
+/// Most leaving upstreams in one datagram, which fit with the longest names.
+const MAX_LEAVING_PER_DATAGRAM: usize = 16;
+
 /// Longest delay before changes are sent, for each node of the domain. If all of them have read the
 /// changes at once, the first one is on average this much ahead of the second, which is enough for
 /// its datagrams to arrive.
@@ -33,6 +36,8 @@
     changes: UpdateQueue<StoreChange>,
     /// Failed upstreams, each with the incarnation that failed.
     failed: UpdateQueue<(UpstreamName, u64)>,
+    /// Upstreams that have said to this node that they are leaving, each with its incarnation.
+    leaving: UpdateQueue<(UpstreamName, u64)>,
 }
 
 /// Updates of one kind that wait to be sent.
@@ -73,6 +78,16 @@
         self.changes.push(StoreChange { key: key.into(), value, revision });
     }
 
+    /// Adds a leaving upstream.
+    pub(crate) fn push_leaving(&self, name: &UpstreamName, incarnation: u64) {
+        self.leaving.push((name.clone(), incarnation));
+    }
+
+    /// Drops leaving upstreams that another node has announced.
+    pub(crate) fn drop_announced(&self, announced: &[(UpstreamName, u64)]) {
+        self.leaving.updates.borrow_mut().retain(|upstream| !announced.contains(upstream));
+    }
+
     /// Drops changes that another node has sent.
     fn drop_sent(&self, sent: &[StoreChange]) {
         self.changes.updates.borrow_mut().retain(|change| {
@@ -93,7 +108,7 @@
     }
 
     /// Shortest time within which a change must be in force.
-    fn change_limit(&self) -> Duration {
+    pub(crate) fn change_limit(&self) -> Duration {
         let shortest = self.settings.change_limits_ms.iter().min().copied().unwrap_or_default();
         Duration::from_millis(shortest)
     }
@@ -133,7 +148,9 @@
 
 /// Sends this node's updates to the other nodes.
 pub(crate) async fn send_updates(gateway: Rc<Gateway>, socket: Rc<DatagramSocket>) {
-    join(send_failures(&gateway, &socket), send_changes(&gateway, &socket)).await;
+    let failures = send_failures(&gateway, &socket);
+    let changes = send_changes(&gateway, &socket);
+    join3(failures, changes, send_leaving(&gateway, &socket)).await;
 }
 
 async fn send_failures(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
@@ -157,9 +174,7 @@
 async fn send_changes(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
     loop {
         gateway.outbox.changes.wait().await;
-        let audience = gateway.own_domain();
-        let longest = (SPREAD_PER_NODE * audience.len() as u32).min(MAX_SPREAD);
-        gateway.clock.sleep(longest.mul_f64(rand::rng().random())).await;
+        spread_senders(gateway).await;
         let mut unsent = 0;
         for datagram in Datagram::of_changes(gateway.outbox.changes.take()) {
             unsent += gateway.all_nodes(UPDATE_RELAYS).send(socket, datagram).await;
@@ -169,3 +184,27 @@
         }
     }
 }
+
+/// Announces leaving upstreams after a random delay, unless another node has announced them
+/// meanwhile: all nodes that use an upstream get its answers.
+async fn send_leaving(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
+    loop {
+        gateway.outbox.leaving.wait().await;
+        spread_senders(gateway).await;
+        let mut unsent = 0;
+        for part in gateway.outbox.leaving.take().chunks(MAX_LEAVING_PER_DATAGRAM) {
+            let datagram = Datagram::Leaving(part.to_vec());
+            unsent += gateway.all_nodes(UPDATE_RELAYS).send(socket, datagram).await;
+        }
+        if unsent > 0 {
+            tracing::debug!(unsent, "leaving upstreams could not be announced");
+        }
+    }
+}
+
+/// Waits for a random time, so that one of the nodes that have learned something at the same time
+/// is ahead of the others.
+async fn spread_senders(gateway: &Gateway) {
+    let longest = (SPREAD_PER_NODE * gateway.own_domain().len() as u32).min(MAX_SPREAD);
+    gateway.clock.sleep(longest.mul_f64(rand::rng().random())).await;
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway with test doubles in place of its peers.
 
 mod datagrams;
+mod leaving;
 mod lifecycle;
 mod log;
 mod planner;
--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -11,7 +11,7 @@
 use super::{HOST, KEY};
 
 /// Decodes a routing table from its version, and an upstream from `SERVICE ADDR DOMAIN PHASE
-/// START-END`.
+/// START-END`, optionally followed by the incarnation, which is otherwise 1.
 pub struct TextCodec;
 
 impl CatalogCodec for TextCodec {
@@ -31,16 +31,17 @@
     fn decode_upstream(&self, name: &str, value: &[u8]) -> Result<Upstream, String> {
         let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
         let fields: Vec<&str> = text.split(' ').collect();
-        let [service, addr, domain, phase, layers] = fields[..] else {
+        let [service, addr, domain, phase, layers, ref incarnation @ ..] = fields[..] else {
             return Err("not five fields".into());
         };
+        let incarnation = incarnation.first().and_then(|text| text.parse().ok()).unwrap_or(1);
         let layers = layers.split_once('-').map(|(start, end)| LayerRange {
             start: start.parse().unwrap_or_default(),
             end: end.parse().unwrap_or_default(),
         });
         Ok(Upstream {
             name: name.into(),
-            incarnation: 1,
+            incarnation,
             service: service.into(),
             addr: addr.parse().map_err(|_| "no address".to_owned())?,
             domain: domain.into(),
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -75,6 +75,7 @@
             silent_reports: Rc::default(),
             refuse_probes: Rc::default(),
             stopped: Rc::default(),
+            leaving: Rc::default(),
             orders: Rc::default(),
             endless_bytes: Rc::default(),
             clock: clock.clone(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -14,7 +14,8 @@
 use http::HeaderMap;
 use transport::CallError;
 use upstreams::{
-    Call, Connector, EngineReport, LoadOrder, OrderOutcome, ResponseBody, UpstreamResponse,
+    Call, Connector, EngineReport, LoadOrder, OrderOutcome, ResponseBody, UpstreamObserver,
+    UpstreamResponse,
 };
 
 use super::ready;
@@ -66,6 +67,8 @@
     pub slow: Rc<RefCell<Option<String>>>,
     /// Whether engines leave requests for their reports unanswered.
     pub silent_reports: Rc<Cell<bool>>,
+    /// Upstreams that say in all their answers that they are leaving.
+    pub leaving: Rc<RefCell<Vec<String>>>,
     /// Orders that engines received.
     pub orders: Rc<RefCell<Vec<(String, LoadOrder)>>>,
     /// Bytes that were read of bodies without end.
@@ -76,10 +79,24 @@
 struct ScriptedClient {
     name: String,
     upstreams: Rc<ScriptedUpstreams>,
+    observer: Rc<dyn UpstreamObserver>,
+}
+
+impl ScriptedClient {
+    /// Passes on what the upstream says about itself in each of its answers.
+    fn observe_answer(&self) {
+        if self.upstreams.leaving.borrow().contains(&self.name) {
+            self.observer.is_leaving();
+        }
+    }
 }
 
 impl Connector for ScriptedUpstreams {
-    fn connect(&self, upstream: &Upstream) -> Rc<dyn upstreams::UpstreamClient> {
+    fn connect(
+        &self,
+        upstream: &Upstream,
+        observer: Rc<dyn UpstreamObserver>,
+    ) -> Rc<dyn upstreams::UpstreamClient> {
         let upstreams = Rc::new(ScriptedUpstreams {
             calls: self.calls.clone(),
             steps: self.steps.clone(),
@@ -88,11 +105,12 @@
             silent_reports: self.silent_reports.clone(),
             refuse_probes: self.refuse_probes.clone(),
             stopped: self.stopped.clone(),
+            leaving: self.leaving.clone(),
             orders: self.orders.clone(),
             endless_bytes: self.endless_bytes.clone(),
             clock: self.clock.clone(),
         });
-        Rc::new(ScriptedClient { name: upstream.name.to_string(), upstreams })
+        Rc::new(ScriptedClient { name: upstream.name.to_string(), upstreams, observer })
     }
 }
 
@@ -118,6 +136,9 @@
                     endless_bytes: self.upstreams.endless_bytes.clone(),
                 }),
             };
+            if !matches!(step, Step::Unreachable | Step::Broken | Step::Silent) {
+                self.observe_answer();
+            }
             match step {
                 Step::Answer(status, body) => {
                     Ok(response(status, true, false, vec![BodyPart::Bytes(body.into())]))
@@ -174,6 +195,7 @@
         order: LoadOrder,
     ) -> LocalBoxFuture<'_, Result<OrderOutcome, CallError>> {
         self.upstreams.orders.borrow_mut().push((self.name.clone(), order));
+        self.observe_answer();
         async { Ok(OrderOutcome::Begun) }.boxed_local()
     }
 
@@ -185,6 +207,7 @@
             }
             .boxed_local();
         }
+        self.observe_answer();
         let blocked_on = self.upstreams.blocked_on.borrow().clone();
         let slowdown =
             if self.upstreams.slow.borrow().as_deref() == Some(&*self.name) { 5.0 } else { 1.0 };
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -87,6 +87,10 @@
     /// [`StoreChanges`](Datagram::StoreChanges) of which the receiver passes on those that are new
     /// to it.
     RelayStoreChanges(Vec<StoreChange>),
+    /// Upstreams that have told the sender that they are leaving, with their incarnation.
+    Leaving(Vec<(UpstreamName, u64)>),
+    /// [`Leaving`](Datagram::Leaving), of which the receiver passes on those that are new to it.
+    RelayLeaving(Vec<(UpstreamName, u64)>),
 }
 
 impl Datagram {
@@ -96,6 +100,7 @@
         match self {
             Datagram::Beacon(beacon) => Datagram::RelayBeacon(beacon),
             Datagram::StoreChanges(changes) => Datagram::RelayStoreChanges(changes),
+            Datagram::Leaving(upstreams) => Datagram::RelayLeaving(upstreams),
             other => other,
         }
     }
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -216,6 +216,7 @@
                 Ok(ResponseStream {
                     status: head.status,
                     headers: head.headers,
+                    trailers: HeaderMap::new(),
                     body,
                     sender: Some(sender),
                     clock: self.clock.clone(),
@@ -270,6 +271,7 @@
 pub struct ResponseStream {
     status: StatusCode,
     headers: HeaderMap,
+    trailers: HeaderMap,
     body: Incoming,
     sender: Option<SendRequest<Body>>,
     clock: Rc<dyn Clock>,
@@ -287,6 +289,11 @@
         &self.headers
     }
 
+    /// Header fields that came after the body. Empty until the body has been read to its end.
+    pub fn trailers(&self) -> &HeaderMap {
+        &self.trailers
+    }
+
     /// Waits at most `limit` for the next chunk of the body; `None` is the end of the body.
     pub async fn chunk(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
         loop {
@@ -303,8 +310,9 @@
                     return Err(CallError::Timeout);
                 }
             };
-            if let Ok(data) = frame.into_data() {
-                return Ok(Some(data));
+            match frame.into_data() {
+                Ok(data) => return Ok(Some(data)),
+                Err(frame) => self.trailers.extend(frame.into_trailers().unwrap_or_default()),
             }
         }
     }
@@ -326,6 +334,16 @@
     /// Reads the whole body, at most `max_bytes`, within `limit`. The limit covers all chunks
     /// together, so that a peer that sends a few bytes at a time cannot extend it.
     pub async fn collect(mut self, max_bytes: usize, limit: Duration) -> Result<Bytes, CallError> {
+        self.read_to_end(max_bytes, limit).await
+    }
+
+    /// Reads the rest of the body like [`collect`](Self::collect), and leaves the trailers to be
+    /// read.
+    pub async fn read_to_end(
+        &mut self,
+        max_bytes: usize,
+        limit: Duration,
+    ) -> Result<Bytes, CallError> {
         let deadline = self.deadline(limit);
         let mut buffer = BytesMut::new();
         while let Some(chunk) = self.chunk_until(deadline).await? {
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -2,7 +2,8 @@
 //! layers, and ordinary services.
 //!
 //! Purpose: the types of calls, responses and load orders, and the traits [`UpstreamClient`] and
-//! [`Connector`], which hide how they are encoded.
+//! [`Connector`], which hide how they are encoded, and [`UpstreamObserver`], which learns what
+//! upstreams say about themselves.
 //!
 //! Invariants: a failure says whether the call may have run; a response belongs to the call that it
 //! is returned for. This crate must not know how upstreams are chosen.
@@ -119,8 +120,31 @@
     fn report(&self, limit: Duration) -> LocalBoxFuture<'_, Result<EngineReport, CallError>>;
 }
 
+/// Receives what one incarnation of an upstream says about itself beside its answers. A client
+/// passes it on from every answer, whatever the answer was for and whether it was a success.
+pub trait UpstreamObserver {
+    /// The upstream has said that it is leaving.
+    fn is_leaving(&self);
+
+    /// The upstream has sent a notice that is not valid, and that has no effect.
+    fn sent_invalid_notice(&self, notice: Notice);
+}
+
+/// What an upstream may say about itself beside its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Notice {
+    /// It is leaving.
+    Leaving,
+}
+
 /// Creates clients of upstreams.
 pub trait Connector {
-    /// Creates a client of one incarnation of an upstream.
-    fn connect(&self, upstream: &catalog::Upstream) -> Rc<dyn UpstreamClient>;
+    /// Creates a client of one incarnation of an upstream. The client tells `observer` what the
+    /// upstream says about itself.
+    fn connect(
+        &self,
+        upstream: &catalog::Upstream,
+        observer: Rc<dyn UpstreamObserver>,
+    ) -> Rc<dyn UpstreamClient>;
 }
