Send nothing to an upstream that has asked this node for a pause

Cause: no code read the header.

Change: the platform's client tells the observer of a pause, for every 503 to a call, an order or a request for a report. It is not avoided as a failing one, and what it runs goes on. While all holders of a range pause, a request waits if the first end comes within half of its latency target, and is otherwise refused at once with that end as its time to retry after.

Conclusion: an upstream that asks for a pause gets it.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -6,6 +6,7 @@
 };
 
 use catalog::{ModelProfile, Upstream};
+use clock::Timestamp;
 use futures_util::future::select;
 use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path};
 use rand::Rng;
@@ -155,16 +156,22 @@
     Full,
     /// No upstream can serve the request.
     NoUpstream,
+    /// No upstream can serve the request before this time, since some have asked for a pause.
+    Paused(Timestamp),
 }
 
 impl ActiveRequest {
     /// Chooses the upstreams for an attempt, and waits for capacity if there is none.
     pub(crate) async fn admit(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         let gateway = &self.gateway;
+        let end = self.wait_end(query);
+        self.check_pauses(query, end)?;
         if query.is_resumed || gateway.wait_queue.is_empty() {
             match self.choose(query) {
                 Ok(selection) => return Ok(selection),
-                Err(NoSelection::NoUpstream) if self.model_profile().is_none() => {
+                Err(NoSelection::NoUpstream)
+                    if self.model_profile().is_none() && self.paused_until(query).is_none() =>
+                {
                     return Err(NoSelection::NoUpstream);
                 }
                 Err(_) => {}
@@ -173,24 +180,38 @@
         let priority = if query.is_resumed { RESUME_PRIORITY } else { self.priority + 1 };
         let entry = gateway.wait_queue.enqueue(priority);
         gateway.metrics.waiting.inc();
-        let outcome = self.wait_for_capacity(&entry, query).await;
+        let outcome = self.wait_for_capacity(&entry, query, end).await;
         gateway.metrics.waiting.dec();
         outcome
     }
 
+    /// Until when a request that arrives now may wait for capacity.
+    fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
+        let limit = if query.is_resumed {
+            RESUME_WAIT
+        } else {
+            self.route.latency_target.mul_f64(MAX_WAIT_SHARE)
+        };
+        (self.gateway.clock.now() + limit).min(self.deadline)
+    }
+
+    /// Fails if pauses of upstreams keep the request from being served until after `end`.
+    fn check_pauses(&self, query: SelectionQuery<'_>, end: Timestamp) -> Result<(), NoSelection> {
+        match self.paused_until(query) {
+            Some(until) if until > end => Err(NoSelection::Paused(until)),
+            _ => Ok(()),
+        }
+    }
+
     async fn wait_for_capacity(
         &self,
         entry: &QueueEntry<'_>,
         query: SelectionQuery<'_>,
+        end: Timestamp,
     ) -> Result<Selection, NoSelection> {
         let clock = &self.gateway.clock;
-        let limit = if query.is_resumed {
-            RESUME_WAIT
-        } else {
-            self.route.latency_target.mul_f64(MAX_WAIT_SHARE)
-        };
-        let end = (clock.now() + limit).min(self.deadline);
         loop {
+            self.check_pauses(query, end)?;
             let mut no_selection = NoSelection::Full;
             if entry.is_first() {
                 match self.choose(query) {
@@ -340,7 +361,9 @@
                 upstream.phase == catalog::Phase::Serving
                     || (query.with_leaving && gateway.is_in_last_use(upstream))
             })
-            .filter(|upstream| !query.avoid.contains(&upstream.name))
+            .filter(|upstream| {
+                !query.avoid.contains(&upstream.name) && !gateway.is_paused(upstream)
+            })
             .collect();
         let usable: Vec<&Arc<Upstream>> =
             replicas.iter().copied().filter(|upstream| gateway.is_usable(upstream)).collect();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -84,6 +84,10 @@
     fingerprint: u64,
 ) {
     gateway.clock.sleep(CRASH_CHECK_DELAY).await;
+    let upstream = gateway.catalog.borrow().upstream(&name).cloned();
+    if upstream.is_some_and(|upstream| gateway.is_paused(&upstream)) {
+        return;
+    }
     if let Err(error) = client.probe().await {
         gateway.mark_failed(&name, FailureEvidence::of_error(&error), &error.to_string());
         let now = gateway.clock.now();
@@ -233,7 +237,8 @@
     }
 
     /// Records a refusal after a response which states that the call was not run. The upstream that
-    /// refused the call, which may be a later engine of the path, is then avoided for some time.
+    /// refused the call, which may be a later engine of the path, is then avoided for some time. One
+    /// that has asked for a pause is not charged for it.
     pub(crate) fn avoid_after_refusal(&self, selection: &Selection, response: &UpstreamResponse) {
         let gateway = &self.gateway;
         let name = match response.refusing_engine.and_then(|addr| gateway.upstream_at(addr)) {
@@ -242,6 +247,9 @@
         };
         let catalog = gateway.catalog.borrow();
         let Some(upstream) = catalog.upstream(&name) else { return };
+        if gateway.is_paused(upstream) {
+            return;
+        }
         let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
         let pause = if is_misdirected { AVOID_AFTER_MISDIRECTED } else { AVOID_AFTER_OVERLOAD };
         let now = gateway.clock.now();
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -171,13 +171,20 @@
         attempts: &Attempts,
         reason: NoSelection,
     ) -> RoutedFailure {
-        let (kind, message) = match reason {
-            NoSelection::Full => (FailureKind::Overloaded, "the upstreams have no room"),
+        match reason {
+            NoSelection::Full => {
+                self.give_up(attempts, FailureKind::Overloaded, "the upstreams have no room")
+            }
             NoSelection::NoUpstream => {
-                (FailureKind::Unavailable, "no upstream can serve the request")
+                let message = "no upstream can serve the request";
+                self.give_up(attempts, FailureKind::Unavailable, message)
             }
-        };
-        self.give_up(attempts, kind, message)
+            NoSelection::Paused(until) => {
+                let delay = until.since(self.gateway.clock.now());
+                let message = "the upstreams that can serve the request ask for a pause";
+                self.give_up_for(attempts, FailureKind::Overloaded, message, delay)
+            }
+        }
     }
 
     /// The failure of a request that is given up after `attempts`.
@@ -186,16 +193,28 @@
         attempts: &Attempts,
         kind: FailureKind,
         message: &str,
+    ) -> RoutedFailure {
+        let delay = match kind {
+            FailureKind::Overloaded => CAPACITY_RETRY_AFTER,
+            _ => UNAVAILABLE_RETRY_AFTER,
+        };
+        self.give_up_for(attempts, kind, message, delay)
+    }
+
+    /// Like [`give_up`](Self::give_up). The caller may retry after `delay` if the request has not
+    /// run.
+    fn give_up_for(
+        &self,
+        attempts: &Attempts,
+        kind: FailureKind,
+        message: &str,
+        delay: Duration,
     ) -> RoutedFailure {
         self.log.set_reason(message);
         let causes = self.log.causes();
         let message =
             if causes.is_empty() { message.to_owned() } else { format!("{message} ({causes})") };
         if attempts.verdict() == Verdict::NotRun {
-            let delay = match kind {
-                FailureKind::Overloaded => CAPACITY_RETRY_AFTER,
-                _ => UNAVAILABLE_RETRY_AFTER,
-            };
             self.log.end("refused", Verdict::NotRun, 0);
             return RoutedFailure::retry_after(Failure::not_run(kind, message), delay);
         }
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -6,7 +6,7 @@
 use catalog::{CatalogCodec, CatalogState};
 use clock::Clock;
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable};
+use pipelines::{HealthTable, LoadTable, PauseTable};
 use settings::EdgeSettings;
 use transport::StopSignal;
 use upstreams::Connector;
@@ -59,6 +59,7 @@
             clients: RefCell::default(),
             load: RefCell::new(LoadTable::default()),
             health: RefCell::new(HealthTable::default()),
+            pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
             wait_queue: WaitQueue::default(),
             crashes: RefCell::new(CrashTable::default()),
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -53,6 +53,7 @@
         let catalog = self.catalog.borrow();
         catalog.mark_against_entry(upstream).is_some_and(|mark| now.since(mark.since) < limit)
             && !self.health.borrow().is_avoided(&upstream.name, upstream.incarnation, now)
+            && !self.is_paused(upstream)
     }
 
     /// Whether a service has an upstream that is leaving and may be used if no other one is left.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod node;
 mod observer;
 mod outcome;
+mod pauses;
 mod peering;
 mod planner;
 mod run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     /// Upstreams that were found to be leaving although their entry says that they serve, by who
     /// said so.
     pub(crate) leaving_marks: IntCounterVec,
+    /// Refusals by which upstreams asked for a pause.
+    pub(crate) pauses: IntCounter,
     /// Notices of upstreams that were not valid and had no effect, by notice.
     pub(crate) invalid_notices: IntCounterVec,
     /// Orders sent to engines, by outcome.
@@ -70,6 +72,11 @@
                 "Upstreams that said that they are leaving before their entry did",
                 &["source"],
             ),
+            pauses: IntCounter::new(
+                "gypsumrack_upstream_pauses_total",
+                "Refusals by which upstreams asked for a pause",
+            )
+            .expect("counter is valid"),
             invalid_notices: counter_vec(
                 "gypsumrack_invalid_notices_total",
                 "Headers by which upstreams announce something and that were not valid",
@@ -101,13 +108,14 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(self.requests.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.resends.clone()),
             Box::new(self.events.clone()),
             Box::new(self.suspicions.clone()),
             Box::new(self.leaving_marks.clone()),
+            Box::new(self.pauses.clone()),
             Box::new(self.invalid_notices.clone()),
             Box::new(self.orders.clone()),
             Box::new(self.table_version.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable, SharedRetryBudget};
+use pipelines::{HealthTable, LoadTable, PauseTable, SharedRetryBudget};
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
@@ -62,6 +62,7 @@
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
     pub(crate) health: RefCell<HealthTable>,
+    pub(crate) pauses: RefCell<PauseTable>,
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     pub(crate) wait_queue: WaitQueue,
@@ -129,11 +130,12 @@
         });
     }
 
-    /// Whether an upstream accepts new work and is not avoided now.
+    /// Whether an upstream accepts new work, is not avoided now and has not asked for a pause.
     pub(crate) fn is_usable(&self, upstream: &Upstream) -> bool {
         let now = self.clock.now();
         upstream.phase == Phase::Serving
             && !self.health.borrow().is_avoided(&upstream.name, upstream.incarnation, now)
+            && !self.is_paused(upstream)
     }
 
     /// Whether an engine is so slow that the planner no longer counts on it, and that a stream may
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -1,6 +1,6 @@
 //! Applies what upstreams say about themselves beside their answers.
 
-use std::rc::Weak;
+use std::{net::SocketAddr, rc::Weak, time::Duration};
 
 use catalog::Upstream;
 use types::UpstreamName;
@@ -29,6 +29,18 @@
         gateway.record_own_leaving(&self.name, self.incarnation);
     }
 
+    fn wants_pause(&self, length: Duration, refusing_engine: Option<SocketAddr>) {
+        let Some(gateway) = self.gateway.upgrade() else { return };
+        gateway.start_pause(&self.name, self.incarnation, length);
+        // The answer does not tell whether the engine that was called or the one that refused asks
+        // for the pause.
+        let refusing = refusing_engine.and_then(|addr| gateway.upstream_at(addr));
+        let refusing = refusing.and_then(|name| gateway.catalog.borrow().upstream(&name).cloned());
+        if let Some(refusing) = refusing.filter(|refusing| refusing.name != self.name) {
+            gateway.start_pause(&refusing.name, refusing.incarnation, length);
+        }
+    }
+
     fn sent_invalid_notice(&self, notice: Notice) {
         let Some(gateway) = self.gateway.upgrade() else { return };
         let notice: &str = notice.into();
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -176,6 +176,10 @@
     placement: Placement,
 ) -> Option<UpstreamName> {
     let client = gateway.client(&upstream);
+    // The engine may have asked for a pause since its orders were planned.
+    if !gateway.takes_orders(&upstream) {
+        return Some(placement.name);
+    }
     // The plan may be based on outdated state, so an engine that already holds layers gets no
     // order. The order carries the number of orders that the engine has accepted according to this
     // report, and the engine refuses it if it has accepted another one since. An order that it
@@ -187,6 +191,10 @@
                 "engine already holds layers; no order");
             return None;
         }
+        Err(error) if gateway.is_paused(&upstream) => {
+            tracing::info!(upstream = %placement.name, %error, "engine takes no orders now; no order");
+            return Some(placement.name);
+        }
         Err(error) => {
             tracing::info!(upstream = %placement.name, %error, "engine does not report; no order");
             gateway.mark_failed(&placement.name, FailureEvidence::of_error(&error), "no report");
@@ -194,7 +202,7 @@
         }
     };
     if !gateway.takes_orders(&upstream) {
-        tracing::info!(upstream = %placement.name, "engine is leaving; no order");
+        tracing::info!(upstream = %placement.name, "engine takes no orders now; no order");
         return Some(placement.name);
     }
     let order = LoadOrder { layers: placement.layers, expected_orders };
@@ -216,7 +224,7 @@
         ))
         .detach();
     }
-    if not_executed {
+    if not_executed && !gateway.is_paused(&upstream) {
         // The engine is avoided for some time, so that the next order to it is based on newer
         // state.
         let now = gateway.clock.now();
@@ -250,6 +258,9 @@
         if needs_no_confirmation {
             return;
         }
+        if gateway.is_paused(&upstream) {
+            continue;
+        }
         match client.report(REPORT_LIMIT).await {
             Ok(report) if report.layers == Some(placement.layers) => {
                 gateway.apply_layers(&placement.name, upstream.incarnation, placement.layers);
@@ -268,7 +279,9 @@
     fn takes_orders(&self, engine: &Upstream) -> bool {
         let catalog = self.catalog.borrow();
         catalog.upstream(&engine.name).is_some_and(|current| {
-            current.incarnation == engine.incarnation && current.phase == Phase::Serving
+            current.incarnation == engine.incarnation
+                && current.phase == Phase::Serving
+                && !self.is_paused(current)
         })
     }
 }
@@ -311,7 +324,8 @@
             layers: catalog
                 .layers(upstream)
                 .or(pending_order.map(|pending_order| pending_order.layers)),
-            may_be_ordered: !health.is_avoided(&upstream.name, upstream.incarnation, now),
+            may_be_ordered: !health.is_avoided(&upstream.name, upstream.incarnation, now)
+                && !gateway.is_paused(upstream),
         });
     }
     views
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -241,9 +241,12 @@
     }
 
     /// Probes whether an engine accepts connections; `None` if the engine is not in the catalog any
-    /// more.
+    /// more, or has asked for a pause.
     async fn probe(&self, name: &UpstreamName) -> Option<ProbeOutcome> {
         let upstream = self.catalog.borrow().upstream(name).cloned()?;
+        if self.is_paused(&upstream) {
+            return None;
+        }
         let client = self.client(&upstream);
         for _ in 0..PROBE_ATTEMPTS {
             match timeout(&*self.clock, PROBE_LIMIT, client.probe()).await {
@@ -255,11 +258,17 @@
         Some(ProbeOutcome::Silent)
     }
 
-    /// Requests a report from an engine. Marks the engine as failing if it does not answer.
+    /// Requests a report from an engine, unless it has asked for a pause. Marks the engine as
+    /// failing if it does not answer.
     async fn request_report(&self, name: &UpstreamName) -> Option<(Arc<Upstream>, EngineReport)> {
         let upstream = self.catalog.borrow().upstream(name).cloned()?;
+        if self.is_paused(&upstream) {
+            return None;
+        }
         match self.client(&upstream).report(REPORT_LIMIT).await {
             Ok(report) => Some((upstream, report)),
+            // An engine that refuses the request and asks for a pause has not failed.
+            Err(_) if self.is_paused(&upstream) => None,
             Err(error) => {
                 let evidence = FailureEvidence::of_error(&error);
                 self.mark_failed(name, evidence, &format!("no report: {error}"));
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod leaving;
 mod lifecycle;
 mod log;
+mod pauses;
 mod planner;
 mod silence;
 mod support;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -20,7 +20,7 @@
 
 use codec::TextCodec;
 pub use log::LogCapture;
-pub use scripted_upstreams::{ScriptedUpstreams, Step, event};
+pub use scripted_upstreams::{PauseRequest, ScriptedUpstreams, Step, event};
 pub use store::MemoryStore;
 
 /// Host name of all routes.
@@ -76,6 +76,9 @@
             refuse_probes: Rc::default(),
             stopped: Rc::default(),
             leaving: Rc::default(),
+            pausing: Rc::default(),
+            reports: Rc::default(),
+            probes: Rc::default(),
             orders: Rc::default(),
             endless_bytes: Rc::default(),
             clock: clock.clone(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -33,6 +33,8 @@
     Endless { status: u16, signed: bool },
     /// It states that it did not run the call.
     Refuse(u16),
+    /// It refuses the call after a while and asks for a pause.
+    RefuseAfter { wait: Duration, pause: Duration },
     /// The connection cannot be opened, so the call is not sent.
     Unreachable,
     /// The connection breaks after the call was sent.
@@ -49,6 +51,14 @@
     Silent,
 }
 
+/// A pause that an upstream asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct PauseRequest {
+    pub length: Duration,
+    /// Address of the engine that refused, if the refusal names one.
+    pub engine: Option<&'static str>,
+}
+
 /// The calls that upstreams received, in order, each with the upstream's name.
 pub type Calls = Rc<RefCell<Vec<(String, Call)>>>;
 
@@ -69,6 +79,12 @@
     pub silent_reports: Rc<Cell<bool>>,
     /// Upstreams that say in all their answers that they are leaving.
     pub leaving: Rc<RefCell<Vec<String>>>,
+    /// Upstreams that refuse all calls and requests for reports and ask for a pause.
+    pub pausing: Rc<RefCell<BTreeMap<String, PauseRequest>>>,
+    /// Engines whose report was requested.
+    pub reports: Rc<RefCell<Vec<String>>>,
+    /// Upstreams that were probed.
+    pub probes: Rc<RefCell<Vec<String>>>,
     /// Orders that engines received.
     pub orders: Rc<RefCell<Vec<(String, LoadOrder)>>>,
     /// Bytes that were read of bodies without end.
@@ -89,6 +105,16 @@
             self.observer.is_leaving();
         }
     }
+
+    /// Whether the upstream refuses requests now, which asks for a pause.
+    fn asks_for_pause(&self) -> bool {
+        let asked = self.upstreams.pausing.borrow().get(&self.name).copied();
+        if let Some(PauseRequest { length, engine }) = asked {
+            let engine = engine.map(|addr| addr.parse().expect("the address is valid"));
+            self.observer.wants_pause(length, engine);
+        }
+        asked.is_some()
+    }
 }
 
 impl Connector for ScriptedUpstreams {
@@ -106,6 +132,9 @@
             refuse_probes: self.refuse_probes.clone(),
             stopped: self.stopped.clone(),
             leaving: self.leaving.clone(),
+            pausing: self.pausing.clone(),
+            reports: self.reports.clone(),
+            probes: self.probes.clone(),
             orders: self.orders.clone(),
             endless_bytes: self.endless_bytes.clone(),
             clock: self.clock.clone(),
@@ -136,6 +165,9 @@
                     endless_bytes: self.upstreams.endless_bytes.clone(),
                 }),
             };
+            if self.asks_for_pause() {
+                return Ok(response(503, false, true, Vec::new()));
+            }
             if !matches!(step, Step::Unreachable | Step::Broken | Step::Silent) {
                 self.observe_answer();
             }
@@ -155,6 +187,11 @@
                     Ok(response(status, signed, false, vec![BodyPart::Endless]))
                 }
                 Step::Refuse(status) => Ok(response(status, false, true, Vec::new())),
+                Step::RefuseAfter { wait, pause } => {
+                    self.upstreams.clock.sleep(wait).await;
+                    self.observer.wants_pause(pause, None);
+                    Ok(response(503, false, true, Vec::new()))
+                }
                 Step::Unreachable => Err(CallError::Connect("refused".into())),
                 Step::Broken => Err(CallError::Broken("reset".into())),
                 Step::Events(numbers) => Ok(response(200, true, false, events(&numbers))),
@@ -185,6 +222,7 @@
     }
 
     fn probe(&self) -> LocalBoxFuture<'_, Result<(), CallError>> {
+        self.upstreams.probes.borrow_mut().push(self.name.clone());
         let crashed = self.upstreams.refuse_probes.get()
             || self.upstreams.stopped.borrow().contains(&self.name);
         ready(if crashed { Err(CallError::Refused) } else { Ok(()) })
@@ -200,6 +238,10 @@
     }
 
     fn report(&self, limit: Duration) -> LocalBoxFuture<'_, Result<EngineReport, CallError>> {
+        self.upstreams.reports.borrow_mut().push(self.name.clone());
+        if self.asks_for_pause() {
+            return async { Err(CallError::Status(503, String::new())) }.boxed_local();
+        }
         if self.upstreams.silent_reports.get() {
             return async move {
                 self.upstreams.clock.sleep(limit).await;
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -18,10 +18,12 @@
 mod health;
 mod load;
 mod path;
+mod pause;
 mod placement;
 
 pub use budget::SharedRetryBudget;
 pub use health::HealthTable;
 pub use load::{Load, LoadTable, UpstreamLoad};
 pub use path::{Path, PathCandidate, PathQuery, choose_path};
+pub use pause::PauseTable;
 pub use placement::{EngineView, Placement, covers_model, plan};
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -126,6 +126,10 @@
     /// The upstream has said that it is leaving.
     fn is_leaving(&self);
 
+    /// The upstream has refused a request and asked this node to send it nothing for `length`. If
+    /// the answer names the engine that refused, `refusing_engine` is its address.
+    fn wants_pause(&self, length: Duration, refusing_engine: Option<SocketAddr>);
+
     /// The upstream has sent a notice that is not valid, and that has no effect.
     fn sent_invalid_notice(&self, notice: Notice);
 }
@@ -136,6 +140,8 @@
 pub enum Notice {
     /// It is leaving.
     Leaving,
+    /// It asks for a pause.
+    Pause,
 }
 
 /// Creates clients of upstreams.
