Let the soak's workers leave by their answers and ask for pauses

The soak could not find a request that reaches a worker which has said in an answer that it is leaving, or that has asked for a pause.

Change: the platform's stand-in adds Server-Leaving to all answers of a leaving worker; a new fault lets a worker say so only there, and another one lets it refuse requests with Retry-After. Callers name the node, and the run of its process, to which they send a request, so that the checks know the node; a restart or a freeze gives the process another name, which excuses it. DRAIN: a request that was sent later than 2 s after its node had passed on such an answer. BUDGET: a third request of a node in its pause.

--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -1,19 +1,20 @@
 use http::{HeaderMap, Method, Request};
 use transport::Body;
 
-use super::{HOST, KEY};
+use super::{HOST, KEY, notices::NODE};
 
 /// Path of the readiness check that the platform's load balancer sends to a node.
 pub const READY_PATH: &str = "/v1/readyz";
 
-/// Builds a caller's request with the platform's headers. It asks for `tokens` output tokens and
-/// has a deadline of `millis` milliseconds.
-pub fn caller_request(path: &str, id: &str, tokens: u64, millis: u64) -> Request<Body> {
+/// Builds a caller's request to `node` with the platform's headers. It asks for `tokens` output
+/// tokens and has a deadline of `millis` milliseconds.
+pub fn caller_request(path: &str, id: &str, node: &str, tokens: u64, millis: u64) -> Request<Body> {
     Request::builder()
         .method(Method::POST)
         .uri(path)
         .header("host", HOST)
         .header("attempt-id", id)
+        .header(NODE, node)
         .header("deadline-ms", millis.to_string())
         .header("authorization", format!("Token {KEY}"))
         .header("token-count", format!("20,{tokens}"))
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! `POST /control` injects a fault, and `GET /seen` returns what the workers recorded.
 
 mod caller;
+mod notices;
 mod store;
 mod worker;
 
@@ -25,6 +26,7 @@
 
 use crate::server::{self, bad_request, reply};
 pub use caller::{READY_PATH, caller_request, is_signed};
+pub use notices::leaving_worker;
 use store::Store;
 use worker::Worker;
 
@@ -71,6 +73,21 @@
         /// Number of the worker.
         worker: usize,
     },
+    /// A worker says only in its answers that it is leaving, serves for a while longer, stops, and
+    /// restarts.
+    Leave {
+        /// Number of the worker.
+        worker: usize,
+    },
+    /// A worker refuses all requests for a while and asks each node for a pause.
+    Pause {
+        /// Number of the worker.
+        worker: usize,
+        /// Time for which it refuses requests, in milliseconds.
+        millis: u64,
+        /// Length of the pauses, in milliseconds.
+        pause_millis: u64,
+    },
     /// A worker cuts off some of its streams, and sends some of its other answers empty and
     /// unsigned.
     Garble {
@@ -100,6 +117,8 @@
 pub struct Seen {
     /// Number of runs by attempt identifier, for the plain service.
     pub runs: BTreeMap<String, u32>,
+    /// Requests that reached a leaving worker, as attempt identifier and name of the worker.
+    pub leaving_arrivals: Vec<(String, String)>,
     /// Guarantees of the router that a worker saw violated, one message each.
     pub violations: Vec<String>,
     /// Latest version of the configuration.
@@ -204,7 +223,16 @@
                 compio::runtime::spawn(worker::crash(self.clone(), worker, down)).detach();
             }
             PlatformFault::Drain { worker: number } => {
-                compio::runtime::spawn(worker::drain(self.clone(), worker(number)?)).detach();
+                let worker = worker(number)?;
+                compio::runtime::spawn(worker::drain(self.clone(), worker, false)).detach();
+            }
+            PlatformFault::Leave { worker: number } => {
+                let worker = worker(number)?;
+                compio::runtime::spawn(worker::drain(self.clone(), worker, true)).detach();
+            }
+            PlatformFault::Pause { worker: number, millis, pause_millis } => {
+                let length = Duration::from_millis(pause_millis);
+                worker(number)?.pauses.borrow_mut().refuse(later(millis), length);
             }
             PlatformFault::Garble { worker: number, percent } => {
                 worker(number)?.garble.set(percent);
--- a/crates/standins/src/platform/worker.rs
+++ b/crates/standins/src/platform/worker.rs
@@ -13,7 +13,10 @@
 use transport::{Body, Handler, RequestBody, Server, StopSignal, json_response};
 use types::{LayerRange, check_coverage};
 
-use super::{DRAFTS, LAYERS, ORGANISATION, Platform};
+use super::{
+    DRAFTS, LAYERS, ORGANISATION, Platform,
+    notices::{self, NodePauses},
+};
 
 /// Time to load the layers of an order.
 const LOAD_TIME: Duration = Duration::from_millis(100);
@@ -28,6 +31,8 @@
 const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(500);
 /// Time for which a leaving worker still serves, and for which it is down afterwards.
 const DRAIN_TIME: Duration = Duration::from_millis(2500);
+/// Time for which a worker serves that says only in its answers that it is leaving.
+const QUIET_DRAIN_TIME: Duration = Duration::from_millis(5000);
 /// Interval at which a hanging stream checks whether its time is up.
 const STALL_POLL: Duration = Duration::from_millis(20);
 /// Number of tokens in one event.
@@ -46,6 +51,10 @@
     order_count: Cell<u64>,
     is_up: Cell<bool>,
     is_leaving: Cell<bool>,
+    /// Whether its entry does not say that it is leaving.
+    leaves_quietly: Cell<bool>,
+    /// Pauses that it has asked nodes for.
+    pub(super) pauses: RefCell<NodePauses>,
     /// Share of answers that are cut off or left empty, in percent.
     pub(crate) garble: Cell<u32>,
     stop: RefCell<StopSignal>,
@@ -65,6 +74,8 @@
             order_count: Cell::default(),
             is_up: Cell::default(),
             is_leaving: Cell::default(),
+            leaves_quietly: Cell::default(),
+            pauses: RefCell::default(),
             garble: Cell::default(),
             stop: RefCell::new(StopSignal::new()),
             blocked: RefCell::default(),
@@ -89,7 +100,8 @@
     /// Writes the worker's entry to the key-value service.
     fn register(&self, platform: &Platform) {
         let Some(addr) = self.addr.get() else { return };
-        let phase = if self.is_leaving.get() { "draining" } else { "up" };
+        let phase =
+            if self.is_leaving.get() && !self.leaves_quietly.get() { "draining" } else { "up" };
         let kind = (self.service == DRAFTS).then_some("gpu");
         let entry = json!({"backend": self.service, "address": addr, "az": self.domain,
             "version": "v1", "capacity": 50, "phase": phase, "cold_left_ms": 0, "sequence": 1,
@@ -111,6 +123,7 @@
     worker.layers.set(None);
     worker.order_count.set(0);
     worker.is_leaving.set(false);
+    worker.pauses.take();
     worker.is_up.set(true);
     worker.register(&platform);
     let handler = Rc::new(WorkerHandler { platform, worker });
@@ -134,13 +147,15 @@
     }
 }
 
-/// Announces that a worker is leaving, lets it serve for [`DRAIN_TIME`], stops and restarts it.
-pub(crate) async fn drain(platform: Rc<Platform>, worker: Rc<Worker>) {
+/// Lets a worker say that it is leaving, in its answers and, unless `quietly`, in its entry. It
+/// serves for a while longer, stops and restarts.
+pub(crate) async fn drain(platform: Rc<Platform>, worker: Rc<Worker>, quietly: bool) {
     if !worker.is_up.get() || worker.is_leaving.replace(true) {
         return;
     }
+    worker.leaves_quietly.set(quietly);
     worker.register(&platform);
-    platform.clock.sleep(DRAIN_TIME).await;
+    platform.clock.sleep(if quietly { QUIET_DRAIN_TIME } else { DRAIN_TIME }).await;
     crash(platform, worker, DRAIN_TIME).await;
 }
 
@@ -162,19 +177,23 @@
         request: Request<RequestBody>,
     ) -> LocalBoxFuture<'static, Response<Body>> {
         async move {
-            match request.uri().path() {
+            let worker = self.worker.clone();
+            let id = worker.id();
+            let mut response = match request.uri().path() {
                 "/v1/report" => {
-                    let worker = &self.worker;
                     let blocked = worker.blocked.borrow();
                     let blocked: Vec<_> =
                         blocked.iter().map(|addr| json!({"id": "", "address": addr})).collect();
-                    let report = json!({"sequence": worker.order_count.get(),
+                    let report = json!({"born": worker.start_millis.get(),
+                        "sequence": worker.order_count.get(),
                         "layer_count": worker.layers_json(), "blocked": blocked});
                     json_response(StatusCode::OK, &report)
                 }
                 "/v1/order" => self.order(request).await,
                 _ => self.serve(request).await,
-            }
+            };
+            notices::sign_off(response.headers_mut(), &id, worker.is_leaving.get());
+            response
         }
         .boxed_local()
     }
@@ -212,12 +231,20 @@
         if text("expect-worker") != self.worker.id() {
             return not_executed(StatusCode::MISDIRECTED_REQUEST, None);
         }
+        let node = text(notices::NODE);
+        self.check_arrival(&self.worker, &id, &node);
+        let pause = self.worker.pauses.borrow_mut().pause(&node, self.platform.clock.now());
+        if let Some(pause) = pause {
+            let mut refusal = not_executed(StatusCode::SERVICE_UNAVAILABLE, self.worker.addr.get());
+            notices::ask_for_pause(refusal.headers_mut(), pause);
+            return refusal;
+        }
         if self.worker.is_leaving.get() && rand::rng().random_bool(0.5) {
             return not_executed(StatusCode::SERVICE_UNAVAILABLE, None);
         }
         self.check_headers(&id, &headers);
         if self.worker.service == DRAFTS {
-            return self.draft(&id, &headers);
+            return self.draft(&id, &node, &headers);
         }
         self.count_run(&id);
         self.platform.clock.sleep(WORK_TIME).await;
@@ -230,7 +257,7 @@
     }
 
     /// Streams generated tokens, if the engines of all stages are up and hold their layers.
-    fn draft(self: Rc<Self>, id: &str, headers: &HeaderMap) -> Response<Body> {
+    fn draft(self: Rc<Self>, id: &str, node: &str, headers: &HeaderMap) -> Response<Body> {
         let header = headers.get("hop-count").and_then(|value| value.to_str().ok());
         let stages = match header.map(parse_stages) {
             Some(Some(stages)) if !stages.is_empty() => stages,
@@ -248,6 +275,9 @@
                 (engine, start)
             })
             .collect();
+        for (engine, _) in engines.iter().skip(1) {
+            self.check_arrival(engine, id, node);
+        }
         for ((addr, layers), (engine, _)) in stages.iter().zip(&engines) {
             if !engine.is_up.get() {
                 return not_executed(StatusCode::SERVICE_UNAVAILABLE, Some(*addr));
@@ -314,6 +344,19 @@
         }
     }
 
+    /// Records a request that reaches a worker which is leaving or has asked for a pause, as its
+    /// first worker or as a later one.
+    fn check_arrival(&self, worker: &Worker, id: &str, node: &str) {
+        if worker.is_leaving.get() {
+            let arrival = (id.to_owned(), worker.id());
+            self.platform.seen.borrow_mut().leaving_arrivals.push(arrival);
+        }
+        if worker.pauses.borrow_mut().count(node, self.platform.clock.now()) {
+            let worker = worker.id();
+            self.record_violation(format!("BUDGET: {id} from {node} reached {worker} in a pause"));
+        }
+    }
+
     fn count_run(&self, id: &str) {
         *self.platform.seen.borrow_mut().runs.entry(id.into()).or_default() += 1;
     }
--- a/xtask/src/soak/callers.rs
+++ b/xtask/src/soak/callers.rs
@@ -2,9 +2,9 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use clock::{Clock, RuntimeClock};
+use clock::{Clock, RuntimeClock, Timestamp};
 use rand::{Rng, rngs::StdRng};
-use standins::platform::{caller_request, is_signed};
+use standins::platform::{caller_request, is_signed, leaving_worker};
 use transport::{CallError, EventSplitter, HttpClient, Timeouts};
 
 /// Timeouts of a caller's connections.
@@ -44,6 +44,11 @@
     pub(super) not_run: Vec<String>,
     /// Identifiers of the filings that were answered with status 200.
     pub(super) filed: Vec<String>,
+    /// The node that each request was last sent to, and when.
+    pub(super) sent: BTreeMap<String, (String, Timestamp)>,
+    /// When a node first passed on an answer which says that its worker is leaving, by the names of
+    /// node and worker.
+    pub(super) passed_on: BTreeMap<(String, String), Timestamp>,
     /// Descriptions of the guarantees that an answer violated.
     pub(super) violations: Vec<String>,
 }
@@ -56,20 +61,26 @@
     }
 }
 
-/// One HTTP client for each node, and the outcomes of what they sent. Connections are reused
+/// One HTTP client for each node and the current name of the node's process, and the outcomes of what they sent. Connections are reused
 /// until they break.
 pub(super) struct Callers {
     pub(super) clients: Vec<HttpClient>,
+    /// Returns the name of a node's process, which is new after each restart and each freeze: these
+    /// excuse what a node has forgotten or not heard.
+    node_name: Box<dyn Fn(usize) -> String>,
     pub(super) tally: RefCell<Tally>,
     clock: Rc<dyn Clock>,
 }
 
 impl Callers {
     /// Creates a client for each node address in `addrs`.
-    pub(super) fn new(addrs: impl Iterator<Item = std::net::SocketAddr>) -> Callers {
+    pub(super) fn new(
+        addrs: impl Iterator<Item = std::net::SocketAddr>,
+        node_name: Box<dyn Fn(usize) -> String>,
+    ) -> Callers {
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
         let clients = addrs.map(|addr| HttpClient::new(clock.clone(), addr)).collect();
-        Callers { clients, tally: RefCell::default(), clock }
+        Callers { clients, node_name, tally: RefCell::default(), clock }
     }
 
     /// Sends one request of a random kind, to a random node first, and records its outcome.
@@ -97,8 +108,8 @@
     /// balancer in front of the nodes does.
     async fn try_nodes(&self, kind: Kind, id: &str, first: usize) -> String {
         for step in 0..self.clients.len() {
-            let client = &self.clients[(first + step) % self.clients.len()];
-            match self.exchange(client, kind, id).await {
+            let number = (first + step) % self.clients.len();
+            match self.exchange(number, kind, id).await {
                 Err(error) if error.is_connect_failure() => {}
                 Err(error) => return error_outcome(&error),
                 Ok(outcome) => return outcome,
@@ -108,19 +119,22 @@
     }
 
     /// Sends a request to one node and checks the answer. Returns the status code as the outcome.
-    async fn exchange(
-        &self,
-        client: &HttpClient,
-        kind: Kind,
-        id: &str,
-    ) -> Result<String, CallError> {
+    async fn exchange(&self, number: usize, kind: Kind, id: &str) -> Result<String, CallError> {
         let path = match kind {
             Kind::Draft => "/drafts/x",
             Kind::Filing => "/file/x",
             Kind::Lookup => "/look/x",
         };
-        let request = caller_request(path, id, STREAM_EVENTS * EVENT_TOKENS, DEADLINE_MS);
-        let mut response = client.send(request, TIMEOUTS).await?;
+        let node = (self.node_name)(number);
+        let request = caller_request(path, id, &node, STREAM_EVENTS * EVENT_TOKENS, DEADLINE_MS);
+        let sent = (node.clone(), self.clock.now());
+        self.tally.borrow_mut().sent.insert(id.into(), sent);
+        let mut response = self.clients[number].send(request, TIMEOUTS).await?;
+        if let Some(worker) = leaving_worker(response.headers()) {
+            let now = self.clock.now();
+            let mut tally = self.tally.borrow_mut();
+            tally.passed_on.entry((node, worker.to_owned())).or_insert(now);
+        }
         let status = response.status().as_u16();
         if status != 200 {
             let mut tally = self.tally.borrow_mut();
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -3,10 +3,12 @@
 //!
 //! The records of callers and workers are compared at the end: answers are complete, streams have
 //! no gap, no filing runs twice, a request that was refused as not run did not run, each layer runs
-//! once and in order, and requests are served again after the last fault.
+//! once and in order, no request reaches a worker that has said that it is leaving or has asked for
+//! a pause, and requests are served again after the last fault.
 
 mod callers;
 mod node;
+mod notices;
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
@@ -104,7 +106,11 @@
     if !fleet.wait_ready().await {
         return vec!["the nodes did not become ready".into()];
     }
-    let callers = Rc::new(Callers::new(fleet.nodes.iter().map(|node| node.callers)));
+    let node_name = {
+        let fleet = fleet.clone();
+        Box::new(move |number: usize| fleet.nodes[number].name())
+    };
+    let callers = Rc::new(Callers::new(fleet.nodes.iter().map(|node| node.callers), node_name));
     let end = fleet.clock.now() + Duration::from_secs(args.seconds);
     let tasks: Vec<_> = (0..CALLERS)
         .map(|number| {
@@ -120,6 +126,9 @@
             })
         })
         .collect();
+    if !args.calm {
+        compio::runtime::spawn(notices::inject(fleet.clone(), seed, end)).detach();
+    }
     let mut rng = StdRng::seed_from_u64(seed);
     while fleet.clock.now() < end {
         fleet.clock.sleep(Duration::from_millis(rng.random_range(FAULT_GAP_MS))).await;
@@ -181,6 +190,7 @@
             }
         }
     }
+    problems.extend(notices::late_requests(seen, tallies));
     problems.truncate(20);
     problems
 }
--- a/xtask/src/soak/node.rs
+++ b/xtask/src/soak/node.rs
@@ -1,7 +1,7 @@
 //! An edge node as a child process.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     fs::{File, OpenOptions},
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
@@ -14,11 +14,14 @@
 
 /// A process of `gypsumrack-edge`. It is killed when the value is dropped.
 pub(super) struct EdgeNode {
+    number: usize,
     pub(super) callers: SocketAddr,
     pub(super) health: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: RefCell<Child>,
+    /// Number of times that the process was restarted, frozen or continued.
+    runs: Cell<u32>,
 }
 
 impl EdgeNode {
@@ -38,7 +41,12 @@
         let log = directory.join(format!("node-{number}.log"));
         File::create(&log).expect("log file can be created");
         let child = RefCell::new(spawn(&settings, &log));
-        EdgeNode { callers, health, settings, log, child }
+        EdgeNode { number, callers, health, settings, log, child, runs: Cell::new(0) }
+    }
+
+    /// Name of the process, which is new after each restart and each freeze.
+    pub(super) fn name(&self) -> String {
+        format!("node-{}.{}", self.number, self.runs.get())
     }
 
     /// Kills the process, without a drain, and waits until it has ended.
@@ -52,6 +60,7 @@
     /// Starts the process again with the same addresses. One that still runs is killed first.
     pub(super) fn restart(&self) {
         self.kill();
+        self.runs.set(self.runs.get() + 1);
         *self.child.borrow_mut() = spawn(&self.settings, &self.log);
     }
 
@@ -60,6 +69,9 @@
         if self.has_ended() {
             return;
         }
+        if matches!(signal, Signal::STOP | Signal::CONT) {
+            self.runs.set(self.runs.get() + 1);
+        }
         let pid = Pid::from_raw(self.child.borrow().id().cast_signed());
         // The process may have ended since the check above.
         let _ = pid.map(|pid| kill_process(pid, signal));
