Let the soak's replicas ask for pauses more often

Change: seven of ten such faults hit a replica, and none is shorter than 0.5 s; the pauses last 1.5 to 4 s, which ends within the recovery time.

--- a/xtask/src/soak/notices.rs
+++ b/xtask/src/soak/notices.rs
@@ -7,16 +7,16 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use standins::platform::{PlatformFault, Seen};
 
-use super::{Fleet, WORKERS, callers::Tally};
+use super::{ENGINES, Fleet, WORKERS, callers::Tally};
 
 /// Added to the seed of the other faults, whose sequence does not depend on these.
 const SEED_OFFSET: u64 = 1 << 32;
 /// Range of the pauses before each fault, in milliseconds.
 const GAP_MS: Range<u64> = 600..1800;
 /// Range of the times for which a worker refuses requests, in milliseconds.
-const REFUSE_MS: Range<u64> = 100..1500;
+const REFUSE_MS: Range<u64> = 500..1500;
 /// Range of the pauses that a worker asks for, in milliseconds.
-const PAUSE_MS: Range<u64> = 2000..6000;
+const PAUSE_MS: Range<u64> = 1500..4000;
 /// Time after an answer that says that its worker is leaving within which its node may still send
 /// the worker requests.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
@@ -33,6 +33,9 @@
         let fault = if rng.random_bool(0.5) {
             PlatformFault::Leave { worker }
         } else {
+            // Few requests enter through any one engine, so replicas are chosen more often.
+            let replica = rng.random_range(ENGINES..WORKERS);
+            let worker = if rng.random_bool(0.7) { replica } else { worker };
             let millis = rng.random_range(REFUSE_MS);
             PlatformFault::Pause { worker, millis, pause_millis: rng.random_range(PAUSE_MS) }
         };
