--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -6,6 +6,7 @@
 };
 
 use catalog::{ModelProfile, Upstream};
+use clock::Timestamp;
 use futures_util::future::select;
 use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path};
 use rand::Rng;
@@ -52,6 +53,8 @@
     pub(crate) avoid: &'a [UpstreamName],
     /// The only upstreams that may be the entry upstream; empty if there is no such limit.
     pub(crate) allowed_entries: &'a [UpstreamName],
+    /// Whether upstreams that are leaving may be used while they still serve.
+    pub(crate) with_leaving: bool,
     /// Whether the request is resumed: the caller already has a part of the stream, or an earlier
     /// attempt may have run.
     pub(crate) is_resumed: bool,
@@ -160,6 +163,8 @@
     NoUpstream,
     /// The request would crash its upstreams.
     Poison,
+    /// No upstream can serve the request before this time, since some have asked for a pause.
+    Paused(Timestamp),
 }
 
 impl ActiveRequest {
@@ -179,10 +184,14 @@
 
     async fn select(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         let gateway = &self.gateway;
+        let end = self.wait_end(query);
+        self.check_pauses(query, end)?;
         if query.is_resumed || gateway.wait_queue.is_empty() {
             match self.choose(query) {
                 Ok(selection) => return Ok(selection),
-                Err(NoSelection::NoUpstream) if self.model_profile().is_none() => {
+                Err(NoSelection::NoUpstream)
+                    if self.model_profile().is_none() && self.paused_until(query).is_none() =>
+                {
                     return Err(NoSelection::NoUpstream);
                 }
                 Err(_) => {}
@@ -191,24 +200,38 @@
         let priority = if query.is_resumed { RESUME_PRIORITY } else { self.priority + 1 };
         let entry = gateway.wait_queue.enqueue(priority);
         gateway.metrics.waiting.inc();
-        let outcome = self.wait_for_capacity(&entry, query).await;
+        let outcome = self.wait_for_capacity(&entry, query, end).await;
         gateway.metrics.waiting.dec();
         outcome
     }
 
+    /// Until when a request that arrives now may wait for capacity.
+    fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
+        let limit = if query.is_resumed {
+            RESUME_WAIT
+        } else {
+            self.route.latency_target.mul_f64(MAX_WAIT_SHARE)
+        };
+        (self.gateway.clock.now() + limit).min(self.deadline)
+    }
+
+    /// Fails if pauses of upstreams keep the request from being served until after `end`.
+    fn check_pauses(&self, query: SelectionQuery<'_>, end: Timestamp) -> Result<(), NoSelection> {
+        match self.paused_until(query) {
+            Some(until) if until > end => Err(NoSelection::Paused(until)),
+            _ => Ok(()),
+        }
+    }
+
     async fn wait_for_capacity(
         &self,
         entry: &QueueEntry<'_>,
         query: SelectionQuery<'_>,
+        end: Timestamp,
     ) -> Result<Selection, NoSelection> {
         let clock = &self.gateway.clock;
-        let limit = if query.is_resumed {
-            RESUME_WAIT
-        } else {
-            self.route.latency_target.mul_f64(MAX_WAIT_SHARE)
-        };
-        let end = (clock.now() + limit).min(self.deadline);
         loop {
+            self.check_pauses(query, end)?;
             let mut no_selection = NoSelection::Full;
             if entry.is_first() {
                 match self.choose(query) {
@@ -225,8 +248,18 @@
         }
     }
 
-    /// Chooses the upstreams for an attempt from those that have capacity now.
+    /// Chooses the upstreams for an attempt from those that have capacity now. Upstreams that are
+    /// leaving are chosen only if there are no others.
     fn choose(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
+        match self.choose_now(query) {
+            Err(NoSelection::NoUpstream) if self.gateway.has_last_uses(&self.service) => {
+                self.choose_now(SelectionQuery { with_leaving: true, ..query })
+            }
+            chosen => chosen,
+        }
+    }
+
+    fn choose_now(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         match self.model_profile() {
             Some(profile) => self.choose_engines(&profile, query),
             None => self.choose_replica(query),
@@ -280,7 +313,9 @@
                     continue;
                 };
                 let Some(kind) = profile.accelerators.get(accelerator_kind) else { continue };
-                if !gateway.is_usable(upstream) {
+                let is_usable = gateway.is_usable(upstream)
+                    || (query.with_leaving && gateway.is_in_last_use(upstream));
+                if !is_usable {
                     continue;
                 }
                 let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
@@ -343,7 +378,11 @@
             .upstreams()
             .filter(|upstream| upstream.service == self.service)
             .filter(|upstream| {
-                upstream.phase == catalog::Phase::Serving && !query.avoid.contains(&upstream.name)
+                upstream.phase == catalog::Phase::Serving
+                    || (query.with_leaving && gateway.is_in_last_use(upstream))
+            })
+            .filter(|upstream| {
+                !query.avoid.contains(&upstream.name) && !gateway.is_paused(upstream)
             })
             .collect();
         let usable: Vec<&Arc<Upstream>> =
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -210,7 +210,8 @@
     }
 
     /// Records a refusal after a response which states that the call was not run. The upstream that
-    /// refused the call, which may be a later engine of the path, is then avoided for some time.
+    /// refused the call, which may be a later engine of the path, is then avoided for some time. One
+    /// that has asked for a pause is not charged for it.
     pub(crate) fn avoid_after_refusal(&self, selection: &Selection, response: &UpstreamResponse) {
         let gateway = &self.gateway;
         let name = match response.refusing_engine.and_then(|addr| gateway.upstream_at(addr)) {
@@ -220,6 +221,9 @@
         self.record_refused_run(selection, &name);
         let catalog = gateway.catalog.borrow();
         let Some(upstream) = catalog.upstream(&name) else { return };
+        if gateway.is_paused(upstream) {
+            return;
+        }
         let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
         let pause = if is_misdirected { AVOID_AFTER_MISDIRECTED } else { AVOID_AFTER_OVERLOAD };
         let now = gateway.clock.now();
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -7,7 +7,7 @@
 use clock::Clock;
 use crashes::CrashTable;
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable};
+use pipelines::{HealthTable, LoadTable, PauseTable};
 use settings::EdgeSettings;
 use transport::StopSignal;
 use upstreams::Connector;
@@ -47,7 +47,8 @@
 
     /// Creates the gateway.
     pub fn build(self) -> Rc<Gateway> {
-        Rc::new(Gateway {
+        Rc::new_cyclic(|own| Gateway {
+            own: own.clone(),
             clock: self.clock,
             settings: self.settings,
             store: self.store,
@@ -59,6 +60,7 @@
             clients: RefCell::default(),
             load: RefCell::new(LoadTable::default()),
             health: RefCell::new(HealthTable::default()),
+            pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
             wait_queue: WaitQueue::default(),
             crashes: RefCell::new(CrashTable::default()),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,13 @@
     pub(crate) poison: IntCounterVec,
     /// Times that this node refused a part of a prompt, or ended such a refusal.
     pub(crate) refused_parts: IntCounter,
+    /// Upstreams that were found to be leaving although their entry says that they serve, by who
+    /// said so.
+    pub(crate) leaving_marks: IntCounterVec,
+    /// Refusals by which upstreams asked for a pause.
+    pub(crate) pauses: IntCounter,
+    /// Notices of upstreams that were not valid and had no effect, by notice.
+    pub(crate) invalid_notices: IntCounterVec,
     /// Orders sent to engines, by outcome.
     pub(crate) orders: IntCounterVec,
     /// Version of the routing table in force.
@@ -81,6 +88,21 @@
                 "Decisions to refuse a part of a prompt, or to refuse it no longer",
             )
             .expect("counter is valid"),
+            leaving_marks: counter_vec(
+                "gypsumrack_upstreams_leaving_total",
+                "Upstreams that said that they are leaving before their entry did",
+                &["source"],
+            ),
+            pauses: IntCounter::new(
+                "gypsumrack_upstream_pauses_total",
+                "Refusals by which upstreams asked for a pause",
+            )
+            .expect("counter is valid"),
+            invalid_notices: counter_vec(
+                "gypsumrack_invalid_notices_total",
+                "Headers by which upstreams announce something and that were not valid",
+                &["notice"],
+            ),
             orders: counter_vec("gypsumrack_orders_total", "Orders to engines", &["outcome"]),
             table_version: IntGauge::new(
                 "gypsumrack_table_version",
@@ -125,6 +147,9 @@
             Box::new(self.suspicions.clone()),
             Box::new(self.poison.clone()),
             Box::new(self.refused_parts.clone()),
+            Box::new(self.leaving_marks.clone()),
+            Box::new(self.pauses.clone()),
+            Box::new(self.invalid_notices.clone()),
             Box::new(self.orders.clone()),
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,14 +2,14 @@
     cell::{Cell, RefCell, RefMut},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable, SharedRetryBudget};
+use pipelines::{HealthTable, LoadTable, PauseTable, SharedRetryBudget};
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
@@ -18,8 +18,8 @@
 use crashes::CrashTable;
 
 use crate::{
-    admission::WaitQueue, crashes::RunTable, metrics::Metrics, peering::Member,
-    stream_probe::ProbeTimes, updates::Outbox, wakeup::Wakeup,
+    admission::WaitQueue, crashes::RunTable, metrics::Metrics, observer::GatewayObserver,
+    peering::Member, stream_probe::ProbeTimes, updates::Outbox, wakeup::Wakeup,
 };
 
 /// What a failure of an upstream shows about its process.
@@ -49,6 +49,8 @@
 /// This node: its clients of the upstreams and of the key-value service, and its view of the
 /// catalog. Its `RefCell`s are never borrowed across an await.
 pub struct Gateway {
+    /// This gateway, for the observers of its clients, which it owns.
+    pub(crate) own: Weak<Gateway>,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) settings: EdgeSettings,
     pub(crate) store: Rc<dyn RevisionStore>,
@@ -62,6 +64,7 @@
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
     pub(crate) health: RefCell<HealthTable>,
+    pub(crate) pauses: RefCell<PauseTable>,
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     pub(crate) wait_queue: WaitQueue,
@@ -114,7 +117,8 @@
         {
             return cached.client.clone();
         }
-        let client = self.connector.connect(upstream);
+        let observer = Rc::new(GatewayObserver::new(self.own.clone(), upstream));
+        let client = self.connector.connect(upstream, observer);
         let cached = CachedClient { upstream: Rc::new(upstream.clone()), client: client.clone() };
         clients.insert(upstream.name.clone(), cached);
         client
@@ -130,11 +134,12 @@
         });
     }
 
-    /// Whether an upstream accepts new work and is not avoided now.
+    /// Whether an upstream accepts new work, is not avoided now and has not asked for a pause.
     pub(crate) fn is_usable(&self, upstream: &Upstream) -> bool {
         let now = self.clock.now();
         upstream.phase == Phase::Serving
             && !self.health.borrow().is_avoided(&upstream.name, upstream.incarnation, now)
+            && !self.is_paused(upstream)
     }
 
     /// Whether an engine is so slow that the planner no longer counts on it, and that a stream may
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -177,6 +177,13 @@
                 }
             }
             Datagram::Crashes(notes) => self.apply_crash_notes(notes),
+            Datagram::Leaving(upstreams) => {
+                self.apply_leaving(upstreams);
+            }
+            Datagram::RelayLeaving(upstreams) => {
+                let new = self.apply_leaving(upstreams);
+                return (!new.is_empty()).then_some(Datagram::Leaving(new));
+            }
             Datagram::RelayBeacon(beacon) => {
                 self.apply_beacon(beacon.clone());
                 return Some(Datagram::Beacon(beacon));
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -180,6 +180,10 @@
     placement: Placement,
 ) -> Option<UpstreamName> {
     let client = gateway.client(&upstream);
+    // The engine may have asked for a pause since its orders were planned.
+    if !gateway.takes_orders(&upstream) {
+        return Some(placement.name);
+    }
     // The plan may be based on outdated state, so an engine that already holds layers gets no
     // order. The order carries the number of orders that the engine has accepted according to this
     // report, and the engine refuses it if it has accepted another one since. An order that it
@@ -191,12 +195,20 @@
                 "engine already holds layers; no order");
             return None;
         }
+        Err(error) if gateway.is_paused(&upstream) => {
+            tracing::info!(upstream = %placement.name, %error, "engine takes no orders now; no order");
+            return Some(placement.name);
+        }
         Err(error) => {
             tracing::info!(upstream = %placement.name, %error, "engine does not report; no order");
             gateway.mark_failed(&placement.name, FailureEvidence::of_error(&error), "no report");
             return Some(placement.name);
         }
     };
+    if !gateway.takes_orders(&upstream) {
+        tracing::info!(upstream = %placement.name, "engine takes no orders now; no order");
+        return Some(placement.name);
+    }
     let order = LoadOrder { layers: placement.layers, expected_orders };
     let outcome = client.order_layers(order).await;
     let (label, not_executed) = match &outcome {
@@ -216,7 +228,7 @@
         ))
         .detach();
     }
-    if not_executed {
+    if not_executed && !gateway.is_paused(&upstream) {
         // The engine is avoided for some time, so that the next order to it is based on newer
         // state.
         let now = gateway.clock.now();
@@ -242,12 +254,17 @@
             let catalog = gateway.catalog.borrow();
             let current = catalog.upstream(&placement.name);
             current.is_none_or(|current| {
-                current.incarnation != upstream.incarnation || current.layers.is_some()
+                current.incarnation != upstream.incarnation
+                    || current.layers.is_some()
+                    || current.phase == Phase::Leaving
             })
         };
         if needs_no_confirmation {
             return;
         }
+        if gateway.is_paused(&upstream) {
+            continue;
+        }
         match client.report(REPORT_LIMIT).await {
             Ok(report) if report.layers == Some(placement.layers) => {
                 gateway.apply_layers(&placement.name, upstream.incarnation, placement.layers);
@@ -261,6 +278,18 @@
     }
 }
 
+impl Gateway {
+    /// Whether an engine may still get an order that was planned before its report.
+    fn takes_orders(&self, engine: &Upstream) -> bool {
+        let catalog = self.catalog.borrow();
+        catalog.upstream(&engine.name).is_some_and(|current| {
+            current.incarnation == engine.incarnation
+                && current.phase == Phase::Serving
+                && !self.is_paused(current)
+        })
+    }
+}
+
 /// The planner's view of the engines of a service.
 fn engine_views(
     gateway: &Gateway,
@@ -299,7 +328,8 @@
             layers: catalog
                 .layers(upstream)
                 .or(pending_order.map(|pending_order| pending_order.layers)),
-            may_be_ordered: !health.is_avoided(&upstream.name, upstream.incarnation, now),
+            may_be_ordered: !health.is_avoided(&upstream.name, upstream.incarnation, now)
+                && !gateway.is_paused(upstream),
         });
     }
     views
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,8 +3,10 @@
 mod config_changes;
 mod crashing_parts;
 mod datagrams;
+mod leaving;
 mod lifecycle;
 mod log;
+mod pauses;
 mod planner;
 mod silence;
 mod stream_ends;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -20,7 +20,7 @@
 
 use codec::TextCodec;
 pub use log::LogCapture;
-pub use scripted_upstreams::{ScriptedUpstreams, Step, event};
+pub use scripted_upstreams::{PauseRequest, ScriptedUpstreams, Step, event};
 pub use store::MemoryStore;
 
 /// Host name of all routes.
@@ -77,6 +77,10 @@
             stopped: Rc::default(),
             crashing_body: Rc::default(),
             crashes_last: Rc::default(),
+            leaving: Rc::default(),
+            pausing: Rc::default(),
+            reports: Rc::default(),
+            probes: Rc::default(),
             orders: Rc::default(),
             endless_bytes: Rc::default(),
             clock: clock.clone(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -14,7 +14,8 @@
 use http::{HeaderMap, HeaderValue, header};
 use transport::CallError;
 use upstreams::{
-    Call, Connector, EngineReport, LoadOrder, OrderOutcome, ResponseBody, UpstreamResponse,
+    Call, Connector, EngineReport, LoadOrder, OrderOutcome, ResponseBody, UpstreamObserver,
+    UpstreamResponse,
 };
 
 use super::ready;
@@ -34,6 +35,8 @@
     Refuse(u16),
     /// It states that the call did not run because the engine at this address refused it.
     RefuseAt(&'static str),
+    /// It refuses the call after a while and asks for a pause.
+    RefuseAfter { wait: Duration, pause: Duration },
     /// The connection cannot be opened, so the call is not sent.
     Unreachable,
     /// The connection breaks after the call was sent.
@@ -53,6 +56,14 @@
     Silent,
 }
 
+/// A pause that an upstream asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct PauseRequest {
+    pub length: Duration,
+    /// Address of the engine that refused, if the refusal names one.
+    pub engine: Option<&'static str>,
+}
+
 /// The calls that upstreams received, in order, each with the upstream's name.
 pub type Calls = Rc<RefCell<Vec<(String, Call)>>>;
 
@@ -76,6 +87,14 @@
     pub slow: Rc<RefCell<Option<String>>>,
     /// Whether engines leave requests for their reports unanswered.
     pub silent_reports: Rc<Cell<bool>>,
+    /// Upstreams that say in all their answers that they are leaving.
+    pub leaving: Rc<RefCell<Vec<String>>>,
+    /// Upstreams that refuse all calls and requests for reports and ask for a pause.
+    pub pausing: Rc<RefCell<BTreeMap<String, PauseRequest>>>,
+    /// Engines whose report was requested.
+    pub reports: Rc<RefCell<Vec<String>>>,
+    /// Upstreams that were probed.
+    pub probes: Rc<RefCell<Vec<String>>>,
     /// Orders that engines received.
     pub orders: Rc<RefCell<Vec<(String, LoadOrder)>>>,
     /// Bytes that were read of bodies without end.
@@ -86,10 +105,34 @@
 struct ScriptedClient {
     name: String,
     upstreams: Rc<ScriptedUpstreams>,
+    observer: Rc<dyn UpstreamObserver>,
+}
+
+impl ScriptedClient {
+    /// Passes on what the upstream says about itself in each of its answers.
+    fn observe_answer(&self) {
+        if self.upstreams.leaving.borrow().contains(&self.name) {
+            self.observer.is_leaving();
+        }
+    }
+
+    /// Whether the upstream refuses requests now, which asks for a pause.
+    fn asks_for_pause(&self) -> bool {
+        let asked = self.upstreams.pausing.borrow().get(&self.name).copied();
+        if let Some(PauseRequest { length, engine }) = asked {
+            let engine = engine.map(|addr| addr.parse().expect("the address is valid"));
+            self.observer.wants_pause(length, engine);
+        }
+        asked.is_some()
+    }
 }
 
 impl Connector for ScriptedUpstreams {
-    fn connect(&self, upstream: &Upstream) -> Rc<dyn upstreams::UpstreamClient> {
+    fn connect(
+        &self,
+        upstream: &Upstream,
+        observer: Rc<dyn UpstreamObserver>,
+    ) -> Rc<dyn upstreams::UpstreamClient> {
         let upstreams = Rc::new(ScriptedUpstreams {
             calls: self.calls.clone(),
             steps: self.steps.clone(),
@@ -100,11 +143,15 @@
             stopped: self.stopped.clone(),
             crashing_body: self.crashing_body.clone(),
             crashes_last: self.crashes_last.clone(),
+            leaving: self.leaving.clone(),
+            pausing: self.pausing.clone(),
+            reports: self.reports.clone(),
+            probes: self.probes.clone(),
             orders: self.orders.clone(),
             endless_bytes: self.endless_bytes.clone(),
             clock: self.clock.clone(),
         });
-        Rc::new(ScriptedClient { name: upstream.name.to_string(), upstreams })
+        Rc::new(ScriptedClient { name: upstream.name.to_string(), upstreams, observer })
     }
 }
 
@@ -149,6 +196,12 @@
                 response.headers.insert(header::CONTENT_TYPE, event_stream);
                 response
             };
+            if self.asks_for_pause() {
+                return Ok(response(503, false, true, Vec::new()));
+            }
+            if !matches!(step, Step::Unreachable | Step::Broken | Step::Silent) {
+                self.observe_answer();
+            }
             match step {
                 Step::Answer(status, body) => {
                     Ok(response(status, true, false, vec![BodyPart::Bytes(body.into())]))
@@ -170,6 +223,11 @@
                     let refusal = response(503, false, true, Vec::new());
                     Ok(UpstreamResponse { refusing_engine, ..refusal })
                 }
+                Step::RefuseAfter { wait, pause } => {
+                    self.upstreams.clock.sleep(wait).await;
+                    self.observer.wants_pause(pause, None);
+                    Ok(response(503, false, true, Vec::new()))
+                }
                 Step::Unreachable => Err(CallError::Connect("refused".into())),
                 Step::Broken => Err(CallError::Broken("reset".into())),
                 Step::Events(numbers) => Ok(stream(events(&numbers))),
@@ -205,6 +263,7 @@
     }
 
     fn probe(&self) -> LocalBoxFuture<'_, Result<(), CallError>> {
+        self.upstreams.probes.borrow_mut().push(self.name.clone());
         let crashed = self.upstreams.refuse_probes.get()
             || self.upstreams.stopped.borrow().contains(&self.name);
         ready(if crashed { Err(CallError::Refused) } else { Ok(()) })
@@ -215,10 +274,15 @@
         order: LoadOrder,
     ) -> LocalBoxFuture<'_, Result<OrderOutcome, CallError>> {
         self.upstreams.orders.borrow_mut().push((self.name.clone(), order));
+        self.observe_answer();
         async { Ok(OrderOutcome::Begun) }.boxed_local()
     }
 
     fn report(&self, limit: Duration) -> LocalBoxFuture<'_, Result<EngineReport, CallError>> {
+        self.upstreams.reports.borrow_mut().push(self.name.clone());
+        if self.asks_for_pause() {
+            return async { Err(CallError::Status(503, String::new())) }.boxed_local();
+        }
         if self.upstreams.silent_reports.get() {
             return async move {
                 self.upstreams.clock.sleep(limit).await;
@@ -226,6 +290,7 @@
             }
             .boxed_local();
         }
+        self.observe_answer();
         let blocked_on = self.upstreams.blocked_on.borrow().clone();
         let slowdown =
             if self.upstreams.slow.borrow().as_deref() == Some(&*self.name) { 5.0 } else { 1.0 };
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -91,6 +91,10 @@
     RelayStoreChanges(Vec<StoreChange>),
     /// What the sender knows about crashes of engines and refused parts of prompts.
     Crashes(Vec<CrashNote>),
+    /// Upstreams that have told the sender that they are leaving, with their incarnation.
+    Leaving(Vec<(UpstreamName, u64)>),
+    /// [`Leaving`](Datagram::Leaving), of which the receiver passes on those that are new to it.
+    RelayLeaving(Vec<(UpstreamName, u64)>),
 }
 
 impl Datagram {
@@ -100,6 +104,7 @@
         match self {
             Datagram::Beacon(beacon) => Datagram::RelayBeacon(beacon),
             Datagram::StoreChanges(changes) => Datagram::RelayStoreChanges(changes),
+            Datagram::Leaving(upstreams) => Datagram::RelayLeaving(upstreams),
             other => other,
         }
     }
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -216,6 +216,7 @@
                 Ok(ResponseStream {
                     status: head.status,
                     headers: head.headers,
+                    trailers: HeaderMap::new(),
                     body,
                     is_first: true,
                     sender: Some(sender),
@@ -271,6 +272,7 @@
 pub struct ResponseStream {
     status: StatusCode,
     headers: HeaderMap,
+    trailers: HeaderMap,
     body: Incoming,
     is_first: bool,
     sender: Option<SendRequest<Body>>,
@@ -295,6 +297,11 @@
         self.is_first
     }
 
+    /// Header fields that came after the body. Empty until the body has been read to its end.
+    pub fn trailers(&self) -> &HeaderMap {
+        &self.trailers
+    }
+
     /// Waits at most `limit` for the next chunk of the body; `None` is the end of the body.
     pub async fn chunk(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
         loop {
@@ -311,8 +318,9 @@
                     return Err(CallError::Timeout);
                 }
             };
-            if let Ok(data) = frame.into_data() {
-                return Ok(Some(data));
+            match frame.into_data() {
+                Ok(data) => return Ok(Some(data)),
+                Err(frame) => self.trailers.extend(frame.into_trailers().unwrap_or_default()),
             }
         }
     }
@@ -334,6 +342,16 @@
     /// Reads the whole body, at most `max_bytes`, within `limit`. The limit covers all chunks
     /// together, so that a peer that sends a few bytes at a time cannot extend it.
     pub async fn collect(mut self, max_bytes: usize, limit: Duration) -> Result<Bytes, CallError> {
+        self.read_to_end(max_bytes, limit).await
+    }
+
+    /// Reads the rest of the body like [`collect`](Self::collect), and leaves the trailers to be
+    /// read.
+    pub async fn read_to_end(
+        &mut self,
+        max_bytes: usize,
+        limit: Duration,
+    ) -> Result<Bytes, CallError> {
         let deadline = self.deadline(limit);
         let mut buffer = BytesMut::new();
         while let Some(chunk) = self.chunk_until(deadline).await? {
