--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,9 +1,6 @@
 //! Chooses the upstreams for an attempt, and queues requests while no upstream has free capacity.
 
-use std::{
-    cell::RefCell, collections::BTreeMap, future::Future, pin::pin, rc::Rc, sync::Arc,
-    time::Duration,
-};
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use catalog::{ModelProfile, Upstream};
 use clock::Timestamp;
@@ -12,7 +9,7 @@
 use rand::Rng;
 use types::{Stage, UpstreamName};
 
-use crate::{Gateway, crashes::RunGuard, lifecycle::ActiveRequest};
+use crate::{Gateway, crashes::RunGuard, lifecycle::ActiveRequest, wait_queue::QueueEntry};
 
 /// Share of an engine's KV cache capacity, which is what the weights leave of its memory, that may
 /// be reserved for requests. The rest is left for requests that other nodes have admitted since
@@ -90,70 +87,6 @@
     }
 }
 
-/// Requests that wait for capacity, ordered by priority and then by arrival.
-#[derive(Default)]
-pub(crate) struct WaitQueue {
-    queue: RefCell<BTreeMap<(u32, u64), Option<std::task::Waker>>>,
-    next_number: std::cell::Cell<u64>,
-}
-
-struct QueueEntry<'a> {
-    wait_queue: &'a WaitQueue,
-    key: (u32, u64),
-}
-
-impl WaitQueue {
-    fn enqueue(&self, priority: u32) -> QueueEntry<'_> {
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
-        self.queue.borrow_mut().insert((priority, number), None);
-        QueueEntry { wait_queue: self, key: (priority, number) }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.queue.borrow().is_empty()
-    }
-
-    fn wake_first(&self) {
-        let mut queue = self.queue.borrow_mut();
-        if let Some(mut first) = queue.first_entry()
-            && let Some(waker) = first.get_mut().take()
-        {
-            waker.wake();
-        }
-    }
-}
-
-impl QueueEntry<'_> {
-    fn is_first(&self) -> bool {
-        self.wait_queue.queue.borrow().first_key_value().is_some_and(|(key, _)| *key == self.key)
-    }
-
-    /// Completes when capacity is freed while this request is the first in the queue.
-    fn capacity_freed(&self) -> impl Future<Output = ()> + '_ {
-        let mut registered = false;
-        std::future::poll_fn(move |context| {
-            let mut queue = self.wait_queue.queue.borrow_mut();
-            match queue.get_mut(&self.key) {
-                Some(None) if registered => std::task::Poll::Ready(()),
-                Some(slot) => {
-                    *slot = Some(context.waker().clone());
-                    registered = true;
-                    std::task::Poll::Pending
-                }
-                None => std::task::Poll::Ready(()),
-            }
-        })
-    }
-}
-
-impl Drop for QueueEntry<'_> {
-    fn drop(&mut self) {
-        self.wait_queue.queue.borrow_mut().remove(&self.key);
-        self.wait_queue.wake_first();
-    }
-}
-
 /// Why no upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoSelection {
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -13,7 +13,7 @@
 use upstreams::Connector;
 
 use crate::{
-    Gateway, admission::WaitQueue, crashes::RunTable, metrics::Metrics, updates::Outbox,
+    Gateway, crashes::RunTable, metrics::Metrics, updates::Outbox, wait_queue::WaitQueue,
     wakeup::Wakeup,
 };
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,8 +43,10 @@
 mod run;
 mod store;
 mod stream;
+mod stream_attempt;
 mod stream_probe;
 mod updates;
+mod wait_queue;
 mod wakeup;
 
 pub use builder::GatewayBuilder;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,8 +18,8 @@
 use crashes::CrashTable;
 
 use crate::{
-    admission::WaitQueue, crashes::RunTable, metrics::Metrics, observer::GatewayObserver,
-    peering::Member, stream_probe::ProbeTimes, updates::Outbox, wakeup::Wakeup,
+    crashes::RunTable, metrics::Metrics, observer::GatewayObserver, peering::Member,
+    stream_probe::ProbeTimes, updates::Outbox, wait_queue::WaitQueue, wakeup::Wakeup,
 };
 
 /// What a failure of an upstream shows about its process.
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -22,7 +22,7 @@
     attempt::Attempts,
     lifecycle::ActiveRequest,
     node::FailureEvidence,
-    stream::StreamFailure,
+    stream_attempt::StreamFailure,
 };
 
 /// Time within which an engine must report which engines its calls wait for.
