Count only upstreams that a request was sent to and that have ended as its crashes

A harmless request was refused for good when its upstreams were lost together: a connection that was refused counted as a crash of the request that it was meant for, although nothing was sent, and a probe that timed out counted as well, so that a cut link looked like a crash and hid a real crash of the same process later.

Evidence: a_refused_connection_is_not_counted_as_a_crash_of_the_request and upstreams_out_of_reach_are_not_counted_as_crashes failed before, the second request being refused.

Change: an attempt that was not sent is no suspect; a broken call is a crash only if its upstream then refuses a connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -159,7 +159,8 @@
         granted
     }
 
-    /// Records that an upstream answered the request.
+    /// Records that an upstream answered the request, with a body that is not empty if it is a
+    /// stream.
     pub(crate) fn record_success(&self, selection: &Selection) {
         self.gateway.health.borrow_mut().record_success(&selection.upstream.name);
         self.record_answer(selection);
@@ -179,6 +180,9 @@
     pub(crate) fn avoid_after_error(&self, selection: &Selection, error: &CallError) {
         let gateway = &self.gateway;
         let upstream = &selection.upstream;
+        if error.verdict() == Verdict::NotRun {
+            selection.run.remove();
+        }
         match error {
             CallError::Refused => {
                 gateway.observe_crash(upstream);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -61,7 +61,7 @@
 
 impl RunGuard {
     /// Removes the attempt: its answer has begun, or it has not run.
-    fn remove(&self) {
+    pub(crate) fn remove(&self) {
         self.gateway.runs.runs.borrow_mut().remove(&self.id);
     }
 
@@ -230,11 +230,12 @@
     gateway.clock.sleep(CRASH_CHECK_DELAY).await;
     let Err(error) = client.probe().await else { return };
     gateway.mark_failed(&upstream.name, FailureEvidence::of_error(&error), &error.to_string());
-    if matches!(error, CallError::Refused) {
-        gateway.observe_crash(&upstream);
+    // An upstream that does not answer may only be out of reach.
+    if !matches!(error, CallError::Refused) {
+        return;
     }
-    // Counted for the request itself also if its answer had begun, or if the upstream may only be
-    // out of reach.
+    gateway.observe_crash(&upstream);
+    // Counted for the request itself also if its answer had begun.
     let parts = RequestParts { shared: Arc::default(), ..parts };
     let process = (upstream.name.clone(), upstream.incarnation);
     gateway.record_crash(process, vec![Suspect { parts, started: broken_at }]);
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -74,6 +74,7 @@
             slow: Rc::default(),
             silent_reports: Rc::default(),
             refuse_probes: Rc::default(),
+            ignore_probes: Rc::default(),
             stopped: Rc::default(),
             crashing_body: Rc::default(),
             crashes_last: Rc::default(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -39,6 +39,8 @@
     RefuseAfter { wait: Duration, pause: Duration },
     /// The connection cannot be opened, so the call is not sent.
     Unreachable,
+    /// Nothing listens at its address, so the call is not sent.
+    ConnectRefused,
     /// The connection breaks after the call was sent.
     Broken,
     /// A stream of events with these numbers, which then ends.
@@ -76,6 +78,8 @@
     pub blocked_on: Rc<RefCell<Vec<std::net::SocketAddr>>>,
     /// Whether all upstreams refuse connection probes, as after a crash.
     pub refuse_probes: Rc<Cell<bool>>,
+    /// Whether connection probes of all upstreams time out, as while the link to them is cut.
+    pub ignore_probes: Rc<Cell<bool>>,
     /// Upstreams that refuse connection probes because their process has stopped.
     pub stopped: Rc<RefCell<Vec<String>>>,
     /// Start of the bodies of requests that crash the upstream which gets them. Its process has then
@@ -140,6 +144,7 @@
             slow: self.slow.clone(),
             silent_reports: self.silent_reports.clone(),
             refuse_probes: self.refuse_probes.clone(),
+            ignore_probes: self.ignore_probes.clone(),
             stopped: self.stopped.clone(),
             crashing_body: self.crashing_body.clone(),
             crashes_last: self.crashes_last.clone(),
@@ -229,6 +234,7 @@
                     Ok(response(503, false, true, Vec::new()))
                 }
                 Step::Unreachable => Err(CallError::Connect("refused".into())),
+                Step::ConnectRefused => Err(CallError::Refused),
                 Step::Broken => Err(CallError::Broken("reset".into())),
                 Step::Events(numbers) => Ok(stream(events(&numbers))),
                 Step::EventsThenBroken(numbers) => {
@@ -266,7 +272,13 @@
         self.upstreams.probes.borrow_mut().push(self.name.clone());
         let crashed = self.upstreams.refuse_probes.get()
             || self.upstreams.stopped.borrow().contains(&self.name);
-        ready(if crashed { Err(CallError::Refused) } else { Ok(()) })
+        ready(if self.upstreams.ignore_probes.get() {
+            Err(CallError::ConnectTimeout)
+        } else if crashed {
+            Err(CallError::Refused)
+        } else {
+            Ok(())
+        })
     }
 
     fn order_layers(
