Do not take an empty stream for an answer that has begun

An engine that crashes may end its answer after the head, without length or chunks, which looks like a complete stream without events. It cleared all parts of the prompt, so that the part which crashes engines was not refused.

Change: an answer has begun with its first event, and an empty stream says nothing about its prompt.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -49,7 +49,10 @@
                 self.forward_events(&attempts, &mut stream, &mut last_event, &mut writer).await;
             let cause = match forwarded {
                 ForwardOutcome::Complete => {
-                    self.record_success(&stream.selection);
+                    // An engine that crashes may end its answer before the first event.
+                    if self.has_begun.get() {
+                        self.record_success(&stream.selection);
+                    }
                     self.log.end("answered", Verdict::Ran, stream.status);
                     return;
                 }
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -183,7 +183,9 @@
             }
             match self.first_events(attempts, &mut stream, continued).await {
                 Ok(()) => {
-                    self.record_path_acceptance(&stream.selection);
+                    if stream.unforwarded.is_some() {
+                        self.record_path_acceptance(&stream.selection);
+                    }
                     return Ok(stream);
                 }
                 Err(cause) => self.retry_or_give_up(attempts, &stream.selection, cause)?,
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -118,6 +118,24 @@
     }
 }
 
+/// Guards against an answer that ends before its first event, as that of a crashing engine may, and
+/// that counts as one that has begun.
+#[compio::test]
+async fn an_empty_stream_does_not_clear_a_part() {
+    let nodes = nodes(1).await;
+    let mut calls = 0;
+    for number in 0..8 {
+        calls += send_crashing(&nodes, 1).await.0;
+        nodes[0].push_steps([Step::Events(vec![])]);
+        let empty = prompt(CRASHING_PART, format!("empty {number}"));
+        if let Ok(response) = nodes[0].gateway.clone().route(empty).await {
+            body(response).await;
+        }
+        nodes[0].upstreams.steps.borrow_mut().clear();
+    }
+    assert!(calls <= MAX_CRASHES, "{calls} engines crashed");
+}
+
 #[compio::test]
 async fn a_node_that_starts_later_reads_the_refused_part_from_the_store() {
     let mut nodes = nodes(1).await;
