Take no retry for a silent stream that cannot be resumed

A silent stream whose events have no numbers took a retry from the budget at each check without making an attempt. A stream that went on after a failed attempt elsewhere was logged with the reason of that attempt, and as failed if its caller left later.

Change: such a stream stays on its path at no cost, and a stream that goes on has no end yet. By reading; no test shows the budget of a node.

--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -95,6 +95,12 @@
         self.state.borrow_mut().first_byte.get_or_insert(now);
     }
 
+    /// Forgets an end and its reason: the request goes on.
+    pub(crate) fn clear_end(&self) {
+        let mut state = self.state.borrow_mut();
+        (state.ended, state.reason) = (None, None);
+    }
+
     /// Records how the request ended.
     pub(crate) fn end(&self, outcome: &'static str, verdict: Verdict, status: u16) {
         self.state.borrow_mut().ended = Some((outcome, verdict, status));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -82,12 +82,20 @@
         last_event: Option<u64>,
         media_type: &MediaType,
     ) -> Option<OpenStream> {
+        let is_left = matches!(cause, StreamFailure::LeftPath);
+        if is_left && last_event.is_none() {
+            return Some(stream);
+        }
         let may_retry = self.record_stream_failure(attempts, &stream.selection, &cause);
-        let fallback = matches!(cause, StreamFailure::LeftPath).then_some(stream);
+        let fallback = is_left.then_some(stream);
         if !may_retry || last_event.is_none() {
             return fallback;
         }
-        self.open(attempts, last_event, Some(media_type)).await.ok().or(fallback)
+        let resumed = self.open(attempts, last_event, Some(media_type)).await.ok();
+        if resumed.is_none() && fallback.is_some() {
+            self.log.clear_end();
+        }
+        resumed.or(fallback)
     }
 
     async fn forward_events(
