--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -1,7 +1,7 @@
 //! Updates that nodes send one another without delay: changes in the key-value service, and
-//! upstreams that have failed or are leaving. With the changes, each node can read the service at long intervals
-//! and still learns of a change at once, even while the service rejects the node's calls. A node
-//! that receives a failure verifies it itself.
+//! upstreams that have failed or are leaving. With the changes, each node can read the service at
+//! long intervals and still learns of a change at once, even while the service rejects the node's
+//! calls. A node that receives a failure verifies it itself.
 
 use std::{cell::RefCell, ops::Range, rc::Rc, time::Duration};
 
