--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,4 +1,4 @@
-//! Chooses the upstreams for an attempt, and queues requests while no upstream has free capacity.
+//! Chooses the upstreams for an attempt, and waits for one while none has free capacity.
 
 use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -70,6 +70,7 @@
     pub(crate) wait_queue: WaitQueue,
     /// Crashes of engines, and the parts of prompts that are refused for them.
     pub(crate) crashes: RefCell<CrashTable>,
+    /// The attempts that take part in a crash if an engine of theirs ends now.
     pub(crate) runs: RunTable,
     /// The other nodes that are registered in the key-value service.
     pub(crate) members: RefCell<BTreeMap<NodeName, Member>>,
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -55,7 +55,8 @@
 pub(crate) enum PathState {
     /// Nothing speaks against the path.
     Working,
-    /// An engine may have failed, or is so slow that a better path exists. The call may still go on.
+    /// An engine does not respond or is no longer registered, or it is so slow that a better path
+    /// exists. The call may still go on.
     Doubtful,
     /// The process of an engine has ended, so that the call cannot go on.
     Lost,
