--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -1,13 +1,14 @@
 //! Scenarios that show faults of the system from outside: `lab CASE FOLDER`. The exit code is 1 if
 //! the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod crashes;
+mod entries;
+mod flood;
 mod http;
 mod json;
+mod silence;
 mod store;
 mod world;
-mod crashes;
-mod flood;
-mod silence;
 
 use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
@@ -45,6 +46,7 @@
         eprintln!("usage: lab CASE FOLDER");
         return ExitCode::from(2);
     };
+    world::limit_time(116.0);
     let temporary = std::env::temp_dir().join(format!("gypsumrack-review-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("temporary folder can be made");
     let store_addr = free_addr();
@@ -58,6 +60,7 @@
         "parts" => crashes::tainted(&lab, Tainted { parts: 9, begins: false }),
         "few-parts" => crashes::tainted(&lab, Tainted { parts: 2, begins: false }),
         "begun" => crashes::tainted(&lab, Tainted { parts: 2, begins: true }),
+        "entries" => entries::run(&lab),
         "silence" => silence::run(&lab),
         "roll" => crashes::roll(&lab),
         _ => Err(format!("there is no case {case}")),
