--- a/review/lab/world.rs
+++ b/review/lab/world.rs
@@ -8,7 +8,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -60,15 +60,18 @@
     thread::sleep(Duration::from_secs_f64(seconds));
 }
 
-/// A free loopback address.
+/// A free loopback address. The ports are below those that the system gives to connections, and
+/// differ between runs at the same time.
 pub fn free_addr() -> SocketAddr {
-    static HELD: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+    const FIRST: u32 = 10_000;
+    const PER_RUN: u32 = 100;
+    const RUNS: u32 = 200;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let addr = listener.local_addr().expect("listener has an address");
-        let mut held = HELD.lock().unwrap();
-        if !held.contains(&addr) {
-            held.push(addr);
+        let next = NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = FIRST + (std::process::id() % RUNS) * PER_RUN + next % PER_RUN;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(addr).is_ok() {
             return addr;
         }
     }
