Let other tasks run beside a peer that sends without end

Cause: each limit of a call is a timer on the thread that reads the connection. The runtime completes reads at once while there are bytes, and the HTTP library reads on until it has a head or a chunk size. Ruled out: the bounds on bodies and events, which these bytes never reach.

Change: MeteredReader, below HTTP and h2 on all connections, ends the turn after 32 reads. A connection ends after 64 interim responses or 1 MiB without a head or a part of a body. Loops that accept, discard or receive datagrams end their turn too.

--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -3,6 +3,7 @@
 use compio::{BufResult, net::UdpSocket};
 use crashes::CrashNote;
 use serde::{Deserialize, Serialize};
+use transport::TurnLimit;
 use types::{LayerRange, NodeName, UpstreamName};
 
 /// Largest datagram, in bytes. It fits into one Ethernet packet.
@@ -156,15 +157,20 @@
     }
 }
 
+/// Datagrams that are received in one turn of the task.
+const RECEIVES_PER_TURN: u32 = 16;
+
 /// UDP socket that sends and receives [`Datagram`]s.
 pub struct DatagramSocket {
     socket: UdpSocket,
+    receives: TurnLimit,
 }
 
 impl DatagramSocket {
     /// Binds a socket to `addr`.
     pub async fn bind(addr: SocketAddr) -> io::Result<DatagramSocket> {
-        Ok(DatagramSocket { socket: UdpSocket::bind(addr).await? })
+        let socket = UdpSocket::bind(addr).await?;
+        Ok(DatagramSocket { socket, receives: TurnLimit::new(RECEIVES_PER_TURN) })
     }
 
     /// The address that the socket is bound to.
@@ -191,6 +197,7 @@
 
     /// Waits for the next datagram. Returns `None` if it cannot be decoded.
     pub async fn receive(&self) -> io::Result<Option<Datagram>> {
+        self.receives.step().await;
         let buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
         let BufResult(result, buffer) = self.socket.recv_from(buffer).await;
         let (length, _) = result?;
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -9,7 +9,7 @@
 };
 use h2::{RecvStream, server::SendResponse};
 use http::{Request, Response};
-use transport::{CallError, StopSignal};
+use transport::{CallError, StopSignal, TurnLimit};
 
 use crate::{
     Direction, Message, Peers, SUSPECT_AFTER,
@@ -30,12 +30,16 @@
 /// Pause after a connection could not be accepted, for example because the process has no free file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections that are accepted in one turn of the task.
+const ACCEPTS_PER_TURN: u32 = 16;
 
 impl Peers {
     /// Accepts connections of other nodes and serves each in a task of its own, until `stop` is
     /// raised.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: StopSignal) {
+        let turn = TurnLimit::new(ACCEPTS_PER_TURN);
         loop {
+            turn.step().await;
             let accept = pin!(listener.accept());
             match select(accept, pin!(stop.raised())).await {
                 Either::Right(_) => return,
--- a/crates/peers/tests/datagrams.rs
+++ b/crates/peers/tests/datagrams.rs
@@ -1,6 +1,10 @@
 //! Datagrams that no node has sent.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::{
+    cell::Cell,
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+};
 
 use peers::{Beacon, Datagram, DatagramSocket};
 use proptest::prelude::*;
@@ -61,3 +65,32 @@
         receive_all(&raw);
     }
 }
+
+/// Guards against a node that sends datagrams without a pause and so keeps the only thread of another
+/// one: each of them can be received at once.
+#[test]
+fn datagrams_that_have_arrived_stop_no_other_task() {
+    const DATAGRAMS: usize = 100;
+    let runtime = compio::runtime::Runtime::new().expect("a runtime is available");
+    runtime.block_on(async {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let socket = DatagramSocket::bind(loopback).await.expect("a port is free");
+        let addr = socket.local_addr().expect("the socket is bound");
+        let sender = UdpSocket::bind(loopback).expect("a port is free");
+        for _ in 0..DATAGRAMS {
+            sender.send_to(b"x", addr).expect("the datagram is sent");
+        }
+        let received = Rc::new(Cell::new(0));
+        let count = received.clone();
+        let receiving = compio::runtime::spawn(async move {
+            while count.get() < DATAGRAMS {
+                socket.receive().await.expect("the socket is bound");
+                count.set(count.get() + 1);
+            }
+        });
+        let other = compio::runtime::spawn(async move { received.get() });
+        let received_before = other.await.expect("the task does not panic");
+        assert!(received_before < DATAGRAMS, "the other task waited for all datagrams");
+        receiving.await.expect("the task does not panic");
+    });
+}
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -2,7 +2,6 @@
 
 use bytes::{Bytes, BytesMut};
 use clock::{Clock, Timestamp, timeout};
-use cyper_core::HyperStream;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::{
@@ -11,7 +10,10 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{Body, CallError, connect, write_timeout::WriteTimeout};
+use crate::{
+    Body, CallError, connect, connect::http_stream, metered::InputMeter,
+    write_timeout::WriteTimeout,
+};
 
 /// Maximum number of idle connections kept open to one peer.
 const MAX_IDLE_CONNECTIONS: usize = 32;
@@ -56,10 +58,16 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Body>,
+    connection: Connection,
     since: Timestamp,
 }
 
+/// An open connection to the peer.
+struct Connection {
+    sender: SendRequest<Body>,
+    meter: Rc<InputMeter>,
+}
+
 impl HttpClient {
     /// Creates a client for the peer at `addr`.
     pub fn new(clock: Rc<dyn Clock>, addr: SocketAddr) -> HttpClient {
@@ -79,8 +87,8 @@
         timeouts: Timeouts,
     ) -> Result<ResponseStream, CallError> {
         let mut request = request;
-        while let Some(sender) = self.take_idle() {
-            match self.dispatch(sender, request, timeouts).await {
+        while let Some(connection) = self.take_idle() {
+            match self.dispatch(connection, request, timeouts).await {
                 Ok(response) => return Ok(ResponseStream { is_first: false, ..response }),
                 Err(DispatchError::Unsent(unsent)) => request = *unsent,
                 Err(DispatchError::Failed(error)) => return Err(error),
@@ -96,8 +104,8 @@
         request: Request<Body>,
         timeouts: Timeouts,
     ) -> Result<ResponseStream, CallError> {
-        let sender = self.open(timeouts.connect).await?;
-        match self.dispatch(sender, request, timeouts).await {
+        let connection = self.open(timeouts.connect).await?;
+        match self.dispatch(connection, request, timeouts).await {
             Ok(response) => Ok(response),
             Err(DispatchError::Unsent(_)) => {
                 Err(CallError::Connect("connection closed before the request was sent".into()))
@@ -116,14 +124,14 @@
         timeouts: Timeouts,
         guard: &dyn Fn() -> bool,
     ) -> Result<A, CallError> {
-        let sender = self.open(timeouts.connect).await?;
+        let connection = self.open(timeouts.connect).await?;
         if !guard() {
             return Err(CallError::Connect(
                 "the sender is no longer allowed to send the request".into(),
             ));
         }
         let request = json_request(Method::POST, path, Some(payload));
-        match self.dispatch(sender, request, timeouts).await {
+        match self.dispatch(connection, request, timeouts).await {
             Ok(response) => decode(response, timeouts).await,
             Err(DispatchError::Unsent(_)) => {
                 Err(CallError::Connect("connection closed before the request was sent".into()))
@@ -184,10 +192,11 @@
         connect(&*self.clock, self.addr, limit).await.map(drop)
     }
 
-    async fn open(&self, limit: Duration) -> Result<SendRequest<Body>, CallError> {
+    async fn open(&self, limit: Duration) -> Result<Connection, CallError> {
         let stream = connect(&*self.clock, self.addr, limit).await?;
-        let handshake =
-            http1::handshake(WriteTimeout::new(self.clock.clone(), HyperStream::new_plain(stream)));
+        let meter = Rc::new(InputMeter::default());
+        let io = WriteTimeout::new(self.clock.clone(), http_stream(stream, &meter));
+        let handshake = http1::handshake(io);
         let (sender, connection) = timeout(&*self.clock, limit, handshake)
             .await
             .map_err(|_| CallError::ConnectTimeout)?
@@ -198,20 +207,23 @@
             }
         })
         .detach();
-        Ok(sender)
+        Ok(Connection { sender, meter })
     }
 
     async fn dispatch(
         &self,
-        mut sender: SendRequest<Body>,
-        request: Request<Body>,
+        mut connection: Connection,
+        mut request: Request<Body>,
         timeouts: Timeouts,
     ) -> Result<ResponseStream, DispatchError> {
         let mut pending = PendingRequest { pool: &self.pool, answered: false };
-        let head = timeout(&*self.clock, timeouts.progress, sender.try_send_request(request)).await;
+        connection.meter.watch_interim_responses(&mut request);
+        let sending = connection.sender.try_send_request(request);
+        let head = timeout(&*self.clock, timeouts.progress, sending).await;
         pending.answered = head.is_ok();
         match head {
             Ok(Ok(response)) => {
+                connection.meter.record_delivery();
                 let (head, body) = response.into_parts();
                 Ok(ResponseStream {
                     status: head.status,
@@ -219,7 +231,7 @@
                     trailers: HeaderMap::new(),
                     body,
                     is_first: true,
-                    sender: Some(sender),
+                    connection: Some(connection),
                     clock: self.clock.clone(),
                     pool: self.pool.clone(),
                 })
@@ -234,13 +246,13 @@
         }
     }
 
-    fn take_idle(&self) -> Option<SendRequest<Body>> {
+    fn take_idle(&self) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.pool.idle.borrow_mut();
         while let Some(candidate) = idle.pop() {
             let fresh = now.since(candidate.since) < MAX_IDLE_AGE;
-            if fresh && candidate.sender.is_ready() {
-                return Some(candidate.sender);
+            if fresh && candidate.connection.sender.is_ready() {
+                return Some(candidate.connection);
             }
         }
         None
@@ -275,7 +287,7 @@
     trailers: HeaderMap,
     body: Incoming,
     is_first: bool,
-    sender: Option<SendRequest<Body>>,
+    connection: Option<Connection>,
     clock: Rc<dyn Clock>,
     pool: Rc<Pool>,
 }
@@ -313,11 +325,14 @@
                     return Ok(None);
                 }
                 Err(_) => {
-                    self.sender = None;
+                    self.connection = None;
                     self.pool.idle.borrow_mut().clear();
                     return Err(CallError::Timeout);
                 }
             };
+            if let Some(connection) = &self.connection {
+                connection.meter.record_delivery();
+            }
             match frame.into_data() {
                 Ok(data) => return Ok(Some(data)),
                 Err(frame) => self.trailers.extend(frame.into_trailers().unwrap_or_default()),
@@ -364,11 +379,11 @@
     }
 
     fn return_to_pool(&mut self) {
-        let Some(sender) = self.sender.take() else { return };
+        let Some(connection) = self.connection.take() else { return };
         let since = self.clock.now();
         let mut idle = self.pool.idle.borrow_mut();
         if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(IdleConnection { sender, since });
+            idle.push(IdleConnection { connection, since });
         }
     }
 }
--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -1,4 +1,4 @@
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use clock::{Clock, timeout};
 use compio::net::TcpStream;
@@ -7,7 +7,7 @@
 
 use rustix::net::sockopt;
 
-use crate::CallError;
+use crate::{CallError, MeteredReader, metered::InputMeter};
 
 /// Time without traffic after which the kernel sends a keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -48,7 +48,17 @@
     sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MS)
 }
 
+/// A TCP connection whose reads are limited.
+pub(crate) type MeteredStream = HyperStream<(MeteredReader<TcpStream>, TcpStream)>;
+
+/// Wraps a TCP stream for HTTP. `meter` counts what the peer sends.
+pub(crate) fn http_stream(stream: TcpStream, meter: &Rc<InputMeter>) -> MeteredStream {
+    let (reader, writer) = stream.into_split();
+    HyperStream::new_plain((MeteredReader::new(reader).with_meter(meter.clone()), writer))
+}
+
 /// Wraps a TCP stream for libraries that read and write through tokio's traits, such as h2.
-pub fn tokio_stream(stream: TcpStream) -> TokioIo<HyperStream<TcpStream>> {
-    TokioIo::new(HyperStream::new_plain(stream))
+pub fn tokio_stream(stream: TcpStream) -> TokioIo<MeteredStream> {
+    let (reader, writer) = stream.into_split();
+    TokioIo::new(HyperStream::new_plain((MeteredReader::new(reader), writer)))
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,19 +4,22 @@
 //! verdicts depend on: a [`CallError`] reports [`Verdict::NotRun`](types::Verdict::NotRun) only if
 //! no byte of the request was written.
 //!
-//! Invariants: no call waits without a time limit; a connection on which a call timed out is never
-//! used again. This crate must not know what the messages mean.
+//! Invariants: no call waits without a time limit; a peer that always has more bytes to read keeps no
+//! task and no timer of the thread from running; a connection on which a call timed out is never used
+//! again. This crate must not know what the messages mean.
 
 mod body;
 mod client;
 mod connect;
 mod connection;
 mod error;
+mod metered;
 mod request_body;
 mod server;
 mod signals;
 mod sse;
 mod stop;
+mod turn;
 mod write_timeout;
 
 pub use body::{Body, BodyAborted, BodyWriter};
@@ -24,11 +27,13 @@
 pub use connect::{connect, tokio_stream};
 pub use connection::{ConnectionId, ConnectionObserver, CutCause, RequestLabel};
 pub use error::CallError;
+pub use metered::MeteredReader;
 pub use request_body::{BodyError, RequestBody};
 pub use server::{Handler, Server, json_response};
 pub use signals::SignalListener;
 pub use sse::{EventReader, EventSplitter, Events, encode_event};
 pub use stop::StopSignal;
+pub use turn::TurnLimit;
 
 /// Header that carries the verdict of a request.
 pub const VERDICT_HEADER: &str = "x-verdict";
--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -9,6 +9,8 @@
 use serde::de::DeserializeOwned;
 use types::MAX_BODY_BYTES;
 
+use crate::metered::InputMeter;
+
 /// Time in which a client must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which the rest of a request is read and discarded after the response.
@@ -29,16 +31,20 @@
 
 /// The part of a body that was not read yet. The server shares it with the handler, so that it can
 /// tell after the response whether the body is still arriving.
-pub(crate) struct UnreadBody(Cell<Option<Incoming>>);
+pub(crate) struct UnreadBody {
+    incoming: Cell<Option<Incoming>>,
+    meter: Rc<InputMeter>,
+}
 
 impl UnreadBody {
-    pub(crate) fn new(incoming: Incoming) -> Rc<UnreadBody> {
-        Rc::new(UnreadBody(Cell::new(Some(incoming))))
+    /// Creates the body of a request. `meter` counts the bytes of its connection.
+    pub(crate) fn new(incoming: Incoming, meter: Rc<InputMeter>) -> Rc<UnreadBody> {
+        Rc::new(UnreadBody { incoming: Cell::new(Some(incoming)), meter })
     }
 
     /// Takes the body, unless it was read to its end or cannot be read any further.
     pub(crate) fn take(&self) -> Option<Incoming> {
-        self.0.take().filter(|incoming| !incoming.is_end_stream())
+        self.incoming.take().filter(|incoming| !incoming.is_end_stream())
     }
 
     /// Reads the body to its end. If it is too large, the rest can be taken afterwards.
@@ -48,6 +54,7 @@
         let mut taken = TakenBody { unread: self, incoming: Some(incoming) };
         while let Some(frame) = taken.next_frame().await {
             let frame = frame.map_err(|error| BodyError::Broken(error.to_string()))?;
+            self.meter.record_delivery();
             let Ok(data) = frame.into_data() else { continue };
             if bytes.len() + data.len() > max_bytes {
                 return Err(BodyError::TooLarge(max_bytes));
@@ -61,10 +68,11 @@
 /// Reads the rest of a body after the response, so that the connection can be used again: closing
 /// it with unread bytes would reset it, and the reset may overtake the response. A body that takes
 /// too long or is too large is dropped, which closes the connection.
-pub(crate) async fn discard(mut rest: Incoming, clock: Rc<dyn Clock>) {
+pub(crate) async fn discard(mut rest: Incoming, meter: Rc<InputMeter>, clock: Rc<dyn Clock>) {
     let reading = async {
         let mut bytes = 0;
         while let Some(Ok(frame)) = rest.frame().await {
+            meter.record_delivery();
             bytes += frame.data_ref().map_or(0, Bytes::len);
             if bytes > MAX_DISCARDED_BYTES {
                 return;
@@ -96,7 +104,7 @@
 
 impl Drop for TakenBody<'_> {
     fn drop(&mut self) {
-        self.unread.0.set(self.incoming.take());
+        self.unread.incoming.set(self.incoming.take());
     }
 }
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -6,7 +6,7 @@
     io::AsyncRead,
     net::{TcpListener, TcpStream},
 };
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::{HeaderMap, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -15,7 +15,10 @@
 
 use crate::{
     Body, ConnectionId, ConnectionObserver, CutCause, RequestBody, RequestLabel, StopSignal,
+    TurnLimit,
+    connect::http_stream,
     connection::{ConnectionState, ObservedBody, ObservedIo},
+    metered::InputMeter,
     request_body::{self, DISCARD_TIME, MAX_DISCARDED_BYTES, UnreadBody},
     write_timeout::WriteTimeout,
 };
@@ -35,6 +38,10 @@
 
 /// Size of the buffer for bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+/// Reads of bytes to discard in one turn of the task.
+const DISCARD_READS: u32 = 4;
+/// Connections that are accepted in one turn of the task.
+const ACCEPTS_PER_TURN: u32 = 16;
 
 /// Handles the requests that a server receives.
 pub trait Handler {
@@ -123,7 +130,9 @@
         force_close_signal: StopSignal,
     ) {
         let mut accepted_count = 0;
+        let turn = TurnLimit::new(ACCEPTS_PER_TURN);
         loop {
+            turn.step().await;
             match self.listener.accept().await {
                 Ok((stream, _)) => {
                     let guard = OpenConnectionGuard::new(open_connections.clone());
@@ -186,11 +195,14 @@
         return None;
     }
     let (socket, own_clock, partial_head) = (stream.clone(), clock.clone(), state.clone());
-    let io = WriteTimeout::new(clock.clone(), HyperStream::new_plain(stream));
+    let meter = Rc::new(InputMeter::default());
+    let io = WriteTimeout::new(clock.clone(), http_stream(stream, &meter));
     let io = ObservedIo::new(io, state.clone());
     let service = service_fn(move |request| {
-        let (clock, handler, state) = (clock.clone(), handler.clone(), state.clone());
-        async move { Ok::<_, Infallible>(respond(clock, handler, state, request).await) }
+        meter.record_delivery();
+        let (clock, handler) = (clock.clone(), handler.clone());
+        let (state, meter) = (state.clone(), meter.clone());
+        async move { Ok::<_, Infallible>(respond(clock, handler, state, meter, request).await) }
     });
     let mut connection = pin!(
         http1::Builder::new()
@@ -236,7 +248,9 @@
     let reading = async {
         let mut left = MAX_DISCARDED_BYTES;
         let mut buffer = Vec::with_capacity(DISCARD_BUFFER_BYTES);
+        let turn = TurnLimit::new(DISCARD_READS);
         while left > 0 {
+            turn.step().await;
             buffer.clear();
             let BufResult(result, used) = socket.read(buffer).await;
             buffer = used;
@@ -256,12 +270,13 @@
     clock: Rc<dyn Clock>,
     handler: Rc<H>,
     state: Rc<ConnectionState>,
+    meter: Rc<InputMeter>,
     request: Request<Incoming>,
 ) -> Response<ObservedBody> {
     let (head, incoming) = request.into_parts();
     // A caller that waits for permission to send its body does not send it after a refusal.
     let awaits_permission = head.headers.contains_key(header::EXPECT);
-    let unread = UnreadBody::new(incoming);
+    let unread = UnreadBody::new(incoming, meter.clone());
     let body = RequestBody::from_connection(unread.clone(), clock.clone());
     let mut request = Request::from_parts(head, body);
     let label = RequestLabel::default();
@@ -272,7 +287,7 @@
     if let Some(rest) = unread.take() {
         state.record_early_response(response.status().as_u16());
         if !awaits_permission {
-            compio::runtime::spawn(request_body::discard(rest, clock)).detach();
+            compio::runtime::spawn(request_body::discard(rest, meter, clock)).detach();
         }
     }
     response.map(|body| ObservedBody::new(body, state))
