Refuse parts that crash engines after the first event

Cause: the first event of an answer settled for good that its prompt is sound. It took the attempt out of the table of runs, so that an engine that ended later had no suspect, cleared the parts of all crashes, and withdrew a refusal without return.

Change: an attempt is a suspect until it is answered. An answer that begins clears a part only of crashes before the first event; a whole answer of one engine clears it altogether and ends its refusal, which further crashes begin again (revisions instead of a flag, so that nodes still agree in any order). Reports are collected for 5 ms (more in a large fleet) before the cause is looked for, as each crash now gives more of them, and parts that a node has just seen answered are left out.

Two expectations of the old behaviour are replaced: that a first event ends a refusal is now asserted of a whole answer, and that a first event does not.

--- a/crates/crashes/src/refusal.rs
+++ b/crates/crashes/src/refusal.rs
@@ -37,8 +37,16 @@
     pub(crate) source: RefusalSource,
     pub(crate) since: Timestamp,
     pub(crate) last_seen: Timestamp,
-    /// Whether a request with the part began an answer, which ends the refusal for good.
-    pub(crate) withdrawn: bool,
+    /// How often the refusal has ended and begun again: odd if it has ended. The highest one that any
+    /// node knows holds.
+    pub(crate) revision: u32,
+}
+
+impl RefusalState {
+    /// Whether the refusal has ended because a request with the part was answered.
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        !self.revision.is_multiple_of(2)
+    }
 }
 
 /// The parts that are refused.
@@ -61,7 +69,7 @@
     pub(crate) fn shared_parts(&self) -> Vec<(Digest, u32)> {
         let mut organisations: HashMap<Digest, (usize, u32)> = HashMap::new();
         for (refused, state) in &self.states {
-            if refused.organisation.is_some() && !state.withdrawn {
+            if refused.organisation.is_some() && !state.is_withdrawn() {
                 let (count, crashes) = organisations.entry(refused.part).or_default();
                 *count += 1;
                 *crashes = crashes.saturating_add(state.crashes);
@@ -76,7 +84,7 @@
         let scopes = [Some(organisation), None];
         scopes.into_iter().any(|organisation| {
             let refused = RefusedPart { part, organisation };
-            self.states.get(&refused).is_some_and(|state| !state.withdrawn)
+            self.states.get(&refused).is_some_and(|state| !state.is_withdrawn())
         })
     }
 
@@ -90,7 +98,8 @@
         for part in request.shared.iter().copied() {
             for organisation in scopes {
                 let refused = RefusedPart { part, organisation };
-                if let Some(state) = self.states.get_mut(&refused).filter(|state| !state.withdrawn)
+                if let Some(state) =
+                    self.states.get_mut(&refused).filter(|state| !state.is_withdrawn())
                 {
                     state.last_seen = now;
                     return Some((refused, *state));
@@ -110,8 +119,11 @@
         if let Some(known) = self.states.get_mut(&refused) {
             known.last_seen = known.last_seen.max(state.last_seen);
             known.crashes = known.crashes.max(state.crashes);
-            let is_new = state.withdrawn && !known.withdrawn;
-            known.withdrawn |= state.withdrawn;
+            let is_new = state.revision > known.revision;
+            if is_new {
+                (known.revision, known.source, known.since) =
+                    (state.revision, state.source, state.since);
+            }
             return is_new;
         }
         self.states.insert(refused, state);
@@ -130,10 +142,10 @@
         let applying = self
             .states
             .iter_mut()
-            .filter(|(refused, state)| !state.withdrawn && parts.contains(&refused.part));
+            .filter(|(refused, state)| !state.is_withdrawn() && parts.contains(&refused.part));
         applying
             .map(|(refused, state)| {
-                state.withdrawn = true;
+                state.revision += 1;
                 *refused
             })
             .collect()
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -8,17 +8,16 @@
 
 use crate::{
     CrashNote, CrashedRuns, EngineProcess, RefusalSource, RefusedPart, RequestParts, Suspect,
-    event::CrashEvent,
+    event::{CrashEvent, Evidence},
     note::SuspectNote,
-    part_cause::find_cause,
+    part_cause::{Cause, find_cause},
     refusal::{RefusalState, RefusalTable},
     request_cause,
+    sound::SoundParts,
 };
 
 /// Largest number of crashes that are remembered; a full table drops the oldest.
 pub const MAX_EVENTS: usize = 64;
-/// Largest number of requests that are remembered of one crash.
-pub const MAX_SUSPECTS: usize = 48;
 /// Largest number of refused parts; a full table drops the one that was not seen for the longest
 /// time.
 pub const MAX_REFUSALS: usize = 256;
@@ -30,6 +29,9 @@
 const IN_USE_TIME: Duration = Duration::from_secs(60);
 /// Crashes of engines during one request after which it is refused.
 const REQUEST_CRASH_LIMIT: usize = 2;
+/// Successive crashes of engines after which a request is refused although its answer had begun. More
+/// are needed, since a stream goes on for seconds and others may crash its engines meanwhile.
+const BEGUN_REQUEST_CHAIN: usize = 4;
 
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,8 +61,8 @@
     Known,
     /// This node did not know the crash, or not all of its requests.
     Crash(EngineProcess, Timestamp),
-    /// A request began an answer after a crash.
-    Begun,
+    /// Requests have begun an answer, or were answered, after a crash.
+    Cleared,
     /// A part is refused.
     Refused(RefusedPart),
     /// A part is no longer refused.
@@ -72,11 +74,13 @@
 pub struct CrashTable {
     events: BTreeMap<EngineProcess, CrashEvent>,
     refusals: RefusalTable,
+    sound: SoundParts,
 }
 
 impl CrashTable {
-    /// Records that an engine process has crashed while it ran the given requests, which had begun
-    /// no answer there. Returns the note for the other nodes if any of that is new.
+    /// Records that an engine process has crashed while it ran the given requests. Their parts that
+    /// this node knows to be sound are left out. Returns the note for the other nodes if any of that
+    /// is new.
     pub fn record_crash(
         &mut self,
         process: EngineProcess,
@@ -84,6 +88,10 @@
         now: Timestamp,
     ) -> Option<CrashNote> {
         self.expire(now);
+        let mut suspects = suspects;
+        for suspect in &mut suspects {
+            suspect.shared.retain(|placed| !self.sound.contains(placed.part, now));
+        }
         let at = self.events.get(&process).map_or(now, |event| event.at);
         let is_known = self.events.contains_key(&process);
         if !self.add_crash(&process, at, suspects.clone()) && is_known {
@@ -97,34 +105,50 @@
         self.events.get(process).map(|event| event.at)
     }
 
-    /// Records that a request has begun an answer, which clears its parts. Returns the notes for the
-    /// other nodes.
+    /// Records that a request has begun an answer, which clears its parts of the crashes before the
+    /// first event of an answer. Returns the notes for the other nodes.
     pub fn record_begin(&mut self, request: &RequestParts) -> Vec<CrashNote> {
         let parts = [request.organisation].into_iter().chain(request.shared.iter().copied());
-        self.clear(&parts.collect::<Vec<_>>())
+        self.clear_begun(&parts.collect::<Vec<_>>())
     }
 
-    /// Records that a request was answered, which clears the whole request. Returns the notes for
-    /// the other nodes.
-    pub fn record_success(&mut self, request: &RequestParts) -> Vec<CrashNote> {
-        self.clear(&request.subjects().collect::<Vec<_>>())
+    /// Records that one engine has answered a request from its start to its end, which clears the
+    /// request and its parts and ends their refusal. Returns the notes for the other nodes.
+    pub fn record_answer(&mut self, request: &RequestParts, now: Timestamp) -> Vec<CrashNote> {
+        self.sound.add(&request.shared, now);
+        let subjects: Vec<Digest> = request.subjects().collect();
+        let mut notes = self.clear_begun(&subjects);
+        notes.extend(self.clear_answered(&subjects));
+        let withdrawn = self.refusals.withdraw(&request.shared);
+        notes.extend(withdrawn.iter().filter_map(|refused| self.refusal_note(refused)));
+        notes
     }
 
-    fn clear(&mut self, parts: &[Digest]) -> Vec<CrashNote> {
-        let mut notes = Vec::new();
-        for (process, event) in &mut self.events {
-            let is_new = |part: &Digest| event.suspects_with(*part).next().is_some();
-            let begun: Vec<Digest> = parts.iter().copied().filter(is_new).collect();
-            if !begun.is_empty() {
-                event.cleared.extend(begun.iter().copied());
-                notes.push(CrashNote::Begun { process: process.clone(), parts: begun });
-            }
-        }
-        let withdrawn = self.refusals.withdraw(parts);
-        notes.extend(withdrawn.iter().filter_map(|refused| self.refusal_note(refused)));
+    /// Records that an engine has written the rest of an answer that others had begun. That clears
+    /// the request, but not its parts: they may crash engines later in an answer. Returns the notes
+    /// for the other nodes.
+    pub fn record_resumed_answer(&mut self, request: &RequestParts) -> Vec<CrashNote> {
+        let mut notes = self.clear_begun(&request.subjects().collect::<Vec<_>>());
+        notes.extend(self.clear_answered(&[request.fingerprint]));
         notes
     }
 
+    fn clear_begun(&mut self, subjects: &[Digest]) -> Vec<CrashNote> {
+        let clear = |(process, event): (&EngineProcess, &mut CrashEvent)| {
+            let parts = event.clear_begun(subjects);
+            (!parts.is_empty()).then(|| CrashNote::Begun { process: process.clone(), parts })
+        };
+        self.events.iter_mut().filter_map(clear).collect()
+    }
+
+    fn clear_answered(&mut self, subjects: &[Digest]) -> Vec<CrashNote> {
+        let clear = |(process, event): (&EngineProcess, &mut CrashEvent)| {
+            let parts = event.clear_answered(subjects);
+            (!parts.is_empty()).then(|| CrashNote::Answered { process: process.clone(), parts })
+        };
+        self.events.iter_mut().filter_map(clear).collect()
+    }
+
     /// Merges a note of another node.
     pub fn apply(&mut self, note: CrashNote, source: RefusalSource, now: Timestamp) -> Applied {
         match note {
@@ -143,23 +167,27 @@
                 Applied::Crash(process, at)
             }
             CrashNote::Begun { process, parts } => {
-                let Some(event) = self.events.get_mut(&process) else { return Applied::Known };
-                let known = event.cleared.len();
-                // Only parts of the crash are kept, which bounds their number.
-                let own =
-                    parts.into_iter().filter(|part| event.suspects_with(*part).next().is_some());
-                let own: Vec<Digest> = own.collect();
-                event.cleared.extend(own);
-                if event.cleared.len() > known { Applied::Begun } else { Applied::Known }
+                let event = self.events.get_mut(&process);
+                let new = event.map(|event| event.clear_begun(&parts)).unwrap_or_default();
+                if new.is_empty() { Applied::Known } else { Applied::Cleared }
             }
-            CrashNote::Refused { part, organisation, crashes, withdrawn, age_ms } => {
+            CrashNote::Answered { process, parts } => {
+                let event = self.events.get_mut(&process);
+                let new = event.map(|event| event.clear_answered(&parts)).unwrap_or_default();
+                if new.is_empty() { Applied::Known } else { Applied::Cleared }
+            }
+            CrashNote::Refused { part, organisation, crashes, revision, age_ms } => {
                 let last_seen = before(now, age_ms);
-                let state = RefusalState { crashes, source, since: now, last_seen, withdrawn };
+                let state = RefusalState { crashes, source, since: now, last_seen, revision };
                 let refused = RefusedPart { part, organisation };
                 if !self.refusals.merge(refused, state, MAX_REFUSALS) {
                     return Applied::Known;
                 }
-                if withdrawn { Applied::Withdrawn(refused) } else { Applied::Refused(refused) }
+                if state.is_withdrawn() {
+                    Applied::Withdrawn(refused)
+                } else {
+                    Applied::Refused(refused)
+                }
             }
         }
     }
@@ -169,17 +197,20 @@
     pub fn decide(&mut self, now: Timestamp) -> Vec<CrashNote> {
         self.expire(now);
         let mut notes = Vec::new();
-        let mut explained = Vec::new();
+        let mut explained: Vec<(Cause, Evidence)> = Vec::new();
         loop {
             let mut events: Vec<&CrashEvent> = self.events.values().collect();
             events.retain(|event| {
                 let is_explained =
-                    explained.iter().any(|cause: &crate::part_cause::Cause| cause.explains(event));
+                    explained.iter().any(|(cause, evidence)| cause.explains(event, *evidence));
                 !is_explained && !self.has_refused_part(event)
             });
             events.sort_by_key(|event| event.at);
-            let Some((cause, crashes)) = find_cause(&events) else { break };
-            explained.push(cause);
+            let found = [Evidence::Beginning, Evidence::Whole].into_iter().find_map(|evidence| {
+                find_cause(&events, evidence).map(|(cause, crashes)| (cause, crashes, evidence))
+            });
+            let Some((cause, crashes, evidence)) = found else { break };
+            explained.push((cause, evidence));
             let Some(part) = cause.refused_part() else { continue };
             let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
             let refused = RefusedPart { part, organisation: Some(cause.organisation) };
@@ -194,7 +225,10 @@
     /// Refuses a part. Returns the note on it if it was not refused before.
     fn refuse(&mut self, refused: RefusedPart, crashes: u32, now: Timestamp) -> Option<CrashNote> {
         let source = RefusalSource::Decision;
-        let state = RefusalState { crashes, source, since: now, last_seen: now, withdrawn: false };
+        // Crashes since the refusal ended begin it again.
+        let known = self.refusals.get(&refused);
+        let revision = known.map_or(0, |known| known.revision.next_multiple_of(2));
+        let state = RefusalState { crashes, source, since: now, last_seen: now, revision };
         let is_new = self.refusals.merge(refused, state, MAX_REFUSALS);
         if is_new { self.refusal_note(&refused) } else { None }
     }
@@ -219,12 +253,16 @@
         );
         for (process, event) in &self.events {
             if now.since(event.at) < REPEAT_TIME {
-                let suspects = event.suspects.values();
+                let suspects = event.suspects(Evidence::Whole);
                 notes.push(crash_note(process.clone(), event.at, suspects, now));
-                if !event.cleared.is_empty() {
-                    let parts = event.cleared.iter().copied().collect();
+                let parts: Vec<Digest> = event.cleared().collect();
+                if !parts.is_empty() {
                     notes.push(CrashNote::Begun { process: process.clone(), parts });
                 }
+                let parts: Vec<Digest> = event.answered().collect();
+                if !parts.is_empty() {
+                    notes.push(CrashNote::Answered { process: process.clone(), parts });
+                }
             }
         }
         notes
@@ -233,13 +271,13 @@
     /// Crashes that led to the refusal of a part; `None` if it is not refused.
     pub fn refused_crashes(&self, refused: &RefusedPart) -> Option<u32> {
         let state = self.refusals.get(refused)?;
-        (!state.withdrawn).then_some(state.crashes)
+        (!state.is_withdrawn()).then_some(state.crashes)
     }
 
     /// Whether a part is refused and a request with it has arrived lately.
     pub fn is_in_use(&self, refused: &RefusedPart, now: Timestamp) -> bool {
         let state = self.refusals.get(refused);
-        state.is_some_and(|state| !state.withdrawn && now.since(state.last_seen) < IN_USE_TIME)
+        state.is_some_and(|state| !state.is_withdrawn() && now.since(state.last_seen) < IN_USE_TIME)
     }
 
     /// The note on a refused part.
@@ -249,7 +287,7 @@
             part: refused.part,
             organisation: refused.organisation,
             crashes: state.crashes,
-            withdrawn: state.withdrawn,
+            revision: state.revision,
             age_ms: 0,
         })
     }
@@ -274,7 +312,7 @@
         event.at = event.at.min(at);
         let mut has_new = false;
         for suspect in suspects {
-            has_new |= event.add(process, suspect, MAX_SUSPECTS);
+            has_new |= event.add(process, suspect);
         }
         if self.events.len() > MAX_EVENTS {
             let oldest =
@@ -287,16 +325,21 @@
     }
 
     fn has_refused_part(&self, event: &CrashEvent) -> bool {
-        event.suspects.values().any(|suspect| {
-            let organisation = suspect.parts.organisation;
-            suspect.parts.shared.iter().any(|part| self.refusals.is_refused(*part, organisation))
+        event.suspects(Evidence::Whole).any(|suspect| {
+            let mut parts = suspect.parts();
+            parts.any(|part| self.refusals.is_refused(part, suspect.organisation))
         })
     }
 
     /// Number of crashes for which a request is refused; zero if it is not refused.
     fn request_crashes(&self, request: &RequestParts, now: Timestamp) -> usize {
-        let fingerprint = request.fingerprint;
-        let runs_on = |event: &&CrashEvent| event.suspects.contains_key(&fingerprint);
+        let crashes = self.silent_request_crashes(request.fingerprint, now);
+        if crashes > 0 { crashes } else { self.begun_request_crashes(request.fingerprint, now) }
+    }
+
+    /// The crashes for which a request is refused if it had begun no answer.
+    fn silent_request_crashes(&self, fingerprint: Digest, now: Timestamp) -> usize {
+        let runs_on = |event: &&CrashEvent| event.silent.get(fingerprint).is_some();
         if self.events.values().filter(runs_on).count() < REQUEST_CRASH_LIMIT {
             return 0;
         }
@@ -305,10 +348,11 @@
             if now.since(event.at) >= EVENT_LIFETIME || self.has_refused_part(event) {
                 continue;
             }
-            for (fingerprint, suspect) in &event.suspects {
-                if !event.cleared.contains(fingerprint) {
+            for suspect in event.silent.iter() {
+                if !event.is_cleared(suspect.fingerprint, suspect) {
                     let run_time = Some(suspect.run_time(event.at));
-                    runs.entry(*fingerprint).or_default().add(process.clone(), run_time);
+                    let crashed_runs = runs.entry(suspect.fingerprint).or_default();
+                    crashed_runs.add(process.clone(), run_time);
                 }
             }
         }
@@ -316,6 +360,36 @@
         if is_poison { runs.get(&fingerprint).map_or(0, CrashedRuns::len) } else { 0 }
     }
 
+    /// The crashes for which a request is refused whether it had begun an answer or not: those
+    /// between which it was sent again each time.
+    fn begun_request_crashes(&self, fingerprint: Digest, now: Timestamp) -> usize {
+        let mut runs: Vec<(Timestamp, Timestamp)> = self
+            .events
+            .values()
+            .filter(|event| {
+                event.contains(fingerprint)
+                    && !event.is_answered(fingerprint)
+                    && now.since(event.at) < EVENT_LIFETIME
+                    && !self.has_refused_part(event)
+            })
+            .filter_map(|event| {
+                let runs = [event.silent.get(fingerprint), event.begun.get(fingerprint)];
+                let started = runs.into_iter().flatten().map(|suspect| suspect.started).max()?;
+                Some((event.at, started))
+            })
+            .collect();
+        runs.sort_unstable();
+        let mut chain = 0;
+        let mut last: Option<Timestamp> = None;
+        for (crashed_at, started) in runs {
+            if last.is_none_or(|last| started > last) {
+                chain += 1;
+                last = Some(crashed_at);
+            }
+        }
+        if chain >= BEGUN_REQUEST_CHAIN { chain } else { 0 }
+    }
+
     fn expire(&mut self, now: Timestamp) {
         self.events.retain(|_, event| now.since(event.at) < EVENT_LIFETIME);
         self.refusals.expire(now);
@@ -329,18 +403,20 @@
     now: Timestamp,
 ) -> CrashNote {
     let suspects = suspects.map(|suspect| SuspectNote {
-        organisation: suspect.parts.organisation,
-        shared: suspect.parts.shared.to_vec(),
-        fingerprint: suspect.parts.fingerprint,
+        organisation: suspect.organisation,
+        shared: suspect.shared.clone(),
+        fingerprint: suspect.fingerprint,
         age_ms: millis(now.since(suspect.started)),
+        silence_ms: millis(now.since(suspect.progress)),
+        has_begun: suspect.has_begun,
     });
     CrashNote::Crash { process, age_ms: millis(now.since(at)), suspects: suspects.collect() }
 }
 
 fn decode_suspect(note: SuspectNote, now: Timestamp) -> Suspect {
-    let SuspectNote { organisation, shared, fingerprint, age_ms } = note;
-    let parts = RequestParts { organisation, shared: shared.into(), fingerprint };
-    Suspect { parts, started: before(now, age_ms) }
+    let SuspectNote { organisation, shared, fingerprint, age_ms, silence_ms, has_begun } = note;
+    let (started, progress) = (before(now, age_ms), before(now, silence_ms));
+    Suspect { organisation, shared, fingerprint, started, progress, has_begun }
 }
 
 fn millis(age: Duration) -> u32 {
--- a/crates/crashes/tests/parts.rs
+++ b/crates/crashes/tests/parts.rs
@@ -46,7 +46,7 @@
     /// crash can follow.
     fn crash(&mut self, requests: &[RequestParts]) {
         let started = at_ms(self.now_ms);
-        let suspects = requests.iter().map(|parts| Suspect { parts: parts.clone(), started });
+        let suspects = requests.iter().map(|parts| Suspect::silent(parts, started));
         self.now_ms += 400;
         self.crash_of(suspects.collect());
         self.now_ms += 100;
@@ -124,7 +124,7 @@
 }
 
 #[test]
-fn an_answer_that_begins_late_ends_the_refusal_on_all_nodes() {
+fn a_whole_answer_ends_the_refusal_on_all_nodes() {
     let mut history = History::default();
     let mut other = CrashTable::default();
     for number in 0..3 {
@@ -136,16 +136,21 @@
     }
     let sound = request(ACME, &[PREAMBLE, SOUND], 9);
     assert!(other.check(&sound, now).is_some());
+    // An engine may still crash after the first event of an answer.
     for note in history.table.record_begin(&sound) {
         other.apply(note, RefusalSource::Peer, now);
     }
+    assert!(history.refusal(&sound).is_some() && other.check(&sound, now).is_some());
+    for note in history.table.record_answer(&sound, now) {
+        other.apply(note, RefusalSource::Peer, now);
+    }
     assert_eq!((history.refusal(&sound), other.check(&sound, now)), (None, None));
     // An older note of a third node does not refuse it again.
     let stale = CrashNote::Refused {
         part: Digest(SOUND),
         organisation: Some(Digest(ACME)),
         crashes: 3,
-        withdrawn: false,
+        revision: 0,
         age_ms: 0,
     };
     assert_eq!(other.apply(stale, RefusalSource::Store, now), Applied::Known);
@@ -170,7 +175,7 @@
     for number in 0..14 {
         history.now_ms += 150;
         let parts = request(ACME, &[PREAMBLE, SOUND], number);
-        history.crash_of(vec![Suspect { parts, started }]);
+        history.crash_of(vec![Suspect::silent(&parts, started)]);
     }
     assert!(!history.is_refused(ACME, &[PREAMBLE, SOUND]));
 }
@@ -194,7 +199,7 @@
     let mut history = History::default();
     let suspects = |range: std::ops::Range<u128>| {
         let parts = range.map(|number| request(ACME, &[PREAMBLE, SOUND], number));
-        parts.map(|parts| Suspect { parts, started: at_ms(0) }).collect()
+        parts.map(|parts| Suspect::silent(&parts, at_ms(0))).collect()
     };
     history.crash_of(suspects(0..5000));
     for number in 0..2000 {
@@ -252,8 +257,8 @@
             Step::Crash(requests) => {
                 let process = (format!("engine-{number}").as_str().into(), 1);
                 let started = at_ms(history.now_ms.saturating_sub(50));
-                let suspects = requests.iter().cloned();
-                let suspects = suspects.map(|parts| Suspect { parts, started }).collect();
+                let suspects = requests.iter().map(|parts| Suspect::silent(parts, started));
+                let suspects = suspects.collect();
                 notes.extend(history.table.record_crash(process, suspects, now));
             }
             Step::Begin(request) => notes.extend(history.table.record_begin(request)),
@@ -351,7 +356,7 @@
                 .collect();
             for request in &requests {
                 history.now_ms += 40;
-                history.crash_of(vec![Suspect { parts: request.clone(), started }]);
+                history.crash_of(vec![Suspect::silent(request, started)]);
             }
             history.now_ms += 1000;
             for request in &requests {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -35,36 +35,65 @@
 const ENDED_LIFETIME: Duration = Duration::from_secs(4);
 /// Delay between a broken connection and the probe that tells whether its upstream has crashed.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Time for which reports of crashes are collected in a small fleet before the cause is looked for. A
+/// lost failure domain gives many at the same time.
+const DECISION_DELAY: Duration = Duration::from_millis(5);
 /// Time from a broken connection until the result of that probe is known.
 const CRASH_CHECK_TIME: Duration = Duration::from_millis(30);
 
 /// The attempts that may have been running when an engine of theirs crashed: those that are in
-/// flight and whose answer has not begun, and those that have failed lately.
+/// flight, and those that have failed lately.
 #[derive(Default)]
 pub(crate) struct RunTable {
     runs: RefCell<HashMap<u64, Run>>,
     next_id: Cell<u64>,
+    /// Whether the cause of crashes will be looked for shortly.
+    decision_pending: Cell<bool>,
 }
 
 struct Run {
     parts: RequestParts,
     processes: Vec<EngineProcess>,
     started: Timestamp,
+    state: Rc<RunState>,
     ended: Option<Timestamp>,
 }
 
+/// How far an attempt has come.
+struct RunState {
+    /// Whether the attempt continues an answer that has begun elsewhere.
+    is_resumed: bool,
+    /// Whether the answer has begun.
+    has_begun: Cell<bool>,
+    /// When a part of the answer last arrived; the start if none did.
+    progress: Cell<Timestamp>,
+    has_failed: Cell<bool>,
+}
+
 /// Keeps an attempt in the [`RunTable`].
 pub(crate) struct RunGuard {
     gateway: Rc<Gateway>,
     id: u64,
+    state: Rc<RunState>,
 }
 
 impl RunGuard {
-    /// Removes the attempt: its answer has begun, or it has not run.
+    /// Removes the attempt: it has been answered, or it has not run.
     pub(crate) fn remove(&self) {
         self.gateway.runs.runs.borrow_mut().remove(&self.id);
     }
 
+    /// Records that a part of the answer has arrived.
+    pub(crate) fn record_progress(&self) {
+        self.state.has_begun.set(true);
+        self.state.progress.set(self.gateway.clock.now());
+    }
+
+    /// Records that the attempt has failed. Its engine may have crashed, which is noticed later.
+    pub(crate) fn record_failure(&self) {
+        self.state.has_failed.set(true);
+    }
+
     /// Keeps only one engine of the attempt's path as one that may have crashed.
     fn keep_only(&self, name: &UpstreamName) {
         if let Some(run) = self.gateway.runs.runs.borrow_mut().get_mut(&self.id) {
@@ -77,6 +106,10 @@
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
         let mut runs = self.gateway.runs.runs.borrow_mut();
+        // An answer that arrived until the caller left shows no crash.
+        if self.state.has_begun.get() && !self.state.has_failed.get() {
+            runs.remove(&self.id);
+        }
         if let Some(run) = runs.get_mut(&self.id) {
             run.ended = Some(now);
         }
@@ -92,8 +125,18 @@
         let taken =
             |_: &u64, run: &mut Run| run.processes.contains(process) && run.started <= crashed_at;
         let mut runs = self.runs.borrow_mut();
-        let suspects = runs.extract_if(taken);
-        suspects.map(|(_, run)| Suspect { parts: run.parts, started: run.started }).collect()
+        runs.extract_if(taken).map(|(_, run)| run.into_suspect()).collect()
+    }
+}
+
+impl Run {
+    fn into_suspect(self) -> Suspect {
+        let Run { parts, started, state, .. } = self;
+        if state.is_resumed || state.has_begun.get() {
+            Suspect::begun(&parts, started, state.progress.get())
+        } else {
+            Suspect::silent(&parts, started)
+        }
     }
 }
 
@@ -125,7 +168,7 @@
 }
 
 impl ActiveRequest {
-    /// Remembers an attempt until its answer begins.
+    /// Remembers an attempt until it has been answered.
     pub(crate) fn start_run(&self, upstream: &Upstream, stages: &[Stage]) -> RunGuard {
         let gateway = self.gateway.clone();
         let catalog = gateway.catalog.borrow();
@@ -138,18 +181,22 @@
         drop(catalog);
         let id = gateway.runs.next_id.get();
         gateway.runs.next_id.set(id + 1);
-        // A request whose answer has begun elsewhere does not crash engines by its prompt.
-        if !self.has_begun.get() {
-            let (parts, started) = (self.parts.clone(), gateway.clock.now());
-            let run = Run { parts, processes, started, ended: None };
-            gateway.runs.runs.borrow_mut().insert(id, run);
-        }
-        RunGuard { gateway, id }
+        let started = gateway.clock.now();
+        let state = Rc::new(RunState {
+            is_resumed: self.has_begun.get() || self.resume_after.is_some(),
+            has_begun: Cell::new(false),
+            progress: Cell::new(started),
+            has_failed: Cell::new(false),
+        });
+        let parts = self.parts.clone();
+        let run = Run { parts, processes, started, state: state.clone(), ended: None };
+        gateway.runs.runs.borrow_mut().insert(id, run);
+        RunGuard { gateway, id, state }
     }
 
-    /// Records that the answer has begun, which shows that the prompt crashes no engine.
+    /// Records that the answer has begun, which shows that the prompt crashes no engine before that.
     pub(crate) fn record_begin(&self, selection: &Selection) {
-        selection.run.remove();
+        selection.run.record_progress();
         if !self.has_begun.replace(true) {
             let notes = self.gateway.crashes.borrow_mut().record_begin(&self.parts);
             self.gateway.tell_crash_notes(notes);
@@ -159,8 +206,15 @@
     /// Records that the request was answered.
     pub(crate) fn record_answer(&self, selection: &Selection) {
         selection.run.remove();
-        let notes = self.gateway.crashes.borrow_mut().record_success(&self.parts);
-        self.gateway.tell_crash_notes(notes);
+        let gateway = &self.gateway;
+        let mut crashes = gateway.crashes.borrow_mut();
+        let notes = if selection.run.state.is_resumed {
+            crashes.record_resumed_answer(&self.parts)
+        } else {
+            crashes.record_answer(&self.parts, gateway.clock.now())
+        };
+        drop(crashes);
+        gateway.tell_crash_notes(notes);
     }
 
     /// Records that an attempt was refused, by `refusing_engine` if that is another one than the
@@ -238,7 +292,7 @@
     // Counted for the request itself also if its answer had begun.
     let parts = RequestParts { shared: Arc::default(), ..parts };
     let process = (upstream.name.clone(), upstream.incarnation);
-    gateway.record_crash(process, vec![Suspect { parts, started: broken_at }]);
+    gateway.record_crash(process, vec![Suspect::silent(&parts, broken_at)]);
 }
 
 impl Gateway {
@@ -282,25 +336,35 @@
             tracing::info!(%upstream, boot, requests, "upstream crashed while it ran requests");
         }
         self.outbox.push_crash_notes([note]);
-        self.decide_on_crashes();
+        self.schedule_decision();
     }
 
-    /// Refuses the parts that explain the crashes known so far.
-    fn decide_on_crashes(&self) {
-        let now = self.clock.now();
-        let decisions = self.crashes.borrow_mut().decide(now);
-        self.tell_crash_notes(decisions);
+    /// Refuses the parts that explain the crashes known after a short delay.
+    fn schedule_decision(&self) {
+        let Some(gateway) = self.own.upgrade() else { return };
+        if self.runs.decision_pending.replace(true) {
+            return;
+        }
+        compio::runtime::spawn(async move {
+            let scale = gateway.fleet_scale();
+            gateway.clock.sleep(DECISION_DELAY.mul_f64(scale * scale)).await;
+            gateway.runs.decision_pending.set(false);
+            let now = gateway.clock.now();
+            let decisions = gateway.crashes.borrow_mut().decide(now);
+            gateway.tell_crash_notes(decisions);
+        })
+        .detach();
     }
 
     /// Logs what this node has found out, and tells the other nodes.
     fn tell_crash_notes(&self, notes: Vec<CrashNote>) {
         for note in &notes {
-            if let CrashNote::Refused { part, organisation, crashes, withdrawn, .. } = *note {
+            if let CrashNote::Refused { part, organisation, crashes, .. } = *note {
                 let refused = RefusedPart { part, organisation };
-                if withdrawn {
-                    log_withdrawal(&refused);
-                } else {
+                if self.crashes.borrow().refused_crashes(&refused).is_some() {
                     log_refusal(&refused, crashes, RefusalSource::Decision);
+                } else {
+                    log_withdrawal(&refused);
                 }
                 self.metrics.refused_parts.inc();
                 self.outbox.push_refused_part(refused);
@@ -323,11 +387,11 @@
                     log_refusal(&refused, crashes.unwrap_or_default(), RefusalSource::Peer);
                 }
                 Applied::Withdrawn(refused) => log_withdrawal(&refused),
-                Applied::Known | Applied::Begun => {}
+                Applied::Known | Applied::Cleared => {}
             }
         }
         if has_new {
-            self.decide_on_crashes();
+            self.schedule_decision();
         }
     }
 
--- a/crates/gateway/src/refused_parts.rs
+++ b/crates/gateway/src/refused_parts.rs
@@ -27,6 +27,30 @@
 /// Failed calls after which an entry is not written by this node.
 const MAX_ATTEMPTS: u32 = 8;
 
+/// The value of a refused part's entry.
+#[derive(Clone, Copy)]
+struct RefusalEntry {
+    /// Crashes that led to the refusal.
+    crashes: u32,
+    /// Revision of the refusal.
+    revision: u32,
+}
+
+impl RefusalEntry {
+    /// Decodes two numbers separated by a space. Revision 0 may be left out.
+    fn decode(value: &[u8]) -> Option<RefusalEntry> {
+        let text = std::str::from_utf8(value).ok()?;
+        let (crashes, revision) = text.split_once(' ').unwrap_or((text, "0"));
+        Some(RefusalEntry { crashes: crashes.parse().ok()?, revision: revision.parse().ok()? })
+    }
+
+    /// Encodes the value that [`RefusalEntry::decode`] reads.
+    fn encode(self) -> String {
+        let RefusalEntry { crashes, revision } = self;
+        format!("{crashes} {revision}")
+    }
+}
+
 /// The key of a refused part.
 fn key(refused: &RefusedPart) -> String {
     let RefusedPart { part, organisation } = refused;
@@ -59,13 +83,12 @@
             }
             return;
         };
-        let crashes = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
-        let Some(crashes) = crashes else {
+        let Some(RefusalEntry { crashes, revision }) = RefusalEntry::decode(value) else {
             tracing::warn!(key = rest, "entry of a refused part is not usable");
             return;
         };
         let RefusedPart { part, organisation } = refused;
-        let note = CrashNote::Refused { part, organisation, crashes, withdrawn: false, age_ms: 0 };
+        let note = CrashNote::Refused { part, organisation, crashes, revision, age_ms: 0 };
         let now = self.clock.now();
         let applied = self.crashes.borrow_mut().apply(note, RefusalSource::Store, now);
         if applied != Applied::Known {
@@ -77,12 +100,18 @@
     async fn store_refused_part(&self, refused: &RefusedPart) -> Result<(), KvError> {
         let store = &self.store;
         let key = key(refused);
-        let crashes = self.crashes.borrow().refused_crashes(refused);
+        let refusal = self.crashes.borrow().refusal_note(refused);
+        let wanted = match refusal {
+            Some(CrashNote::Refused { crashes, revision, .. }) if revision.is_multiple_of(2) => {
+                Some(RefusalEntry { crashes, revision })
+            }
+            _ => None,
+        };
         let entry = store.get(&key).await?;
-        match (crashes, entry) {
-            (Some(crashes), None) => {
+        match (wanted, entry) {
+            (Some(wanted), None) => {
                 let lease = store.grant(ENTRY_TTL.as_millis() as u64).await?;
-                store.put(&key, Expected::Absent, crashes.to_string(), Some(lease)).await?;
+                store.put(&key, Expected::Absent, wanted.encode(), Some(lease)).await?;
             }
             (None, Some(entry)) => {
                 store.delete(&key, entry.version).await?;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -112,6 +112,7 @@
                     return ForwardOutcome::Broken(error.into());
                 }
                 self.gateway.metrics.events.inc_by(events.numbers.len() as u64);
+                stream.selection.run.record_progress();
                 if !writer.write(events.bytes).await {
                     return ForwardOutcome::CallerGone;
                 }
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -214,6 +214,7 @@
         selection: &Selection,
         cause: &StreamFailure,
     ) -> bool {
+        selection.run.record_failure();
         let (verdict, entry_failed) = match cause {
             StreamFailure::Call(error) => {
                 self.avoid_after_error(selection, error);
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -81,7 +81,13 @@
     for number in 0..count {
         let node = &nodes[number % nodes.len()];
         let crashing = prompt(CRASHING_PART, format!("{CRASHING_BODY} {number} {before}"));
-        last = node.gateway.clone().route(crashing).await.err();
+        last = match node.gateway.clone().route(crashing).await {
+            Ok(response) => {
+                body(response).await;
+                None
+            }
+            Err(failure) => Some(failure),
+        };
         compio::time::sleep(DATAGRAM_TIME).await;
     }
     (calls() - before, last)
@@ -206,3 +212,27 @@
         assert!(nodes[0].gateway.clone().route(sound).await.is_ok(), "request {number} is served");
     }
 }
+
+/// Guards against a part that is never refused because the first events are out before each crash. The
+/// stream then goes on at the next engine, and takes the part along.
+#[compio::test]
+async fn a_part_that_crashes_engines_in_the_middle_of_their_answers_is_refused() {
+    for events_before_crash in [1, 7] {
+        let nodes = nodes(3).await;
+        connect(&nodes).await;
+        for node in &nodes {
+            node.upstreams.events_before_crash.set(events_before_crash);
+        }
+        for number in 0..4 {
+            send_crashing(&nodes, 1).await;
+            let response = send_sound(&nodes[number % 3], &format!("sound {number}")).await;
+            body(response.expect("a sound request is served")).await;
+        }
+        let (calls, failure) = send_crashing(&nodes, 9).await;
+        assert_eq!(calls, 0, "{events_before_crash} events before each crash");
+        assert!(failure.is_some_and(|failure| failure.failure.kind == FailureKind::Poison));
+        let response = send_sound(&nodes[0], "sound at last").await;
+        let response = response.expect("a sound request with the same first part is served");
+        assert_eq!(body(response).await, Some(event(0)));
+    }
+}
--- a/crates/gateway/tests/gateway/datagrams.rs
+++ b/crates/gateway/tests/gateway/datagrams.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crashes::{CrashNote, SuspectNote};
+use crashes::{CrashNote, PlacedPart, SuspectNote};
 use peers::{Beacon, Datagram, DatagramSocket, StoreChange};
 use types::Digest;
 
@@ -229,9 +229,13 @@
 async fn a_crash_with_many_requests_reaches_another_node_whole() {
     let suspect = |number: u128| SuspectNote {
         organisation: Digest(u128::MAX),
-        shared: (0..8).map(|part| Digest(u128::MAX - part)).collect(),
+        shared: (0..8)
+            .map(|place| PlacedPart { place, part: Digest(u128::MAX - u128::from(place)) })
+            .collect(),
         fingerprint: Digest(u128::MAX - number),
         age_ms: u32::MAX,
+        silence_ms: u32::MAX,
+        has_begun: true,
     };
     let suspects: Vec<SuspectNote> = (0..48).map(suspect).collect();
     let process = ("an-upstream-with-a-long-name-of-more-than-forty-bytes".into(), u64::MAX);
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -77,6 +77,7 @@
             ignore_probes: Rc::default(),
             stopped: Rc::default(),
             crashing_body: Rc::default(),
+            events_before_crash: Rc::default(),
             crashes_last: Rc::default(),
             leaving: Rc::default(),
             pausing: Rc::default(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -85,6 +85,8 @@
     /// Start of the bodies of requests that crash the upstream which gets them. Its process has then
     /// stopped.
     pub crashing_body: Rc<Cell<Option<&'static str>>>,
+    /// Number of events that such an upstream sends before it crashes.
+    pub events_before_crash: Rc<Cell<u64>>,
     /// Whether such a request crashes the last engine of its path, for which the call then waits.
     pub crashes_last: Rc<Cell<bool>>,
     /// The engine that reports that it is slow, if any.
@@ -147,6 +149,7 @@
             ignore_probes: self.ignore_probes.clone(),
             stopped: self.stopped.clone(),
             crashing_body: self.crashing_body.clone(),
+            events_before_crash: self.events_before_crash.clone(),
             crashes_last: self.crashes_last.clone(),
             leaving: self.leaving.clone(),
             pausing: self.pausing.clone(),
@@ -171,18 +174,18 @@
             let crashes =
                 crashing_body.is_some_and(|start| call.body.starts_with(start.as_bytes()));
             let last = call.stages.last().map(|stage| stage.engine.to_string());
+            let first_event = call.resume_after.map_or(0, |number| number + 1);
             self.upstreams.calls.borrow_mut().push((self.name.clone(), call));
             if crashes && self.upstreams.crashes_last.get() {
                 self.upstreams.stopped.borrow_mut().extend(last);
                 self.upstreams.clock.sleep(limit).await;
                 return Err(CallError::Timeout);
             }
-            if crashes {
+            let events_before_crash = self.upstreams.events_before_crash.get();
+            if crashes && events_before_crash == 0 {
                 self.upstreams.stopped.borrow_mut().push(self.name.clone());
                 return Err(CallError::Broken("reset".into()));
             }
-            let step =
-                self.upstreams.steps.borrow_mut().pop_front().expect("the script has a step");
             let response = |status, signed, not_run, parts: Vec<BodyPart>| UpstreamResponse {
                 status,
                 headers: HeaderMap::new(),
@@ -201,6 +204,14 @@
                 response.headers.insert(header::CONTENT_TYPE, event_stream);
                 response
             };
+            if crashes {
+                let numbers: Vec<u64> = (first_event..first_event + events_before_crash).collect();
+                let mut parts = events(&numbers);
+                parts.push(BodyPart::Crash(self.name.clone(), self.upstreams.stopped.clone()));
+                return Ok(stream(parts));
+            }
+            let step =
+                self.upstreams.steps.borrow_mut().pop_front().expect("the script has a step");
             if self.asks_for_pause() {
                 return Ok(response(503, false, true, Vec::new()));
             }
@@ -313,6 +324,8 @@
 
 enum BodyPart {
     Bytes(Bytes),
+    /// The upstream's process stops, and the connection breaks.
+    Crash(String, Rc<RefCell<Vec<String>>>),
     Break,
     Endless,
     Silence,
@@ -338,6 +351,10 @@
                     self.parts.push_front(BodyPart::Endless);
                     Ok(Some(chunk))
                 }
+                Some(BodyPart::Crash(name, stopped)) => {
+                    stopped.borrow_mut().push(name);
+                    Err(CallError::Broken("reset".into()))
+                }
                 Some(BodyPart::Break) => Err(CallError::Broken("reset".into())),
                 Some(BodyPart::Pause(pause)) => {
                     // The rest of the pause is put back first, since this future may be dropped.
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -11,9 +11,11 @@
 /// Largest total size of the changes in one datagram. The remaining bytes are for the kind of the
 /// datagram and the number of changes.
 const MAX_CHANGES_BYTES: usize = 1380;
-/// Most requests or parts in one note about a crash, so that it fits into a datagram. A request with
-/// eight shared parts has up to 180 bytes.
-const MAX_NOTE_ENTRIES: usize = 6;
+/// Most requests in one note about a crash. Each has up to 60 bytes beside its parts.
+const MAX_NOTE_SUSPECTS: usize = 8;
+/// Most parts of prompts in one note about a crash, so that it fits into a datagram. A part has up to
+/// 20 bytes.
+const MAX_NOTE_PARTS: usize = 40;
 /// Largest number of upstreams in [`Beacon::loads`]. This number fits into a datagram if the names
 /// have up to 16 bytes.
 pub const MAX_BEACON_ENTRIES: usize = 40;
@@ -138,7 +140,8 @@
     pub fn of_crash_notes(notes: Vec<CrashNote>) -> Vec<Datagram> {
         let mut batches: Vec<Vec<CrashNote>> = Vec::new();
         let mut batch_bytes = MAX_CHANGES_BYTES;
-        for note in notes.into_iter().flat_map(|note| note.split(MAX_NOTE_ENTRIES)) {
+        for note in notes.into_iter().flat_map(|note| note.split(MAX_NOTE_SUSPECTS, MAX_NOTE_PARTS))
+        {
             let config = bincode::config::standard();
             let Ok(bytes) = bincode::serde::encode_to_vec(&note, config) else { continue };
             if bytes.len() > MAX_CHANGES_BYTES {
