--- a/crates/crashes/src/event.rs
+++ b/crates/crashes/src/event.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, HashSet},
+    collections::{BTreeMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -206,10 +206,10 @@
     pub(crate) begun: SuspectSet,
     /// Parts and organisations whose requests have begun an answer since, and requests that have
     /// succeeded.
-    cleared: BTreeSet<Digest>,
+    cleared: HashSet<Digest>,
     /// Parts and organisations whose requests have been answered whole by one engine since, and
     /// requests that have succeeded.
-    answered: BTreeSet<Digest>,
+    answered: HashSet<Digest>,
 }
 
 impl CrashEvent {
@@ -218,8 +218,8 @@
             at,
             silent: SuspectSet::default(),
             begun: SuspectSet::default(),
-            cleared: BTreeSet::new(),
-            answered: BTreeSet::new(),
+            cleared: HashSet::new(),
+            answered: HashSet::new(),
         }
     }
 
@@ -247,6 +247,11 @@
         self.answered.contains(&subject)
     }
 
+    /// Organisations, parts and fingerprints of the suspects, without duplicates.
+    pub(crate) fn subjects(&self) -> impl Iterator<Item = Digest> + '_ {
+        self.silent.subjects.union(&self.begun.subjects).copied()
+    }
+
     /// Whether the digest is that of an organisation, a part or a whole request of a suspect.
     pub(crate) fn contains(&self, subject: Digest) -> bool {
         self.silent.contains(subject) || self.begun.contains(subject)
--- a/crates/crashes/src/part_cause.rs
+++ b/crates/crashes/src/part_cause.rs
@@ -1,6 +1,6 @@
 //! Finds the part of a prompt that explains crashes of engines.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{cmp::Reverse, collections::HashMap};
 
 use clock::Timestamp;
 use types::Digest;
@@ -33,7 +33,7 @@
 
 /// What may explain crashes: a part of the requests of one organisation. The digest of the
 /// organisation's name stands for all of its requests, and a fingerprint for a single one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct Cause {
     pub(crate) organisation: Digest,
     pub(crate) part: Digest,
@@ -74,8 +74,10 @@
 }
 
 /// The crashes that a cause explains.
-#[derive(Default)]
 struct Record {
+    cause: Cause,
+    /// Whether the cause is a single request. Those are judged by themselves.
+    is_request: bool,
     sightings: Vec<Sighting>,
     events: EventMask,
     /// Number of requests with the part, over all crashes.
@@ -96,56 +98,118 @@
 /// are lost together are thus one crash, however long it takes to notice all of them. Of the parts
 /// that explain the same crashes, the most specific one is chosen.
 pub(crate) fn find_cause(events: &[&CrashEvent], evidence: Evidence) -> Option<(Cause, usize)> {
-    let records = records_by_cause(events, evidence);
-    let mut candidates: Vec<(Weight, &Record, Cause)> = records
+    let crashes = Crashes::index(events, evidence);
+    let mut candidates: Vec<(Weight, &Record)> = crashes
+        .records
         .iter()
-        .filter(|(cause, record)| {
-            !is_single_request(**cause, events, record)
+        .filter(|record| {
+            !record.is_request
                 && is_suspicious(record, evidence)
-                && !has_specific_cause(**cause, record, &records, events, evidence)
+                && !crashes.has_specific_cause(record, evidence)
         })
-        .map(|(cause, record)| (weigh(record, evidence), record, *cause))
+        .map(|record| (weigh(record, evidence), record))
         .collect();
-    candidates.sort_by_key(|(weight, record, cause)| {
-        (Reverse(*weight), !cause.is_part(), record.suspects, *cause)
+    candidates.sort_by_key(|(weight, record)| {
+        (Reverse(*weight), !record.cause.is_part(), record.suspects, record.cause)
     });
-    let (_, _, cause) = *candidates.first()?;
+    let (_, Record { cause, .. }) = *candidates.first()?;
     if !cause.is_part() {
         // The requests of an organisation explain the crashes better than any part of another one.
         // A part of its own is better still.
-        candidates.retain(|(_, _, other)| {
-            other.organisation == cause.organisation && (other.is_part() || *other == cause)
+        candidates.retain(|(_, other)| {
+            other.cause.organisation == cause.organisation
+                && (other.cause.is_part() || other.cause == *cause)
         });
-        candidates.sort_by_key(|(weight, _, cause)| (!cause.is_part(), Reverse(*weight)));
+        candidates.sort_by_key(|(weight, record)| (!record.cause.is_part(), Reverse(*weight)));
     }
-    let (weight, _, cause) = *candidates.first()?;
-    let rivals = candidates.iter().skip(1).filter(|(other, _, _)| *other == weight);
+    let (weight, Record { cause, .. }) = *candidates.first()?;
+    let rivals = candidates.iter().skip(1).filter(|(other, _)| *other == weight);
     let tie_chain = match evidence {
         Evidence::Beginning => TIE_CHAIN,
         Evidence::Whole => WHOLE_TIE_CHAIN,
     };
     let is_open = rivals.count() > 0 && weight.chain < tie_chain;
-    (!is_open).then_some((cause, weight.crashes))
+    (!is_open).then_some((*cause, weight.crashes))
+}
+
+/// The crashes and what may explain them.
+struct Crashes {
+    /// What each organisation, each part and each whole request takes part in. What takes part in one
+    /// crash only, as most parts do, explains nothing and is left out.
+    records: Vec<Record>,
+    /// The suspects of each crash, each as the indices of its records by place in the request.
+    suspects: Vec<Vec<Vec<usize>>>,
 }
 
-/// The crashes that each organisation, each part and each whole request takes part in.
-fn records_by_cause(events: &[&CrashEvent], evidence: Evidence) -> BTreeMap<Cause, Record> {
-    let mut records: BTreeMap<Cause, Record> = BTreeMap::new();
-    for (index, event) in events.iter().enumerate() {
-        for suspect in event.suspects(evidence) {
-            let organisation = suspect.organisation;
-            for part in suspect.subjects() {
-                if !event.is_cleared(part, suspect) {
-                    let record = records.entry(Cause { organisation, part }).or_default();
-                    record.add(index, event.at, suspect);
+impl Crashes {
+    fn index(events: &[&CrashEvent], evidence: Evidence) -> Crashes {
+        let mut event_counts: HashMap<Digest, usize> = HashMap::new();
+        for subject in events.iter().flat_map(|event| event.subjects()) {
+            *event_counts.entry(subject).or_default() += 1;
+        }
+        let is_repeated =
+            |subject: &Digest| event_counts.get(subject).is_some_and(|count| *count > 1);
+        let mut indices: HashMap<Cause, usize> = HashMap::new();
+        let mut crashes = Crashes { records: Vec::new(), suspects: vec![Vec::new(); events.len()] };
+        for (number, event) in events.iter().enumerate() {
+            for suspect in event.suspects(evidence) {
+                let organisation = suspect.organisation;
+                let mut subjects = Vec::new();
+                for part in suspect.subjects().filter(is_repeated) {
+                    if event.is_cleared(part, suspect) {
+                        continue;
+                    }
+                    let cause = Cause { organisation, part };
+                    let index = *indices.entry(cause).or_insert_with(|| {
+                        let is_request = part == suspect.fingerprint;
+                        crashes.records.push(Record::new(cause, is_request));
+                        crashes.records.len() - 1
+                    });
+                    crashes.records[index].add(number, event.at, suspect);
+                    subjects.push(index);
                 }
+                crashes.suspects[number].push(subjects);
             }
         }
+        crashes
+    }
+
+    /// Whether something more specific than a cause explains its crashes, but for a coincidence:
+    /// another part of the same prompts that fewer requests have, or a single request that was sent
+    /// repeatedly.
+    fn has_specific_cause(&self, record: &Record, evidence: Evidence) -> bool {
+        let suspects = record.sightings.iter().flat_map(|one| &self.suspects[one.event]);
+        suspects.filter_map(|subjects| Some((subjects, self.place_of(record, subjects)?))).any(
+            |(subjects, place)| {
+                subjects.iter().enumerate().any(|(other_place, index)| {
+                    let rival = &self.records[*index];
+                    is_more_specific(rival, record, other_place > place, evidence)
+                        && !has_remaining_chain(record, rival, evidence)
+                })
+            },
+        )
+    }
+
+    /// Place of the cause among the subjects of a suspect.
+    fn place_of(&self, record: &Record, subjects: &[usize]) -> Option<usize> {
+        subjects.iter().position(|index| self.records[*index].cause == record.cause)
     }
-    records
+}
+
+/// Whether a rival from the same request is more specific than a cause: fewer requests have it. Of
+/// parts that as many requests have, the later one is, while no answer has begun: prompts are alike
+/// from their start on. Later, it is open which of the two it is.
+fn is_more_specific(rival: &Record, record: &Record, is_later: bool, evidence: Evidence) -> bool {
+    let breaks_tie = evidence == Evidence::Beginning || rival.is_request || !record.cause.is_part();
+    rival.suspects < record.suspects
+        || (rival.suspects == record.suspects && is_later && breaks_tie)
 }
 
 impl Record {
+    fn new(cause: Cause, is_request: bool) -> Record {
+        Record { cause, is_request, sightings: Vec::new(), events: 0, suspects: 0 }
+    }
+
     /// Adds a suspect of the event with this index. Events are added in their order.
     fn add(&mut self, event: usize, crashed_at: Timestamp, suspect: &Suspect) {
         self.suspects += 1;
@@ -161,15 +225,6 @@
     }
 }
 
-/// Whether the cause is the fingerprint of one request. Those are judged by themselves.
-fn is_single_request(cause: Cause, events: &[&CrashEvent], record: &Record) -> bool {
-    let is_fingerprint = |sighting: &Sighting| {
-        let event = events[sighting.event];
-        event.silent.get(cause.part).is_some() || event.begun.get(cause.part).is_some()
-    };
-    record.sightings.first().is_some_and(is_fingerprint)
-}
-
 /// Whether enough crashes speak against a cause.
 fn is_suspicious(record: &Record, evidence: Evidence) -> bool {
     let started_chain = chain_length(&record.sightings, |sighting| sighting.started);
@@ -212,46 +267,6 @@
     length
 }
 
-/// Whether something more specific than this cause explains its crashes, but for a coincidence:
-/// another part of the same prompts that fewer requests have, or a single request that was sent
-/// repeatedly.
-fn has_specific_cause(
-    cause: Cause,
-    record: &Record,
-    records: &BTreeMap<Cause, Record>,
-    events: &[&CrashEvent],
-    evidence: Evidence,
-) -> bool {
-    record.sightings.iter().any(|sighting| {
-        let own = events[sighting.event].suspects(evidence).filter(|suspect| {
-            suspect.organisation == cause.organisation
-                && suspect.subjects().any(|subject| subject == cause.part)
-        });
-        own.flat_map(|suspect| more_specific(cause, record, suspect, records, evidence))
-            .any(|rival| !has_remaining_chain(record, rival, evidence))
-    })
-}
-
-/// What is more specific than a cause among the subjects of a request that has it: what fewer requests
-/// have. Of parts that as many requests have, the later one is, while no answer has begun: prompts are
-/// alike from their start on. Later, it is open which of the two it is.
-fn more_specific<'a>(
-    cause: Cause,
-    record: &'a Record,
-    suspect: &'a Suspect,
-    records: &'a BTreeMap<Cause, Record>,
-    evidence: Evidence,
-) -> impl Iterator<Item = &'a Record> {
-    let place = suspect.subjects().position(|subject| subject == cause.part).unwrap_or_default();
-    suspect.subjects().enumerate().filter_map(move |(other_place, part)| {
-        let rival = records.get(&Cause { organisation: cause.organisation, part })?;
-        let breaks_tie =
-            evidence == Evidence::Beginning || part == suspect.fingerprint || !cause.is_part();
-        let is_later = other_place > place && rival.suspects == record.suspects;
-        (rival.suspects < record.suspects || (is_later && breaks_tie)).then_some(rival)
-    })
-}
-
 /// Whether enough crashes of a cause remain without those that a rival explains.
 fn has_remaining_chain(record: &Record, rival: &Record, evidence: Evidence) -> bool {
     let remaining = record.sightings.iter().filter(|one| rival.events & (1 << one.event) == 0);
