Test cut heads and the end of the grace period

- A worker that stops in the middle of its answer's head: a response is broken wherever it is cut off, with a length, in chunks and without.
- Requests that a stopping node takes late in its grace period: it takes a call only while the route's timeout ends before the process, and streams in the first third.
What comes later is refused, not passed on, and told when to return.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,5 +9,6 @@
 mod pauses;
 mod planner;
 mod silence;
+mod stopping;
 mod stream_ends;
 mod support;
