Open the watch anew when any call to the store gets no answer

Cause: the connections to the key-value service had fallen silent. The planner's renewal noticed it, closed the idle connections and told nobody, so that the registration's renewal, the only call that abandoned a silent watch, succeeded on a new connection. Ruled out: the other nodes' announcement, which ends the pause between two watches only.

Change: a client that observes all calls of the gateway tells the watch, which is opened anew from the same revision. The clients of the service keep their idle connections together.

--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -13,8 +13,8 @@
 use upstreams::Connector;
 
 use crate::{
-    Gateway, crashes::RunTable, metrics::Metrics, updates::Outbox, wait_queue::WaitQueue,
-    wakeup::Wakeup,
+    Gateway, crashes::RunTable, metrics::Metrics, observed_store::ObservedStore, updates::Outbox,
+    wait_queue::WaitQueue, wakeup::Wakeup,
 };
 
 /// Builds a [`Gateway`].
@@ -47,11 +47,13 @@
 
     /// Creates the gateway.
     pub fn build(self) -> Rc<Gateway> {
+        let store_silent = Rc::<Wakeup>::default();
+        let store = Rc::new(ObservedStore::new(self.store, store_silent.clone()));
         Rc::new_cyclic(|own| Gateway {
             own: own.clone(),
             clock: self.clock,
             settings: self.settings,
-            store: self.store,
+            store,
             connector: self.connector,
             codec: self.codec,
             stop: self.stop,
@@ -69,6 +71,7 @@
             metrics: Metrics::new(),
             store_lost_at: Cell::new(None),
             store_lost: Wakeup::default(),
+            store_silent,
             reread: Wakeup::default(),
             announced_version: Cell::new(0),
             outbox: Outbox::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod lifecycle;
 mod metrics;
 mod node;
+mod observed_store;
 mod observer;
 mod outcome;
 mod pauses;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -77,8 +77,12 @@
     pub(crate) metrics: Metrics,
     /// Since when the key-value service cannot be reached; `None` if it can.
     pub(crate) store_lost_at: Cell<Option<Timestamp>>,
-    /// Raised when a call to the key-value service was not answered, to abandon the pending watch.
+    /// Raised when the registration of this node could not be renewed, to abandon the pending watch
+    /// and read all keys again.
     pub(crate) store_lost: Wakeup,
+    /// Raised when any call to the key-value service was not answered. The connection of the pending
+    /// watch may be as silent, so the watch is opened anew.
+    pub(crate) store_silent: Rc<Wakeup>,
     /// Raised when the changes in the key-value service are to be read without waiting for the next
     /// interval.
     pub(crate) reread: Wakeup,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -105,10 +105,19 @@
 async fn watch(gateway: &Rc<Gateway>, mut at: u64) -> Option<KvError> {
     loop {
         let started = gateway.clock.now();
-        let lost = gateway.store_lost.arm();
-        let changes = match select(gateway.store.changes("", at), pin!(lost.raised())).await {
+        let (lost, silent) = (gateway.store_lost.arm(), gateway.store_silent.arm());
+        let (lost, silent) = (pin!(lost.raised()), pin!(silent.raised()));
+        let interrupted = select(lost, silent);
+        let changes = match select(gateway.store.changes("", at), interrupted).await {
             Either::Left((changes, _)) => changes,
-            Either::Right(((), _)) => Err(KvError::Unavailable),
+            Either::Right((Either::Left(_), _)) => Err(KvError::Unavailable),
+            Either::Right((Either::Right(_), _)) => {
+                tracing::info!(
+                    revision = at,
+                    "key-value service left a call unanswered; the watch is opened anew"
+                );
+                continue;
+            }
         };
         match changes {
             Ok(Changes::Items { items, revision: next }) => {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod pauses;
 mod planner;
 mod silence;
+mod silent_store;
 mod stopping;
 mod stream_ends;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/gateway/silent_store.rs
@@ -0,0 +1,36 @@
+//! Guards against connections to the key-value service that fall silent: one of the calls notices it,
+//! and the others that wait on such connections learned nothing of it. The node with the planner's lease
+//! went on for seconds with a configuration that had been replaced.
+
+use std::time::Duration;
+
+use callers::RoutedFailure;
+use types::FailureKind;
+
+use crate::support::Fixture;
+
+/// Time within which the planner has acquired its lease.
+const ACQUIRE_TIME: Duration = Duration::from_millis(700);
+/// Time within which the next watch has begun, which then stays silent.
+const SILENCE_TIME: Duration = Duration::from_millis(700);
+/// Time within which the planner's renewal fails and the change is read.
+const NOTICE_TIME: Duration = Duration::from_millis(2000);
+
+/// The only watch falls silent, and the planner's renewal is the only call that gets no answer.
+#[compio::test]
+async fn a_renewal_of_the_planner_that_gets_no_answer_ends_a_silent_watch() {
+    let fixture = Fixture::ready().await;
+    compio::runtime::spawn(gateway::run_planner(fixture.gateway.clone())).detach();
+    compio::time::sleep(ACQUIRE_TIME).await;
+    let store = &fixture.store;
+    assert!(store.items.borrow().contains_key("gypsumrack/planner"), "the lease is acquired");
+    store.is_silent.set(true);
+    compio::time::sleep(SILENCE_TIME).await;
+    store.is_silent.set(false);
+    // The newest lease is that of the planner.
+    store.silent_lease.set(Some(store.leases.get()));
+    store.write("table", Some("2 empty"));
+    compio::time::sleep(NOTICE_TIME).await;
+    let failure: RoutedFailure = fixture.send("/any/x").await.err().expect("the key is gone");
+    assert_eq!(failure.failure.kind, FailureKind::NotFound, "{failure:?}");
+}
--- a/crates/gateway/tests/gateway/support/store.rs
+++ b/crates/gateway/tests/gateway/support/store.rs
@@ -23,9 +23,11 @@
     pub is_down: Cell<bool>,
     /// Whether watches that wait now stay unanswered for good.
     pub is_silent: Cell<bool>,
+    /// The lease whose renewals are not answered.
+    pub silent_lease: Cell<Option<u64>>,
     /// Whether the next watch fails because the history is gone.
     pub history_gone: Cell<bool>,
-    leases: Cell<u64>,
+    pub leases: Cell<u64>,
 }
 
 impl MemoryStore {
@@ -92,7 +94,10 @@
         ready(self.check_available().map(|()| self.leases.get()))
     }
 
-    fn renew(&self, _: u64) -> LocalBoxFuture<'_, Result<bool, KvError>> {
+    fn renew(&self, lease: u64) -> LocalBoxFuture<'_, Result<bool, KvError>> {
+        if self.silent_lease.get() == Some(lease) {
+            return ready(Err(KvError::Unknown));
+        }
         ready(self.check_available().map(|()| true))
     }
 
--- a/crates/keyvalue/src/client.rs
+++ b/crates/keyvalue/src/client.rs
@@ -15,22 +15,17 @@
 /// has to be in force on every node within 11 s.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
-/// HTTP client of the key-value service.
+/// HTTP client of the key-value service. All calls share the idle connections, which are closed when
+/// any call gets no answer.
 pub struct HttpKeyValue {
     client: HttpClient,
-    /// Client for watch calls, so that other calls do not wait behind them.
-    watch_client: HttpClient,
     timeouts: Timeouts,
 }
 
 impl HttpKeyValue {
     /// Creates a client for the service at `addr`.
     pub fn new(clock: Rc<dyn Clock>, addr: SocketAddr, timeouts: Timeouts) -> HttpKeyValue {
-        HttpKeyValue {
-            client: HttpClient::new(clock.clone(), addr),
-            watch_client: HttpClient::new(clock, addr),
-            timeouts,
-        }
+        HttpKeyValue { client: HttpClient::new(clock, addr), timeouts }
     }
 
     async fn call(&self, call: KvRequest) -> Result<KvReply, KvError> {
@@ -88,7 +83,7 @@
         let progress = WATCH_WAIT + self.timeouts.progress;
         let timeouts = Timeouts { progress, ..self.timeouts };
         async move {
-            let reply = self.watch_client.post_json(PATH, &call, timeouts).await;
+            let reply = self.client.post_json(PATH, &call, timeouts).await;
             expect_entry(reply.map_err(kv_error)?)
         }
         .boxed_local()
