Keep the refusal of a request that crashes upstreams

Cause: crashes are told for 6 s and remembered for 60 s, and nothing of a single request was in the key-value service, unlike parts of prompts. Ruled out: lost datagrams; the nodes that were running refused it.

Change: a request that arrives again 500 ms or more after two successive crashes is refused like a part: in notes, in the key-value service, and for ten minutes after it last came. Crashes of upstreams that are lost together are one, so a content that many callers ask for at once is not condemned. All nodes together write at most twenty entries a second. The fingerprint is a fixed hash, as it is stored now.

--- a/crates/crashes/src/part_cause.rs
+++ b/crates/crashes/src/part_cause.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     event::{CrashEvent, Evidence, Suspect},
-    table::MAX_EVENTS,
+    table::{MAX_EVENTS, chain_length},
 };
 
 /// Successive crashes before the first event of an answer from which a part is refused.
@@ -227,7 +227,7 @@
 
 /// Whether enough crashes speak against a cause.
 fn is_suspicious(record: &Record, evidence: Evidence) -> bool {
-    let started_chain = chain_length(&record.sightings, |sighting| sighting.started);
+    let started_chain = started_chain(&record.sightings);
     match evidence {
         Evidence::Beginning => started_chain >= REFUSAL_CHAIN,
         Evidence::Whole => {
@@ -243,7 +243,7 @@
 
 fn chain(sightings: &[Sighting], evidence: Evidence) -> usize {
     match evidence {
-        Evidence::Beginning => chain_length(sightings, |sighting| sighting.started),
+        Evidence::Beginning => started_chain(sightings),
         Evidence::Whole => overlapping_chain(sightings),
     }
 }
@@ -251,20 +251,12 @@
 /// The largest number of crashes before each of which the engine still sent a part of an answer after
 /// the one before it.
 fn overlapping_chain(sightings: &[Sighting]) -> usize {
-    chain_length(sightings, |sighting| sighting.progress)
+    chain_length(sightings.iter().map(|sighting| (sighting.crashed_at, sighting.progress)))
 }
 
-/// The largest number of crashes of which each has a request whose time is after the one before it.
-fn chain_length(sightings: &[Sighting], time: impl Fn(&Sighting) -> Timestamp) -> usize {
-    let mut last: Option<Timestamp> = None;
-    let mut length = 0;
-    for sighting in sightings {
-        if last.is_none_or(|last| time(sighting) > last) {
-            length += 1;
-            last = Some(sighting.crashed_at);
-        }
-    }
-    length
+/// The largest number of crashes before each of which a request started after the one before it.
+fn started_chain(sightings: &[Sighting]) -> usize {
+    chain_length(sightings.iter().map(|sighting| (sighting.crashed_at, sighting.started)))
 }
 
 /// Whether enough crashes of a cause remain without those that a rival explains.
--- a/crates/crashes/src/refusal.rs
+++ b/crates/crashes/src/refusal.rs
@@ -21,10 +21,10 @@
     Store,
 }
 
-/// A part that is refused.
+/// A part of prompts, or a whole request, that is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RefusedPart {
-    /// The part.
+    /// The part, or the fingerprint of the request.
     pub part: Digest,
     /// The organisation for which it is refused; `None` for all.
     pub organisation: Option<Digest>,
@@ -95,7 +95,7 @@
         now: Timestamp,
     ) -> Option<(RefusedPart, RefusalState)> {
         let scopes = [Some(request.organisation), None];
-        for part in request.shared.iter().copied() {
+        for part in request.shared.iter().copied().chain([request.fingerprint]) {
             for organisation in scopes {
                 let refused = RefusedPart { part, organisation };
                 if let Some(state) =
@@ -128,15 +128,30 @@
         }
         self.states.insert(refused, state);
         if self.states.len() > limit {
-            let rank = |entry: &(&RefusedPart, &RefusalState)| (entry.1.last_seen, *entry.0);
-            let oldest = self.states.iter().min_by_key(rank).map(|(refused, _)| *refused);
-            if let Some(oldest) = oldest {
-                self.states.remove(&oldest);
-            }
+            self.drop_one();
         }
         self.states.contains_key(&refused)
     }
 
+    /// Drops the refusal that was not seen for the longest time, of the organisation that has most of
+    /// them: one that sends ever new contents which crash engines does not push out those of others.
+    fn drop_one(&mut self) {
+        let mut counts: HashMap<Option<Digest>, usize> = HashMap::new();
+        for refused in self.states.keys() {
+            *counts.entry(refused.organisation).or_default() += 1;
+        }
+        let Some(most) = counts.values().copied().max() else { return };
+        let oldest = self
+            .states
+            .iter()
+            .filter(|(refused, _)| counts.get(&refused.organisation) == Some(&most))
+            .min_by_key(|(refused, state)| (state.last_seen, **refused))
+            .map(|(refused, _)| *refused);
+        if let Some(oldest) = oldest {
+            self.states.remove(&oldest);
+        }
+    }
+
     /// Ends the refusals of the given parts. Returns those that ended.
     pub(crate) fn withdraw(&mut self, parts: &[Digest]) -> Vec<RefusedPart> {
         let applying = self
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
@@ -32,6 +33,15 @@
 /// Successive crashes of engines after which a request is refused although its answer had begun. More
 /// are needed, since a stream goes on for seconds and others may crash its engines meanwhile.
 const BEGUN_REQUEST_CHAIN: usize = 4;
+/// Successive crashes during a request from which its refusal is kept and told like that of a part.
+/// Crashes of engines that are lost together are none.
+const KEPT_REQUEST_CHAIN: usize = 2;
+/// Least time from the last of these crashes until then, within which other nodes have reported theirs
+/// and answers may still clear the request.
+const REQUEST_SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Most refusals that are repeated to another node at once: those whose requests arrived last. A node
+/// that starts reads all of them in the key-value service.
+const MAX_REPEATED_REFUSALS: usize = 32;
 
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,8 +129,9 @@
         let subjects: Vec<Digest> = request.subjects().collect();
         let mut notes = self.clear_begun(&subjects);
         notes.extend(self.clear_answered(&subjects));
-        let withdrawn = self.refusals.withdraw(&request.shared);
-        notes.extend(withdrawn.iter().filter_map(|refused| self.refusal_note(refused)));
+        let mut parts = request.shared.to_vec();
+        parts.push(request.fingerprint);
+        notes.extend(self.withdraw(&parts));
         notes
     }
 
@@ -130,9 +141,15 @@
     pub fn record_resumed_answer(&mut self, request: &RequestParts) -> Vec<CrashNote> {
         let mut notes = self.clear_begun(&request.subjects().collect::<Vec<_>>());
         notes.extend(self.clear_answered(&[request.fingerprint]));
+        notes.extend(self.withdraw(&[request.fingerprint]));
         notes
     }
 
+    fn withdraw(&mut self, parts: &[Digest]) -> Vec<CrashNote> {
+        let withdrawn = self.refusals.withdraw(parts);
+        withdrawn.iter().filter_map(|refused| self.refusal_note(refused)).collect()
+    }
+
     fn clear_begun(&mut self, subjects: &[Digest]) -> Vec<CrashNote> {
         let clear = |(process, event): (&EngineProcess, &mut CrashEvent)| {
             let parts = event.clear_begun(subjects);
@@ -238,6 +255,9 @@
         self.refusals.expire(now);
         if let Some((refused, state)) = self.refusals.check(request, now) {
             let RefusalState { crashes, source, since, .. } = state;
+            if refused.part == request.fingerprint {
+                return Some(Refusal::Request { crashes: crashes as usize });
+            }
             let age = now.since(since);
             return Some(Refusal::Part { refused, crashes, source, age });
         }
@@ -245,12 +265,28 @@
         (crashes > 0).then_some(Refusal::Request { crashes })
     }
 
-    /// Notes on what the other nodes may not know yet: recent crashes, and the refused parts.
+    /// Keeps the refusal of a request that has arrived again after it crashed engines, so that it
+    /// outlives what is known of the crashes. Returns the note for the other nodes if that is new.
+    pub fn keep_request(&mut self, request: &RequestParts, now: Timestamp) -> Option<CrashNote> {
+        let runs = self.uncleared_runs(request.fingerprint, now);
+        let (last_crash, _) = *runs.last()?;
+        let is_settled = now.since(last_crash) >= REQUEST_SETTLE_TIME;
+        let chain = chain_length(runs.iter().copied());
+        if !is_settled || chain < KEPT_REQUEST_CHAIN {
+            return None;
+        }
+        let organisation = Some(request.organisation);
+        let refused = RefusedPart { part: request.fingerprint, organisation };
+        self.refuse(refused, u32::try_from(runs.len()).unwrap_or(u32::MAX), now)
+    }
+
+    /// Notes on what the other nodes may not know yet: recent crashes, and refusals.
     pub fn notes(&self, now: Timestamp) -> Vec<CrashNote> {
         let mut notes: Vec<CrashNote> = Vec::new();
-        notes.extend(
-            self.refusals.iter().filter_map(|(refused, _)| self.refusal_note_at(refused, now)),
-        );
+        let mut refusals: Vec<_> = self.refusals.iter().collect();
+        refusals.sort_by_key(|(refused, state)| (Reverse(state.last_seen), **refused));
+        let repeated = refusals.into_iter().take(MAX_REPEATED_REFUSALS);
+        notes.extend(repeated.filter_map(|(refused, _)| self.refusal_note_at(refused, now)));
         for (process, event) in &self.events {
             if now.since(event.at) < REPEAT_TIME {
                 let suspects = event.suspects(Evidence::Whole);
@@ -326,7 +362,7 @@
 
     fn has_refused_part(&self, event: &CrashEvent) -> bool {
         event.suspects(Evidence::Whole).any(|suspect| {
-            let mut parts = suspect.parts();
+            let mut parts = suspect.parts().chain([suspect.fingerprint]);
             parts.any(|part| self.refusals.is_refused(part, suspect.organisation))
         })
     }
@@ -363,6 +399,13 @@
     /// The crashes for which a request is refused whether it had begun an answer or not: those
     /// between which it was sent again each time.
     fn begun_request_crashes(&self, fingerprint: Digest, now: Timestamp) -> usize {
+        let chain = chain_length(self.uncleared_runs(fingerprint, now).into_iter());
+        if chain >= BEGUN_REQUEST_CHAIN { chain } else { 0 }
+    }
+
+    /// The crashes that a request took part in and that nothing else explains, in their order: when
+    /// each was noticed, and when the request had started there.
+    fn uncleared_runs(&self, fingerprint: Digest, now: Timestamp) -> Vec<(Timestamp, Timestamp)> {
         let mut runs: Vec<(Timestamp, Timestamp)> = self
             .events
             .values()
@@ -379,15 +422,7 @@
             })
             .collect();
         runs.sort_unstable();
-        let mut chain = 0;
-        let mut last: Option<Timestamp> = None;
-        for (crashed_at, started) in runs {
-            if last.is_none_or(|last| started > last) {
-                chain += 1;
-                last = Some(crashed_at);
-            }
-        }
-        if chain >= BEGUN_REQUEST_CHAIN { chain } else { 0 }
+        runs
     }
 
     fn expire(&mut self, now: Timestamp) {
@@ -396,6 +431,20 @@
     }
 }
 
+/// The largest number of crashes of which each has a run that started after the one before it. Each
+/// pair is the time of a crash and the start of the run.
+pub(crate) fn chain_length(runs: impl Iterator<Item = (Timestamp, Timestamp)>) -> usize {
+    let mut last: Option<Timestamp> = None;
+    let mut length = 0;
+    for (crashed_at, started) in runs {
+        if last.is_none_or(|last| started > last) {
+            length += 1;
+            last = Some(crashed_at);
+        }
+    }
+    length
+}
+
 fn crash_note<'a>(
     process: EngineProcess,
     at: Timestamp,
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -5,7 +5,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hasher},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -155,16 +154,10 @@
     }
 }
 
-/// A digest of 64 bits, which is short in a datagram.
+/// A digest of 64 bits, which is short in a datagram. It is the same in all releases: refused requests
+/// are stored under it.
 fn short_digest(parts: &[&[u8]]) -> Digest {
-    // The default hasher without a random seed gives the same result in all processes of one
-    // release.
-    let mut hasher = BuildHasherDefault::<DefaultHasher>::default().build_hasher();
-    for part in parts {
-        hasher.write(part);
-        hasher.write_u8(0);
-    }
-    Digest(u128::from(hasher.finish()))
+    Digest(Digest::of(parts).0 & u128::from(u64::MAX))
 }
 
 impl ActiveRequest {
@@ -409,6 +402,11 @@
     /// Why a request with these parts must not be sent, if so.
     pub(crate) fn check_parts(&self, parts: &RequestParts) -> Option<Refusal> {
         let now = self.clock.now();
-        self.crashes.borrow_mut().check(parts, now)
+        let refusal = self.crashes.borrow_mut().check(parts, now);
+        if matches!(refusal, Some(Refusal::Request { .. })) {
+            let note = self.crashes.borrow_mut().keep_request(parts, now);
+            self.tell_crash_notes(note.into_iter().collect());
+        }
+        refusal
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,7 +25,7 @@
     pub(crate) suspicions: IntCounter,
     /// Requests refused because engines crash while they run them, by what is refused.
     pub(crate) poison: IntCounterVec,
-    /// Times that this node refused a part of a prompt, or ended such a refusal.
+    /// Times that this node refused a part of prompts or a request, or ended such a refusal.
     pub(crate) refused_parts: IntCounter,
     /// Upstreams that were found to be leaving although their entry says that they serve, by who
     /// said so.
@@ -85,7 +85,7 @@
             ),
             refused_parts: IntCounter::new(
                 "gypsumrack_refused_parts_total",
-                "Decisions to refuse a part of a prompt, or to refuse it no longer",
+                "Decisions to refuse a part of prompts or a request, or to refuse it no longer",
             )
             .expect("counter is valid"),
             leaving_marks: counter_vec(
--- a/crates/gateway/src/refused_parts.rs
+++ b/crates/gateway/src/refused_parts.rs
@@ -1,5 +1,5 @@
-//! The parts of prompts that are refused because they crash engines, in the key-value service: a
-//! node that starts learns them there, also when all nodes have restarted.
+//! The parts of prompts and the whole requests that are refused because they crash upstreams, in the
+//! key-value service: a node that starts learns them there, also when all nodes have restarted.
 
 use std::{rc::Rc, time::Duration};
 
@@ -10,7 +10,7 @@
 
 use crate::Gateway;
 
-/// Prefix of the keys of refused parts, followed by the part, a slash, and the organisation or
+/// Prefix of the keys of refused parts, followed by the part or the fingerprint of the request, a slash, and the organisation or
 /// [`ALL`].
 pub(crate) const REFUSED_PREFIX: &str = "gypsumrack/refused/";
 /// Stands for all organisations in a key.
@@ -22,6 +22,10 @@
 const SPREAD_PER_NODE: Duration = Duration::from_millis(10);
 /// Longest delay before an entry is written in a large fleet.
 const MAX_SPREAD: Duration = Duration::from_millis(500);
+/// Pause of a node after each entry, for each node, so that all nodes together write at most twenty
+/// entries a second when many requests are refused at once. Until an entry is written, the other nodes
+/// know the refusal from datagrams.
+const WRITE_PAUSE_PER_NODE: Duration = Duration::from_millis(50);
 /// Delay after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Failed calls after which an entry is not written by this node.
@@ -122,10 +126,13 @@
     }
 }
 
-/// Keeps the entries of the parts that this node refuses.
+/// Keeps the entries of the parts and requests that this node refuses.
 pub async fn store_refused_parts(gateway: Rc<Gateway>) {
     loop {
-        for refused in gateway.outbox.refused_parts().await {
+        let mut changed = gateway.outbox.refused_parts().await;
+        changed.sort_unstable();
+        changed.dedup();
+        for refused in changed {
             let spread = (SPREAD_PER_NODE * gateway.node_count() as u32).min(MAX_SPREAD);
             gateway.clock.sleep(spread.mul_f64(rand::rng().random())).await;
             for _ in 0..MAX_ATTEMPTS {
@@ -133,6 +140,7 @@
                 tracing::debug!(%error, "refused part cannot be stored");
                 gateway.clock.sleep(RETRY_PAUSE.mul_f64(gateway.fleet_scale())).await;
             }
+            gateway.clock.sleep(WRITE_PAUSE_PER_NODE * gateway.node_count() as u32).await;
         }
     }
 }
@@ -142,12 +150,13 @@
     let RefusedPart { part, organisation } = refused;
     let organisation = organisation.map(|digest| digest.to_string());
     tracing::warn!(%part, organisation, crashes, %source,
-        "requests with this part of a prompt are refused, since it crashes upstreams");
+        "requests with this part of a prompt, or with this whole content, are refused, since it crashes \
+         upstreams");
 }
 
 /// Logs that a part is no longer refused.
 pub(crate) fn log_withdrawal(refused: &RefusedPart) {
-    tracing::info!(part = %refused.part, "part of a prompt is no longer refused");
+    tracing::info!(part = %refused.part, "part of a prompt or whole request is no longer refused");
 }
 
 /// The reason of a refusal for the caller.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod config_changes;
 mod crashing_parts;
+mod crashing_requests;
 mod datagrams;
 mod leaving;
 mod lifecycle;
