Let the soak send deadly requests and endless answers

Its stand-in and callers gain prompts of 61 parts, one of which, at a random place, crashes engines after a random number of events; a call that crashes its replica and comes again; and replicas whose answers have no end. Silent connections to the key-value service and restarts were there already, and overlap with these now.

Not shown here: that the check fails on the old code.

--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -1,15 +1,15 @@
 use http::{HeaderMap, Method, Request};
 use transport::Body;
 
-use super::{HOST, KEY, notices::NODE};
+use super::{HOST, KEY, deadly, notices::NODE};
 
 /// Path of the readiness check that the platform's load balancer sends to a node.
 pub const READY_PATH: &str = "/v1/readyz";
 
 /// Builds a caller's request to `node` with the platform's headers. It asks for `tokens` output
-/// tokens and has a deadline of `millis` milliseconds.
+/// tokens and has a deadline of `millis` milliseconds. Its prompt is sound.
 pub fn caller_request(path: &str, id: &str, node: &str, tokens: u64, millis: u64) -> Request<Body> {
-    Request::builder()
+    let mut request = Request::builder()
         .method(Method::POST)
         .uri(path)
         .header("host", HOST)
@@ -19,7 +19,9 @@
         .header("authorization", format!("Token {KEY}"))
         .header("token-count", format!("20,{tokens}"))
         .body(Body::from(format!("body of {id}")))
-        .expect("request is valid")
+        .expect("request is valid");
+    deadly::add_sound_parts(request.headers_mut(), id);
+    request
 }
 
 /// Whether an answer has the signature header of a worker.
--- /dev/null
+++ b/crates/standins/src/platform/deadly.rs
@@ -0,0 +1,79 @@
+//! Requests that crash the workers that run them: prompts with one part, of many, that crashes engines
+//! at some point of their answers, and a call that is sent again and again.
+
+use std::{rc::Rc, time::Duration};
+
+use http::{HeaderMap, HeaderValue, Request};
+use transport::Body;
+
+use super::{Platform, caller::caller_request, worker};
+
+/// The part of a prompt that crashes engines. Its number of tokens is the number of events that are
+/// written before the crash.
+const DEADLY_PART: &str = "dead0001";
+/// Path of the call that crashes its replica.
+pub const DEADLY_PATH: &str = "/look/deadly";
+/// Header with the parts of a prompt.
+const PARTS: &str = "prefix-hash";
+/// Number of parts that all prompts share.
+const SHARED_PARTS: usize = 60;
+/// Time from the removal of a crashed worker's entry to its restart.
+const DOWN_TIME: Duration = Duration::from_millis(1500);
+
+/// The parts of a prompt, with `deadly` at its place among the shared ones, if there is one.
+fn parts(id: &str, deadly: Option<(usize, String)>) -> String {
+    let mut parts: Vec<String> =
+        (0..SHARED_PARTS).map(|part| format!("5a4ed{part:03x}:1")).collect();
+    if let Some((place, deadly)) = deadly {
+        parts.insert(place.min(SHARED_PARTS), deadly);
+    }
+    let own = id.bytes().fold(1_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    parts.push(format!("{own:x}:9"));
+    parts.join(",")
+}
+
+/// Adds the parts of a sound prompt to a request.
+pub(super) fn add_sound_parts(headers: &mut HeaderMap, id: &str) {
+    if let Ok(value) = HeaderValue::try_from(parts(id, None)) {
+        headers.insert(PARTS, value);
+    }
+}
+
+/// Builds a request with a prompt that crashes its engine after `events` events. The deadly part has
+/// the given place.
+pub fn deadly_prompt(id: &str, node: &str, place: usize, events: u32) -> Request<Body> {
+    let mut request = caller_request("/drafts/x", id, node, 60, 8000);
+    let deadly = (place, format!("{DEADLY_PART}:{events}"));
+    if let Ok(value) = HeaderValue::try_from(parts(id, Some(deadly))) {
+        request.headers_mut().insert(PARTS, value);
+    }
+    request
+}
+
+/// Builds the call that crashes its replica. It has the same content each time.
+pub fn deadly_call(id: &str, node: &str) -> Request<Body> {
+    let (head, _) = caller_request(DEADLY_PATH, id, node, 2, 8000).into_parts();
+    Request::from_parts(head, Body::from("always the same".to_owned()))
+}
+
+/// Number of events before the crash that the prompt of a request leads to; `None` if it is sound.
+pub(super) fn events_before_crash(headers: &HeaderMap) -> Option<u32> {
+    let text = headers.get(PARTS)?.to_str().ok()?;
+    let deadly = text.split(',').find_map(|part| part.strip_prefix(DEADLY_PART))?;
+    deadly.strip_prefix(':')?.parse().ok()
+}
+
+impl Platform {
+    /// Records that a deadly request has reached a worker.
+    pub(super) fn record_deadly(&self, id: &str, is_prompt: bool) {
+        let at = self.clock.now().since(self.started).as_millis() as u64;
+        let mut seen = self.seen.borrow_mut();
+        let arrivals = if is_prompt { &mut seen.deadly_prompts } else { &mut seen.deadly_calls };
+        arrivals.push((id.to_owned(), at));
+    }
+
+    /// Crashes a worker that has run a deadly request.
+    pub(super) fn crash_by_request(self: &Rc<Self>, crashed: &Rc<worker::Worker>) {
+        compio::runtime::spawn(worker::crash(self.clone(), crashed.clone(), DOWN_TIME)).detach();
+    }
+}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! `POST /control` injects a fault, and `GET /seen` returns what the workers recorded.
 
 mod caller;
+mod deadly;
 mod notices;
 mod store;
 mod worker;
@@ -26,6 +27,7 @@
 
 use crate::server::{self, bad_request, reply};
 pub use caller::{READY_PATH, caller_request, is_signed};
+pub use deadly::{deadly_call, deadly_prompt};
 pub use notices::leaving_worker;
 use store::Store;
 use worker::Worker;
@@ -96,6 +98,13 @@
         /// Share of the affected answers, in percent; zero ends the fault.
         percent: u32,
     },
+    /// The answers of a worker of the plain service have no end for a while.
+    Endless {
+        /// Number of the worker.
+        worker: usize,
+        /// Duration in milliseconds.
+        millis: u64,
+    },
     /// The key-value service answers no calls for a while.
     StoreDown {
         /// Duration in milliseconds.
@@ -119,6 +128,11 @@
     pub runs: BTreeMap<String, u32>,
     /// Requests that reached a leaving worker, as attempt identifier and name of the worker.
     pub leaving_arrivals: Vec<(String, String)>,
+    /// Prompts that crash engines and reached one: attempt identifier, and time since the start in
+    /// milliseconds.
+    pub deadly_prompts: Vec<(String, u64)>,
+    /// The same for the call that crashes its replica.
+    pub deadly_calls: Vec<(String, u64)>,
     /// Guarantees of the router that a worker saw violated, one message each.
     pub violations: Vec<String>,
     /// Latest version of the configuration.
@@ -128,6 +142,7 @@
 /// Shared state of the platform process.
 pub(crate) struct Platform {
     pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) started: clock::Timestamp,
     pub(crate) store: RefCell<Store>,
     pub(crate) workers: RefCell<Vec<Rc<Worker>>>,
     pub(crate) seen: RefCell<Seen>,
@@ -142,6 +157,7 @@
     let start = clock.now();
     let platform = Rc::new(Platform {
         clock: clock.clone(),
+        started: start,
         store: RefCell::new(Store::default()),
         workers: RefCell::default(),
         seen: RefCell::default(),
@@ -237,6 +253,9 @@
             PlatformFault::Garble { worker: number, percent } => {
                 worker(number)?.garble.set(percent);
             }
+            PlatformFault::Endless { worker: number, millis } => {
+                worker(number)?.endless_until.set(later(millis));
+            }
             PlatformFault::StoreDown { millis } => self.store_down_until.set(later(millis)),
             PlatformFault::StoreLosesAnswers { millis } => {
                 self.answers_lost_until.set(later(millis))
--- a/crates/standins/src/platform/worker.rs
+++ b/crates/standins/src/platform/worker.rs
@@ -15,6 +15,7 @@
 
 use super::{
     DRAFTS, LAYERS, ORGANISATION, Platform,
+    deadly::{self, DEADLY_PATH},
     notices::{self, NodePauses},
 };
 
@@ -57,6 +58,8 @@
     pub(super) pauses: RefCell<NodePauses>,
     /// Share of answers that are cut off or left empty, in percent.
     pub(crate) garble: Cell<u32>,
+    /// Until this time its answers have no end.
+    pub(crate) endless_until: Cell<clock::Timestamp>,
     stop: RefCell<StopSignal>,
     /// Addresses of stopped engines that streams of this worker are waiting for.
     blocked: RefCell<Vec<SocketAddr>>,
@@ -77,6 +80,7 @@
             leaves_quietly: Cell::default(),
             pauses: RefCell::default(),
             garble: Cell::default(),
+            endless_until: Cell::default(),
             stop: RefCell::new(StopSignal::new()),
             blocked: RefCell::default(),
         })
@@ -244,9 +248,18 @@
         }
         self.check_headers(&id, &headers);
         if self.worker.service == DRAFTS {
+            if deadly::events_before_crash(&headers) == Some(0) {
+                return self.crash(&id, true).await;
+            }
             return self.draft(&id, &node, &headers);
         }
+        if request.uri().path() == DEADLY_PATH {
+            return self.crash(&id, false).await;
+        }
         self.count_run(&id);
+        if self.platform.clock.now() < self.worker.endless_until.get() {
+            return endless_answer(&id);
+        }
         self.platform.clock.sleep(WORK_TIME).await;
         if self.is_garbled() {
             return empty_answer(StatusCode::OK);
@@ -256,6 +269,14 @@
         response
     }
 
+    /// Crashes before the answer to a deadly request.
+    async fn crash(&self, id: &str, is_prompt: bool) -> Response<Body> {
+        self.platform.record_deadly(id, is_prompt);
+        self.platform.clock.sleep(WORK_TIME).await;
+        self.platform.crash_by_request(&self.worker);
+        std::future::pending().await
+    }
+
     /// Streams generated tokens, if the engines of all stages are up and hold their layers.
     fn draft(self: Rc<Self>, id: &str, node: &str, headers: &HeaderMap) -> Response<Body> {
         let header = headers.get("hop-count").and_then(|value| value.to_str().ok());
@@ -292,6 +313,10 @@
             .unwrap_or(2 * EVENT_TOKENS);
         let first = header_value("last-event-id").and_then(|text| text.parse::<u32>().ok());
         let first = first.map_or(0, |last| last + 1);
+        let crash_at = deadly::events_before_crash(headers).map(|events| first + events);
+        if crash_at.is_some() {
+            self.platform.record_deadly(id, true);
+        }
         let cut_at = self.is_garbled().then(|| first + (tokens / EVENT_TOKENS) / 2);
         let mut response = Response::new(Body::streamed(move |mut writer| async move {
             for event in first..tokens / EVENT_TOKENS {
@@ -303,6 +328,10 @@
                     self.wait_for_stopped_engine(engine.addr.get()).await;
                     return writer.abort().await;
                 }
+                if crash_at == Some(event) {
+                    self.platform.crash_by_request(&self.worker);
+                    return writer.abort().await;
+                }
                 if cut_at == Some(event) {
                     writer.write(format!("id: {event}\nda")).await;
                     return writer.abort().await;
@@ -404,6 +433,16 @@
     response
 }
 
+/// A signed answer whose body has no end.
+fn endless_answer(id: &str) -> Response<Body> {
+    const CHUNK: &str = "no answer ";
+    let mut response = Response::new(Body::streamed(|mut writer| async move {
+        while writer.write(CHUNK.repeat(1000)).await {}
+    }));
+    sign(response.headers_mut(), id);
+    response
+}
+
 /// An answer that says that the call did not run, and the stage at which it was refused, if any.
 fn not_executed(code: StatusCode, at: Option<SocketAddr>) -> Response<Body> {
     let mut response = empty_answer(code);
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -4,9 +4,11 @@
 //! The records of callers and workers are compared at the end: answers are complete, streams have
 //! no gap, no filing runs twice, a request that was refused as not run did not run, each layer runs
 //! once and in order, no request reaches a worker that has said that it is leaving or has asked for
-//! a pause, and requests are served again after the last fault.
+//! a pause, requests that crash their workers are refused in time, and requests are served again after
+//! the last fault.
 
 mod callers;
+mod deadly;
 mod node;
 mod notices;
 
@@ -126,8 +128,11 @@
             })
         })
         .collect();
+    let bound = deadly::BoundAttempts::default();
     if !args.calm {
         compio::runtime::spawn(notices::inject(fleet.clone(), seed, end)).detach();
+        let injecting = deadly::inject(fleet.clone(), seed, end, bound.clone());
+        compio::runtime::spawn(injecting).detach();
     }
     let mut rng = StdRng::seed_from_u64(seed);
     while fleet.clock.now() < end {
@@ -159,7 +164,15 @@
             .push(format!("requests failed although no fault was injected: {:?}", during.outcomes));
     }
     match fleet.seen().await {
-        Ok(seen) => problems.extend(check(&seen, &[during, after])),
+        Ok(seen) => {
+            println!(
+                "    deadly arrivals: {} prompts, {} calls",
+                seen.deadly_prompts.len(),
+                seen.deadly_calls.len()
+            );
+            problems.extend(deadly::late_requests(&seen, &bound.borrow()));
+            problems.extend(check(&seen, &[during, after]));
+        }
         Err(error) => problems.push(format!("the records of the workers cannot be read: {error}")),
     }
     problems
