--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -16,6 +16,7 @@
 mod part_cause;
 mod refusal;
 mod request_cause;
+mod requests;
 mod sound;
 mod table;
 
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -1,19 +1,14 @@
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use clock::Timestamp;
 use types::Digest;
 
 use crate::{
-    CrashNote, CrashedRuns, EngineProcess, RefusalSource, RefusedPart, RequestParts, Suspect,
+    CrashNote, EngineProcess, RefusalSource, RefusedPart, RequestParts, Suspect,
     event::{CrashEvent, Evidence},
     note::SuspectNote,
     part_cause::{Cause, find_cause},
     refusal::{RefusalState, RefusalTable},
-    request_cause,
     sound::SoundParts,
 };
 
@@ -23,22 +18,11 @@
 /// time.
 pub const MAX_REFUSALS: usize = 256;
 /// Time for which a crash is remembered.
-const EVENT_LIFETIME: Duration = Duration::from_secs(60);
+pub(crate) const EVENT_LIFETIME: Duration = Duration::from_secs(60);
 /// Time after a crash within which it is repeated to the other nodes.
 const REPEAT_TIME: Duration = Duration::from_secs(6);
 /// Time since the last request with a part within which the part is in use.
 const IN_USE_TIME: Duration = Duration::from_secs(60);
-/// Crashes of engines during one request after which it is refused.
-const REQUEST_CRASH_LIMIT: usize = 2;
-/// Successive crashes of engines after which a request is refused although its answer had begun. More
-/// are needed, since a stream goes on for seconds and others may crash its engines meanwhile.
-const BEGUN_REQUEST_CHAIN: usize = 4;
-/// Successive crashes during a request from which its refusal is kept and told like that of a part.
-/// Crashes of engines that are lost together are none.
-const KEPT_REQUEST_CHAIN: usize = 2;
-/// Least time from the last of these crashes until then, within which other nodes have reported theirs
-/// and answers may still clear the request.
-const REQUEST_SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Most refusals that are repeated to another node at once: those whose requests arrived last. A node
 /// that starts reads all of them in the key-value service.
 const MAX_REPEATED_REFUSALS: usize = 32;
@@ -82,7 +66,7 @@
 /// What a node knows about crashes and the parts that are refused for them.
 #[derive(Debug, Default)]
 pub struct CrashTable {
-    events: BTreeMap<EngineProcess, CrashEvent>,
+    pub(crate) events: BTreeMap<EngineProcess, CrashEvent>,
     refusals: RefusalTable,
     sound: SoundParts,
 }
@@ -240,7 +224,12 @@
     }
 
     /// Refuses a part. Returns the note on it if it was not refused before.
-    fn refuse(&mut self, refused: RefusedPart, crashes: u32, now: Timestamp) -> Option<CrashNote> {
+    pub(crate) fn refuse(
+        &mut self,
+        refused: RefusedPart,
+        crashes: u32,
+        now: Timestamp,
+    ) -> Option<CrashNote> {
         let source = RefusalSource::Decision;
         // Crashes since the refusal ended begin it again.
         let known = self.refusals.get(&refused);
@@ -265,21 +254,6 @@
         (crashes > 0).then_some(Refusal::Request { crashes })
     }
 
-    /// Keeps the refusal of a request that has arrived again after it crashed engines, so that it
-    /// outlives what is known of the crashes. Returns the note for the other nodes if that is new.
-    pub fn keep_request(&mut self, request: &RequestParts, now: Timestamp) -> Option<CrashNote> {
-        let runs = self.uncleared_runs(request.fingerprint, now);
-        let (last_crash, _) = *runs.last()?;
-        let is_settled = now.since(last_crash) >= REQUEST_SETTLE_TIME;
-        let chain = chain_length(runs.iter().copied());
-        if !is_settled || chain < KEPT_REQUEST_CHAIN {
-            return None;
-        }
-        let organisation = Some(request.organisation);
-        let refused = RefusedPart { part: request.fingerprint, organisation };
-        self.refuse(refused, u32::try_from(runs.len()).unwrap_or(u32::MAX), now)
-    }
-
     /// Notes on what the other nodes may not know yet: recent crashes, and refusals.
     pub fn notes(&self, now: Timestamp) -> Vec<CrashNote> {
         let mut notes: Vec<CrashNote> = Vec::new();
@@ -360,71 +334,13 @@
         has_new
     }
 
-    fn has_refused_part(&self, event: &CrashEvent) -> bool {
+    pub(crate) fn has_refused_part(&self, event: &CrashEvent) -> bool {
         event.suspects(Evidence::Whole).any(|suspect| {
             let mut parts = suspect.parts().chain([suspect.fingerprint]);
             parts.any(|part| self.refusals.is_refused(part, suspect.organisation))
         })
     }
 
-    /// Number of crashes for which a request is refused; zero if it is not refused.
-    fn request_crashes(&self, request: &RequestParts, now: Timestamp) -> usize {
-        let crashes = self.silent_request_crashes(request.fingerprint, now);
-        if crashes > 0 { crashes } else { self.begun_request_crashes(request.fingerprint, now) }
-    }
-
-    /// The crashes for which a request is refused if it had begun no answer.
-    fn silent_request_crashes(&self, fingerprint: Digest, now: Timestamp) -> usize {
-        let runs_on = |event: &&CrashEvent| event.silent.get(fingerprint).is_some();
-        if self.events.values().filter(runs_on).count() < REQUEST_CRASH_LIMIT {
-            return 0;
-        }
-        let mut runs: HashMap<Digest, CrashedRuns> = HashMap::new();
-        for (process, event) in &self.events {
-            if now.since(event.at) >= EVENT_LIFETIME || self.has_refused_part(event) {
-                continue;
-            }
-            for suspect in event.silent.iter() {
-                if !event.is_cleared(suspect.fingerprint, suspect) {
-                    let run_time = Some(suspect.run_time(event.at));
-                    let crashed_runs = runs.entry(suspect.fingerprint).or_default();
-                    crashed_runs.add(process.clone(), run_time);
-                }
-            }
-        }
-        let is_poison = request_cause::is_poison(&runs, fingerprint, REQUEST_CRASH_LIMIT);
-        if is_poison { runs.get(&fingerprint).map_or(0, CrashedRuns::len) } else { 0 }
-    }
-
-    /// The crashes for which a request is refused whether it had begun an answer or not: those
-    /// between which it was sent again each time.
-    fn begun_request_crashes(&self, fingerprint: Digest, now: Timestamp) -> usize {
-        let chain = chain_length(self.uncleared_runs(fingerprint, now).into_iter());
-        if chain >= BEGUN_REQUEST_CHAIN { chain } else { 0 }
-    }
-
-    /// The crashes that a request took part in and that nothing else explains, in their order: when
-    /// each was noticed, and when the request had started there.
-    fn uncleared_runs(&self, fingerprint: Digest, now: Timestamp) -> Vec<(Timestamp, Timestamp)> {
-        let mut runs: Vec<(Timestamp, Timestamp)> = self
-            .events
-            .values()
-            .filter(|event| {
-                event.contains(fingerprint)
-                    && !event.is_answered(fingerprint)
-                    && now.since(event.at) < EVENT_LIFETIME
-                    && !self.has_refused_part(event)
-            })
-            .filter_map(|event| {
-                let runs = [event.silent.get(fingerprint), event.begun.get(fingerprint)];
-                let started = runs.into_iter().flatten().map(|suspect| suspect.started).max()?;
-                Some((event.at, started))
-            })
-            .collect();
-        runs.sort_unstable();
-        runs
-    }
-
     fn expire(&mut self, now: Timestamp) {
         self.events.retain(|_, event| now.since(event.at) < EVENT_LIFETIME);
         self.refusals.expire(now);
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use types::{Stage, UpstreamName};
 
-use crate::{Gateway, crashes::RunGuard, lifecycle::ActiveRequest, wait_queue::QueueEntry};
+use crate::{Gateway, lifecycle::ActiveRequest, runs::RunGuard, wait_queue::QueueEntry};
 
 /// Share of an engine's KV cache capacity, which is what the weights leave of its memory, that may
 /// be reserved for requests. The rest is left for requests that other nodes have admitted since
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -13,7 +13,7 @@
 use upstreams::Connector;
 
 use crate::{
-    Gateway, crashes::RunTable, metrics::Metrics, observed_store::ObservedStore, updates::Outbox,
+    Gateway, metrics::Metrics, observed_store::ObservedStore, runs::RunTable, updates::Outbox,
     wait_queue::WaitQueue, wakeup::Wakeup,
 };
 
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -2,23 +2,16 @@
 //! that crash engines. The decision is that of [`crashes::CrashTable`]; this module observes, asks
 //! and tells the other nodes.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use callers::RoutedFailure;
 use catalog::{Phase, Upstream};
-use clock::Timestamp;
 use crashes::{
     Applied, CrashNote, EngineProcess, Refusal, RefusalSource, RefusedPart, RequestParts, Suspect,
 };
 use transport::CallError;
-use types::{Digest, Failure, FailureKind, Organisation, Stage, UpstreamName, Verdict};
+use types::{Digest, Failure, FailureKind, Organisation, UpstreamName, Verdict};
 
 use crate::{
     Gateway,
@@ -29,115 +22,13 @@
     refused_parts::{describe, log_refusal, log_withdrawal},
 };
 
-/// Time for which an attempt that has failed is remembered. Calls that wait for a crashed engine
-/// are cut off after three seconds, at times before the crash is noticed.
-const ENDED_LIFETIME: Duration = Duration::from_secs(4);
 /// Delay between a broken connection and the probe that tells whether its upstream has crashed.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Time from a broken connection until the result of that probe is known.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(30);
 /// Time for which reports of crashes are collected in a small fleet before the cause is looked for. A
 /// lost failure domain gives many at the same time.
 const DECISION_DELAY: Duration = Duration::from_millis(5);
-/// Time from a broken connection until the result of that probe is known.
-const CRASH_CHECK_TIME: Duration = Duration::from_millis(30);
-
-/// The attempts that may have been running when an engine of theirs crashed: those that are in
-/// flight, and those that have failed lately.
-#[derive(Default)]
-pub(crate) struct RunTable {
-    runs: RefCell<HashMap<u64, Run>>,
-    next_id: Cell<u64>,
-    /// Whether the cause of crashes will be looked for shortly.
-    decision_pending: Cell<bool>,
-}
-
-struct Run {
-    parts: RequestParts,
-    processes: Vec<EngineProcess>,
-    started: Timestamp,
-    state: Rc<RunState>,
-    ended: Option<Timestamp>,
-}
-
-/// How far an attempt has come.
-struct RunState {
-    /// Whether the attempt continues an answer that has begun elsewhere.
-    is_resumed: bool,
-    /// Whether the answer has begun.
-    has_begun: Cell<bool>,
-    /// When a part of the answer last arrived; the start if none did.
-    progress: Cell<Timestamp>,
-    has_failed: Cell<bool>,
-}
-
-/// Keeps an attempt in the [`RunTable`].
-pub(crate) struct RunGuard {
-    gateway: Rc<Gateway>,
-    id: u64,
-    state: Rc<RunState>,
-}
-
-impl RunGuard {
-    /// Removes the attempt: it has been answered, or it has not run.
-    pub(crate) fn remove(&self) {
-        self.gateway.runs.runs.borrow_mut().remove(&self.id);
-    }
-
-    /// Records that a part of the answer has arrived.
-    pub(crate) fn record_progress(&self) {
-        self.state.has_begun.set(true);
-        self.state.progress.set(self.gateway.clock.now());
-    }
-
-    /// Records that the attempt has failed. Its engine may have crashed, which is noticed later.
-    pub(crate) fn record_failure(&self) {
-        self.state.has_failed.set(true);
-    }
-
-    /// Keeps only one engine of the attempt's path as one that may have crashed.
-    fn keep_only(&self, name: &UpstreamName) {
-        if let Some(run) = self.gateway.runs.runs.borrow_mut().get_mut(&self.id) {
-            run.processes.retain(|(engine, _)| engine == name);
-        }
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        let now = self.gateway.clock.now();
-        let mut runs = self.gateway.runs.runs.borrow_mut();
-        // An answer that arrived until the caller left shows no crash.
-        if self.state.has_begun.get() && !self.state.has_failed.get() {
-            runs.remove(&self.id);
-        }
-        if let Some(run) = runs.get_mut(&self.id) {
-            run.ended = Some(now);
-        }
-        runs.retain(|_, run| run.ended.is_none_or(|ended| now.since(ended) < ENDED_LIFETIME));
-    }
-}
-
-impl RunTable {
-    /// Removes the attempts that were sent to `process` before `crashed_at`, and returns their
-    /// requests. An attempt takes part in one crash at most, because engines that fail together, as
-    /// in the loss of a failure domain, are one event.
-    fn take_suspects(&self, process: &EngineProcess, crashed_at: Timestamp) -> Vec<Suspect> {
-        let taken =
-            |_: &u64, run: &mut Run| run.processes.contains(process) && run.started <= crashed_at;
-        let mut runs = self.runs.borrow_mut();
-        runs.extract_if(taken).map(|(_, run)| run.into_suspect()).collect()
-    }
-}
-
-impl Run {
-    fn into_suspect(self) -> Suspect {
-        let Run { parts, started, state, .. } = self;
-        if state.is_resumed || state.has_begun.get() {
-            Suspect::begun(&parts, started, state.progress.get())
-        } else {
-            Suspect::silent(&parts, started)
-        }
-    }
-}
 
 /// The parts of a request. Digests are the same on every node.
 pub(crate) fn request_parts(
@@ -161,32 +52,6 @@
 }
 
 impl ActiveRequest {
-    /// Remembers an attempt until it has been answered.
-    pub(crate) fn start_run(&self, upstream: &Upstream, stages: &[Stage]) -> RunGuard {
-        let gateway = self.gateway.clone();
-        let catalog = gateway.catalog.borrow();
-        let later = stages.iter().filter_map(|stage| catalog.upstream(&stage.engine));
-        let engines = later.map(|engine| (engine.name.clone(), engine.incarnation));
-        let mut processes: Vec<EngineProcess> = engines.collect();
-        if processes.is_empty() {
-            processes.push((upstream.name.clone(), upstream.incarnation));
-        }
-        drop(catalog);
-        let id = gateway.runs.next_id.get();
-        gateway.runs.next_id.set(id + 1);
-        let started = gateway.clock.now();
-        let state = Rc::new(RunState {
-            is_resumed: self.has_begun.get() || self.resume_after.is_some(),
-            has_begun: Cell::new(false),
-            progress: Cell::new(started),
-            has_failed: Cell::new(false),
-        });
-        let parts = self.parts.clone();
-        let run = Run { parts, processes, started, state: state.clone(), ended: None };
-        gateway.runs.runs.borrow_mut().insert(id, run);
-        RunGuard { gateway, id, state }
-    }
-
     /// Records that the answer has begun, which shows that the prompt crashes no engine before that.
     pub(crate) fn record_begin(&self, selection: &Selection) {
         selection.run.record_progress();
@@ -201,7 +66,7 @@
         selection.run.remove();
         let gateway = &self.gateway;
         let mut crashes = gateway.crashes.borrow_mut();
-        let notes = if selection.run.state.is_resumed {
+        let notes = if selection.run.is_resumed() {
             crashes.record_resumed_answer(&self.parts)
         } else {
             crashes.record_answer(&self.parts, gateway.clock.now())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod planner;
 mod refused_parts;
 mod run;
+mod runs;
 mod store;
 mod stream;
 mod stream_attempt;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,7 +18,7 @@
 use crashes::CrashTable;
 
 use crate::{
-    crashes::RunTable, metrics::Metrics, observer::GatewayObserver, peering::Member,
+    metrics::Metrics, observer::GatewayObserver, peering::Member, runs::RunTable,
     stream_probe::ProbeTimes, updates::Outbox, wait_queue::WaitQueue, wakeup::Wakeup,
 };
 
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod deadly;
+mod drafts;
 mod notices;
 mod store;
 mod worker;
--- a/crates/standins/src/platform/worker.rs
+++ b/crates/standins/src/platform/worker.rs
@@ -11,22 +11,18 @@
 use serde::Deserialize;
 use serde_json::json;
 use transport::{Body, Handler, RequestBody, Server, StopSignal, json_response};
-use types::{LayerRange, check_coverage};
+use types::LayerRange;
 
 use super::{
-    DRAFTS, LAYERS, ORGANISATION, Platform,
+    DRAFTS, ORGANISATION, Platform,
     deadly::{self, DEADLY_PATH},
     notices::{self, NodePauses},
 };
 
 /// Time to load the layers of an order.
 const LOAD_TIME: Duration = Duration::from_millis(100);
-/// Time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 /// Time that a call of the plain service takes.
 const WORK_TIME: Duration = Duration::from_millis(10);
-/// Time that a stream hangs after one of its engines has stopped, before it is aborted.
-const STALL_TIME: Duration = Duration::from_millis(800);
 /// Time from a worker's crash to the removal of its entry; also the time between two attempts to
 /// restart it.
 const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(500);
@@ -34,23 +30,19 @@
 const DRAIN_TIME: Duration = Duration::from_millis(2500);
 /// Time for which a worker serves that says only in its answers that it is leaving.
 const QUIET_DRAIN_TIME: Duration = Duration::from_millis(5000);
-/// Interval at which a hanging stream checks whether its time is up.
-const STALL_POLL: Duration = Duration::from_millis(20);
-/// Number of tokens in one event.
-const EVENT_TOKENS: u32 = 2;
 
 /// One worker: an engine or a replica of the plain service. It keeps its address when it restarts.
 pub(crate) struct Worker {
     number: usize,
     service: &'static str,
     domain: &'static str,
-    addr: Cell<Option<SocketAddr>>,
+    pub(super) addr: Cell<Option<SocketAddr>>,
     /// Time of the last start, in milliseconds of Unix time; part of the worker's identifier.
-    start_millis: Cell<u64>,
+    pub(super) start_millis: Cell<u64>,
     layers: Cell<Option<LayerRange>>,
     /// Number of orders accepted since the last start.
     order_count: Cell<u64>,
-    is_up: Cell<bool>,
+    pub(super) is_up: Cell<bool>,
     is_leaving: Cell<bool>,
     /// Whether its entry does not say that it is leaving.
     leaves_quietly: Cell<bool>,
@@ -62,7 +54,7 @@
     pub(crate) endless_until: Cell<clock::Timestamp>,
     stop: RefCell<StopSignal>,
     /// Addresses of stopped engines that streams of this worker are waiting for.
-    blocked: RefCell<Vec<SocketAddr>>,
+    pub(super) blocked: RefCell<Vec<SocketAddr>>,
 }
 
 impl Worker {
@@ -91,7 +83,7 @@
     }
 
     /// Whether the worker has loaded all of the given layers.
-    fn holds(&self, layers: LayerRange) -> bool {
+    pub(super) fn holds(&self, layers: LayerRange) -> bool {
         let held = self.layers.get();
         held.is_some_and(|held| held.start <= layers.start && held.end >= layers.end)
     }
@@ -163,9 +155,9 @@
     crash(platform, worker, DRAIN_TIME).await;
 }
 
-struct WorkerHandler {
-    platform: Rc<Platform>,
-    worker: Rc<Worker>,
+pub(super) struct WorkerHandler {
+    pub(super) platform: Rc<Platform>,
+    pub(super) worker: Rc<Worker>,
 }
 
 #[derive(Deserialize)]
@@ -277,88 +269,6 @@
         std::future::pending().await
     }
 
-    /// Streams generated tokens, if the engines of all stages are up and hold their layers.
-    fn draft(self: Rc<Self>, id: &str, node: &str, headers: &HeaderMap) -> Response<Body> {
-        let header = headers.get("hop-count").and_then(|value| value.to_str().ok());
-        let stages = match header.map(parse_stages) {
-            Some(Some(stages)) if !stages.is_empty() => stages,
-            _ => return not_executed(StatusCode::BAD_REQUEST, None),
-        };
-        let ranges = stages.iter().map(|(_, layers)| *layers);
-        if let Err(message) = check_coverage(ranges, LAYERS) {
-            self.record_violation(format!("LAYERS: {id}: {message}"));
-        }
-        let engines: Vec<(Rc<Worker>, u64)> = stages
-            .iter()
-            .filter_map(|(addr, _)| self.platform.worker_at(*addr))
-            .map(|engine| {
-                let start = engine.start_millis.get();
-                (engine, start)
-            })
-            .collect();
-        for (engine, _) in engines.iter().skip(1) {
-            self.check_arrival(engine, id, node);
-        }
-        for ((addr, layers), (engine, _)) in stages.iter().zip(&engines) {
-            if !engine.is_up.get() {
-                return not_executed(StatusCode::SERVICE_UNAVAILABLE, Some(*addr));
-            }
-            if !engine.holds(*layers) {
-                return not_executed(StatusCode::MISDIRECTED_REQUEST, Some(*addr));
-            }
-        }
-        let header_value = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let tokens: u32 = header_value("token-count")
-            .and_then(|text| text.split(',').nth(1)?.parse().ok())
-            .unwrap_or(2 * EVENT_TOKENS);
-        let first = header_value("last-event-id").and_then(|text| text.parse::<u32>().ok());
-        let first = first.map_or(0, |last| last + 1);
-        let crash_at = deadly::events_before_crash(headers).map(|events| first + events);
-        if crash_at.is_some() {
-            self.platform.record_deadly(id, true);
-        }
-        let cut_at = self.is_garbled().then(|| first + (tokens / EVENT_TOKENS) / 2);
-        let mut response = Response::new(Body::streamed(move |mut writer| async move {
-            for event in first..tokens / EVENT_TOKENS {
-                self.platform.clock.sleep(EVENT_INTERVAL).await;
-                let stopped = |(engine, start): &&(Rc<Worker>, u64)| {
-                    !engine.is_up.get() || engine.start_millis.get() != *start
-                };
-                if let Some((engine, _)) = engines.iter().find(stopped) {
-                    self.wait_for_stopped_engine(engine.addr.get()).await;
-                    return writer.abort().await;
-                }
-                if crash_at == Some(event) {
-                    self.platform.crash_by_request(&self.worker);
-                    return writer.abort().await;
-                }
-                if cut_at == Some(event) {
-                    writer.write(format!("id: {event}\nda")).await;
-                    return writer.abort().await;
-                }
-                if !writer.write(format!("id: {event}\ndata: token {event}\n\n")).await {
-                    return;
-                }
-            }
-        }));
-        sign(response.headers_mut(), id);
-        response
-    }
-
-    /// Hangs for [`STALL_TIME`], as if waiting for a stopped engine. The worker's report lists the
-    /// engine as blocked meanwhile.
-    async fn wait_for_stopped_engine(&self, stopped: Option<SocketAddr>) {
-        self.worker.blocked.borrow_mut().extend(stopped);
-        let end = self.platform.clock.now() + STALL_TIME;
-        while self.platform.clock.now() < end {
-            self.platform.clock.sleep(STALL_POLL).await;
-        }
-        let mut blocked = self.worker.blocked.borrow_mut();
-        if let Some(index) = blocked.iter().position(|addr| Some(*addr) == stopped) {
-            blocked.swap_remove(index);
-        }
-    }
-
     /// Records a violation if the router forwarded the API key, a wrong organisation or no
     /// deadline.
     fn check_headers(&self, id: &str, headers: &HeaderMap) {
@@ -375,7 +285,7 @@
 
     /// Records a request that reaches a worker which is leaving or has asked for a pause, as its
     /// first worker or as a later one.
-    fn check_arrival(&self, worker: &Worker, id: &str, node: &str) {
+    pub(super) fn check_arrival(&self, worker: &Worker, id: &str, node: &str) {
         if worker.is_leaving.get() {
             let arrival = (id.to_owned(), worker.id());
             self.platform.seen.borrow_mut().leaving_arrivals.push(arrival);
@@ -390,36 +300,18 @@
         *self.platform.seen.borrow_mut().runs.entry(id.into()).or_default() += 1;
     }
 
-    fn record_violation(&self, message: String) {
+    pub(super) fn record_violation(&self, message: String) {
         self.platform.seen.borrow_mut().violations.push(message);
     }
 
     /// Decides at random whether an answer is garbled.
-    fn is_garbled(&self) -> bool {
+    pub(super) fn is_garbled(&self) -> bool {
         rand::rng().random_range(0..100) < self.worker.garble.get()
     }
 }
 
-impl Platform {
-    fn worker_at(&self, addr: SocketAddr) -> Option<Rc<Worker>> {
-        self.workers.borrow().iter().find(|worker| worker.addr.get() == Some(addr)).cloned()
-    }
-}
-
-/// Parses the stages of a request, which have the form `ADDRESS=START-END`, separated by commas.
-fn parse_stages(text: &str) -> Option<Vec<(SocketAddr, LayerRange)>> {
-    text.split(',')
-        .map(|part| {
-            let (addr, layers) = part.split_once('=')?;
-            let (start, end) = layers.split_once('-')?;
-            let layers = LayerRange { start: start.parse().ok()?, end: end.parse().ok()? };
-            Some((addr.parse().ok()?, layers))
-        })
-        .collect()
-}
-
 /// Adds the headers that prove that a worker answered the attempt.
-fn sign(headers: &mut HeaderMap, id: &str) {
+pub(super) fn sign(headers: &mut HeaderMap, id: &str) {
     headers.insert("worker-signature", HeaderValue::from_static("signed"));
     if let Ok(id) = HeaderValue::try_from(id) {
         headers.insert("attempt-id", id);
@@ -444,7 +336,7 @@
 }
 
 /// An answer that says that the call did not run, and the stage at which it was refused, if any.
-fn not_executed(code: StatusCode, at: Option<SocketAddr>) -> Response<Body> {
+pub(super) fn not_executed(code: StatusCode, at: Option<SocketAddr>) -> Response<Body> {
     let mut response = empty_answer(code);
     response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
     if let Some(at) = at.and_then(|at| HeaderValue::try_from(at.to_string()).ok()) {
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -1,18 +1,14 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use clock::{Clock, Timestamp, timeout};
-use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::BodyExt;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
+use http::{HeaderMap, Method, Request, header};
+use hyper::client::conn::http1::{self, SendRequest};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    Body, CallError, connect, connect::http_stream, metered::InputMeter,
-    write_timeout::WriteTimeout,
+    Body, CallError, ResponseStream, connect, connect::http_stream, metered::InputMeter,
+    response::error_text, write_timeout::WriteTimeout,
 };
 
 /// Maximum number of idle connections kept open to one peer.
@@ -52,20 +48,36 @@
     pool: Rc<Pool>,
 }
 
+/// Idle connections to one peer.
 #[derive(Default)]
-struct Pool {
+pub(crate) struct Pool {
     idle: RefCell<Vec<IdleConnection>>,
 }
 
+impl Pool {
+    /// Keeps a connection for reuse, unless there are enough.
+    pub(crate) fn put(&self, connection: Connection, since: Timestamp) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(IdleConnection { connection, since });
+        }
+    }
+
+    /// Closes all connections.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     since: Timestamp,
 }
 
 /// An open connection to the peer.
-struct Connection {
+pub(crate) struct Connection {
     sender: SendRequest<Body>,
-    meter: Rc<InputMeter>,
+    pub(crate) meter: Rc<InputMeter>,
 }
 
 impl HttpClient {
@@ -172,7 +184,7 @@
 
     /// Closes all idle connections.
     pub fn close_idle(&self) {
-        self.pool.idle.borrow_mut().clear();
+        self.pool.clear();
     }
 
     async fn call_json<Q: Serialize, A: DeserializeOwned>(
@@ -270,7 +282,7 @@
 impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            self.pool.idle.borrow_mut().clear();
+            self.pool.clear();
         }
     }
 }
@@ -280,114 +292,6 @@
     Failed(CallError),
 }
 
-/// A response whose body is read chunk by chunk.
-pub struct ResponseStream {
-    status: StatusCode,
-    headers: HeaderMap,
-    trailers: HeaderMap,
-    body: Incoming,
-    is_first: bool,
-    connection: Option<Connection>,
-    clock: Rc<dyn Clock>,
-    pool: Rc<Pool>,
-}
-
-impl ResponseStream {
-    /// Status of the response.
-    pub fn status(&self) -> StatusCode {
-        self.status
-    }
-
-    /// Headers of the response.
-    pub fn headers(&self) -> &HeaderMap {
-        &self.headers
-    }
-
-    /// Whether this is the first response on its connection. A later one may be an earlier response
-    /// that the peer has sent once more.
-    pub fn is_first(&self) -> bool {
-        self.is_first
-    }
-
-    /// Header fields that came after the body. Empty until the body has been read to its end.
-    pub fn trailers(&self) -> &HeaderMap {
-        &self.trailers
-    }
-
-    /// Waits at most `limit` for the next chunk of the body; `None` is the end of the body.
-    pub async fn chunk(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
-        loop {
-            let frame = match timeout(&*self.clock, limit, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Err(CallError::Broken(error_text(&error))),
-                Ok(None) => {
-                    self.return_to_pool();
-                    return Ok(None);
-                }
-                Err(_) => {
-                    self.connection = None;
-                    self.pool.idle.borrow_mut().clear();
-                    return Err(CallError::Timeout);
-                }
-            };
-            if let Some(connection) = &self.connection {
-                connection.meter.record_delivery();
-            }
-            match frame.into_data() {
-                Ok(data) => return Ok(Some(data)),
-                Err(frame) => self.trailers.extend(frame.into_trailers().unwrap_or_default()),
-            }
-        }
-    }
-
-    /// Waits until `deadline` for the next chunk of the body.
-    pub(crate) async fn chunk_until(
-        &mut self,
-        deadline: Timestamp,
-    ) -> Result<Option<Bytes>, CallError> {
-        let left = deadline.since(self.clock.now());
-        self.chunk(left).await
-    }
-
-    /// The point in time `limit` from now.
-    pub(crate) fn deadline(&self, limit: Duration) -> Timestamp {
-        self.clock.now() + limit
-    }
-
-    /// Reads the whole body, at most `max_bytes`, within `limit`. The limit covers all chunks
-    /// together, so that a peer that sends a few bytes at a time cannot extend it.
-    pub async fn collect(mut self, max_bytes: usize, limit: Duration) -> Result<Bytes, CallError> {
-        self.read_to_end(max_bytes, limit).await
-    }
-
-    /// Reads the rest of the body like [`collect`](Self::collect), and leaves the trailers to be
-    /// read.
-    pub async fn read_to_end(
-        &mut self,
-        max_bytes: usize,
-        limit: Duration,
-    ) -> Result<Bytes, CallError> {
-        let deadline = self.deadline(limit);
-        let mut buffer = BytesMut::new();
-        while let Some(chunk) = self.chunk_until(deadline).await? {
-            buffer.extend_from_slice(&chunk);
-            if buffer.len() > max_bytes {
-                return Err(CallError::Malformed("body exceeds the size limit".into()));
-            }
-        }
-        Ok(buffer.freeze())
-    }
-
-    fn return_to_pool(&mut self) {
-        let Some(connection) = self.connection.take() else { return };
-        let since = self.clock.now();
-        let mut idle = self.pool.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(IdleConnection { connection, since });
-        }
-    }
-}
-
 /// Decodes a JSON response if the status is a success.
 async fn decode<A: DeserializeOwned>(
     response: ResponseStream,
@@ -423,11 +327,3 @@
         .body(body)
         .expect("path is a valid URI")
 }
-
-fn error_text(error: &hyper::Error) -> String {
-    use std::error::Error;
-    match error.source() {
-        Some(source) => format!("{error}: {source}"),
-        None => error.to_string(),
-    }
-}
