--- a/crates/gateway/tests/gateway/config_changes.rs
+++ b/crates/gateway/tests/gateway/config_changes.rs
@@ -163,3 +163,38 @@
         assert!(failure.retry_after.is_some(), "{change}");
     }
 }
+
+/// Guards against a request without an answer because its upstream falls silent for a while and goes on,
+/// and the routing table changes meanwhile.
+#[compio::test]
+async fn a_change_while_a_sound_upstream_is_silent_leaves_the_request_its_answer() {
+    const SILENCE: Duration = Duration::from_millis(700);
+    for change in CHANGES {
+        let fixture = Fixture::ready().await;
+        fixture.push_steps([Step::AnswerAfter { pause: SILENCE, body: "whole" }]);
+        let response = send_during_change(&fixture, "/once/x", change).await;
+        let response = response.unwrap_or_else(|failure| panic!("{change}: {failure:?}"));
+        assert_eq!(body(response).await.as_deref(), Some("whole"), "{change}");
+
+        let fixture = Fixture::ready().await;
+        let (before, after) = (vec![0], vec![1]);
+        fixture.push_steps([Step::EventsAroundPause { before, pause: SILENCE, after }]);
+        let response = send_during_change(&fixture, "/single/x", change).await;
+        let response = response.unwrap_or_else(|failure| panic!("{change}: {failure:?}"));
+        assert_eq!(body(response).await, Some(event(0) + &event(1)), "{change}");
+    }
+}
+
+/// The same for a request whose body still arrives when the table changes.
+#[compio::test]
+async fn a_change_during_the_body_before_a_silence_leaves_the_request_its_answer() {
+    for change in CHANGES {
+        let fixture = Fixture::ready().await;
+        let pause = Duration::from_millis(250);
+        fixture.push_steps([Step::AnswerAfter { pause, body: "whole" }]);
+        let head = "POST /once/x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbo";
+        let response = send_around_change(&fixture, head, change, "dy").await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{change}: {response}");
+        assert!(response.ends_with("whole"), "{change}: {response}");
+    }
+}
