--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -14,8 +14,8 @@
 
 /// Largest number of crashes that are remembered; a full table drops the oldest.
 pub const MAX_EVENTS: usize = 64;
-/// Largest number of refused parts; a full table drops the one that was not seen for the longest
-/// time.
+/// Largest number of refusals; a full table drops the one that was not seen for the longest time, of
+/// the organisation that has most of them.
 pub const MAX_REFUSALS: usize = 256;
 /// Time for which a crash is remembered.
 pub(crate) const EVENT_LIFETIME: Duration = Duration::from_secs(60);
