--- a/crates/crashes/src/event.rs
+++ b/crates/crashes/src/event.rs
@@ -113,11 +113,11 @@
 /// Which requests count as evidence when the cause of crashes is looked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Evidence {
-    /// Requests whose answer had not begun. An answer that begins clears their parts.
-    Beginning,
-    /// Those whose answer had begun as well. Only a whole answer clears their parts, since an engine
-    /// may crash at any point of an answer.
-    Whole,
+    /// Those whose answer had not begun. An answer that begins clears their parts.
+    Silent,
+    /// Those whose answer had begun as well. Only a whole answer clears the parts of these, since an
+    /// engine may crash at any point of an answer.
+    All,
 }
 
 /// Requests that a process was running when it crashed, by fingerprint.
@@ -231,7 +231,7 @@
 
     /// The suspects that count under this evidence.
     pub(crate) fn suspects(&self, evidence: Evidence) -> impl Iterator<Item = &Suspect> {
-        let begun = (evidence == Evidence::Whole).then_some(&self.begun);
+        let begun = (evidence == Evidence::All).then_some(&self.begun);
         self.silent.iter().chain(begun.into_iter().flat_map(SuspectSet::iter))
     }
 
--- a/crates/crashes/src/part_cause.rs
+++ b/crates/crashes/src/part_cause.rs
@@ -13,10 +13,10 @@
 /// Successive crashes before the first event of an answer from which a part is refused.
 const REFUSAL_CHAIN: usize = 3;
 /// Successive crashes, with a new attempt between each two, from which a part is refused if answers
-/// had begun. Whole answers take longer to clear a sound part than first events do.
-const WHOLE_REFUSAL_CHAIN: usize = 4;
-/// The same for crashes that overlap: an answer went on after the crash before. Engines that are lost
-/// one shortly after the other show this as well, so more crashes are needed.
+/// had begun. It takes longer until a whole answer clears a sound part than until a first event does.
+const BEGUN_REFUSAL_CHAIN: usize = 4;
+/// The same for crashes with answers that overlap: the engine still wrote after the crash before.
+/// Engines that are lost shortly after one another show this as well, so more crashes are needed.
 const OVERLAPPING_REFUSAL_CHAIN: usize = 6;
 /// Successive crashes that must remain for a part when those that a more specific part explains as
 /// well are left out. A single further crash may be a coincidence.
@@ -25,7 +25,7 @@
 /// well.
 const TIE_CHAIN: usize = 5;
 /// The same if answers had begun.
-const WHOLE_TIE_CHAIN: usize = 6;
+const BEGUN_TIE_CHAIN: usize = 6;
 
 /// Bits of the events of one cause.
 type EventMask = u64;
@@ -125,8 +125,8 @@
     let (weight, Record { cause, .. }) = *candidates.first()?;
     let rivals = candidates.iter().skip(1).filter(|(other, _)| *other == weight);
     let tie_chain = match evidence {
-        Evidence::Beginning => TIE_CHAIN,
-        Evidence::Whole => WHOLE_TIE_CHAIN,
+        Evidence::Silent => TIE_CHAIN,
+        Evidence::All => BEGUN_TIE_CHAIN,
     };
     let is_open = rivals.count() > 0 && weight.chain < tie_chain;
     (!is_open).then_some((*cause, weight.crashes))
@@ -200,7 +200,7 @@
 /// parts that as many requests have, the later one is, while no answer has begun: prompts are alike
 /// from their start on. Later, it is open which of the two it is.
 fn is_more_specific(rival: &Record, record: &Record, is_later: bool, evidence: Evidence) -> bool {
-    let breaks_tie = evidence == Evidence::Beginning || rival.is_request || !record.cause.is_part();
+    let breaks_tie = evidence == Evidence::Silent || rival.is_request || !record.cause.is_part();
     rival.suspects < record.suspects
         || (rival.suspects == record.suspects && is_later && breaks_tie)
 }
@@ -229,9 +229,9 @@
 fn is_suspicious(record: &Record, evidence: Evidence) -> bool {
     let started_chain = started_chain(&record.sightings);
     match evidence {
-        Evidence::Beginning => started_chain >= REFUSAL_CHAIN,
-        Evidence::Whole => {
-            started_chain >= WHOLE_REFUSAL_CHAIN
+        Evidence::Silent => started_chain >= REFUSAL_CHAIN,
+        Evidence::All => {
+            started_chain >= BEGUN_REFUSAL_CHAIN
                 || overlapping_chain(&record.sightings) >= OVERLAPPING_REFUSAL_CHAIN
         }
     }
@@ -243,8 +243,8 @@
 
 fn chain(sightings: &[Sighting], evidence: Evidence) -> usize {
     match evidence {
-        Evidence::Beginning => started_chain(sightings),
-        Evidence::Whole => overlapping_chain(sightings),
+        Evidence::Silent => started_chain(sightings),
+        Evidence::All => overlapping_chain(sightings),
     }
 }
 
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -207,7 +207,7 @@
                 !is_explained && !self.has_refused_part(event)
             });
             events.sort_by_key(|event| event.at);
-            let found = [Evidence::Beginning, Evidence::Whole].into_iter().find_map(|evidence| {
+            let found = [Evidence::Silent, Evidence::All].into_iter().find_map(|evidence| {
                 find_cause(&events, evidence).map(|(cause, crashes)| (cause, crashes, evidence))
             });
             let Some((cause, crashes, evidence)) = found else { break };
@@ -263,7 +263,7 @@
         notes.extend(repeated.filter_map(|(refused, _)| self.refusal_note_at(refused, now)));
         for (process, event) in &self.events {
             if now.since(event.at) < REPEAT_TIME {
-                let suspects = event.suspects(Evidence::Whole);
+                let suspects = event.suspects(Evidence::All);
                 notes.push(crash_note(process.clone(), event.at, suspects, now));
                 let parts: Vec<Digest> = event.cleared().collect();
                 if !parts.is_empty() {
@@ -335,7 +335,7 @@
     }
 
     pub(crate) fn has_refused_part(&self, event: &CrashEvent) -> bool {
-        event.suspects(Evidence::Whole).any(|suspect| {
+        event.suspects(Evidence::All).any(|suspect| {
             let mut parts = suspect.parts().chain([suspect.fingerprint]);
             parts.any(|part| self.refusals.is_refused(part, suspect.organisation))
         })
