--- a/crates/gateway/src/refused_parts.rs
+++ b/crates/gateway/src/refused_parts.rs
@@ -10,8 +10,8 @@
 
 use crate::Gateway;
 
-/// Prefix of the keys of refused parts, followed by the part or the fingerprint of the request, a slash, and the organisation or
-/// [`ALL`].
+/// Prefix of the keys of refusals, followed by the part or the fingerprint of the request, a slash, and
+/// the organisation or [`ALL`].
 pub(crate) const REFUSED_PREFIX: &str = "gypsumrack/refused/";
 /// Stands for all organisations in a key.
 const ALL: &str = "all";
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -1,7 +1,7 @@
 use http::{HeaderMap, Method, Request};
 use transport::Body;
 
-use super::{HOST, KEY, deadly, notices::NODE};
+use super::{HOST, KEY, notices::NODE, poison};
 
 /// Path of the readiness check that the platform's load balancer sends to a node.
 pub const READY_PATH: &str = "/v1/readyz";
@@ -20,7 +20,7 @@
         .header("token-count", format!("20,{tokens}"))
         .body(Body::from(format!("body of {id}")))
         .expect("request is valid");
-    deadly::add_sound_parts(request.headers_mut(), id);
+    poison::add_sound_parts(request.headers_mut(), id);
     request
 }
 
--- a/crates/standins/src/platform/drafts.rs
+++ b/crates/standins/src/platform/drafts.rs
@@ -7,7 +7,7 @@
 use types::{LayerRange, check_coverage};
 
 use super::{
-    LAYERS, Platform, deadly,
+    LAYERS, Platform, poison,
     worker::{Worker, WorkerHandler, not_executed, sign},
 };
 
@@ -62,9 +62,9 @@
             .unwrap_or(2 * EVENT_TOKENS);
         let first = header_value("last-event-id").and_then(|text| text.parse::<u32>().ok());
         let first = first.map_or(0, |last| last + 1);
-        let crash_at = deadly::events_before_crash(headers).map(|events| first + events);
+        let crash_at = poison::events_before_crash(headers).map(|events| first + events);
         if crash_at.is_some() {
-            self.platform.record_deadly(id, true);
+            self.platform.record_poison(id, true);
         }
         let cut_at = self.is_garbled().then(|| first + (tokens / EVENT_TOKENS) / 2);
         let mut response = Response::new(Body::streamed(move |mut writer| async move {
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -5,9 +5,9 @@
 //! `POST /control` injects a fault, and `GET /seen` returns what the workers recorded.
 
 mod caller;
-mod deadly;
 mod drafts;
 mod notices;
+mod poison;
 mod store;
 mod worker;
 
@@ -28,8 +28,8 @@
 
 use crate::server::{self, bad_request, reply};
 pub use caller::{READY_PATH, caller_request, is_signed};
-pub use deadly::{deadly_call, deadly_prompt};
 pub use notices::leaving_worker;
+pub use poison::{poison_call, poison_prompt};
 use store::Store;
 use worker::Worker;
 
@@ -131,9 +131,9 @@
     pub leaving_arrivals: Vec<(String, String)>,
     /// Prompts that crash engines and reached one: attempt identifier, and time since the start in
     /// milliseconds.
-    pub deadly_prompts: Vec<(String, u64)>,
+    pub poison_prompts: Vec<(String, u64)>,
     /// The same for the call that crashes its replica.
-    pub deadly_calls: Vec<(String, u64)>,
+    pub poison_calls: Vec<(String, u64)>,
     /// Guarantees of the router that a worker saw violated, one message each.
     pub violations: Vec<String>,
     /// Latest version of the configuration.
--- a/crates/standins/src/platform/worker.rs
+++ b/crates/standins/src/platform/worker.rs
@@ -15,8 +15,8 @@
 
 use super::{
     DRAFTS, ORGANISATION, Platform,
-    deadly::{self, DEADLY_PATH},
     notices::{self, NodePauses},
+    poison::{self, POISON_PATH},
 };
 
 /// Time to load the layers of an order.
@@ -240,12 +240,12 @@
         }
         self.check_headers(&id, &headers);
         if self.worker.service == DRAFTS {
-            if deadly::events_before_crash(&headers) == Some(0) {
+            if poison::events_before_crash(&headers) == Some(0) {
                 return self.crash(&id, true).await;
             }
             return self.draft(&id, &node, &headers);
         }
-        if request.uri().path() == DEADLY_PATH {
+        if request.uri().path() == POISON_PATH {
             return self.crash(&id, false).await;
         }
         self.count_run(&id);
@@ -261,9 +261,9 @@
         response
     }
 
-    /// Crashes before the answer to a deadly request.
+    /// Crashes before the answer to a poison request.
     async fn crash(&self, id: &str, is_prompt: bool) -> Response<Body> {
-        self.platform.record_deadly(id, is_prompt);
+        self.platform.record_poison(id, is_prompt);
         self.platform.clock.sleep(WORK_TIME).await;
         self.platform.crash_by_request(&self.worker);
         std::future::pending().await
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -8,9 +8,9 @@
 //! the last fault.
 
 mod callers;
-mod deadly;
 mod node;
 mod notices;
+mod poison;
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
@@ -128,10 +128,10 @@
             })
         })
         .collect();
-    let bound = deadly::BoundAttempts::default();
+    let bound = poison::BoundAttempts::default();
     if !args.calm {
         compio::runtime::spawn(notices::inject(fleet.clone(), seed, end)).detach();
-        let injecting = deadly::inject(fleet.clone(), seed, end, bound.clone());
+        let injecting = poison::inject(fleet.clone(), seed, end, bound.clone());
         compio::runtime::spawn(injecting).detach();
     }
     let mut rng = StdRng::seed_from_u64(seed);
@@ -166,11 +166,11 @@
     match fleet.seen().await {
         Ok(seen) => {
             println!(
-                "    deadly arrivals: {} prompts, {} calls",
-                seen.deadly_prompts.len(),
-                seen.deadly_calls.len()
+                "    poison arrivals: {} prompts, {} calls",
+                seen.poison_prompts.len(),
+                seen.poison_calls.len()
             );
-            problems.extend(deadly::late_requests(&seen, &bound.borrow()));
+            problems.extend(poison::late_requests(&seen, &bound.borrow()));
             problems.extend(check(&seen, &[during, after]));
         }
         Err(error) => problems.push(format!("the records of the workers cannot be read: {error}")),
--- a/xtask/src/soak/deadly.rs
+++ b/xtask/src/soak/poison.rs
@@ -5,7 +5,7 @@
 
 use clock::Timestamp;
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use standins::platform::{PlatformFault, Seen, deadly_call, deadly_prompt};
+use standins::platform::{PlatformFault, Seen, poison_call, poison_prompt};
 use transport::{HttpClient, Timeouts};
 
 use super::{ENGINES, Fleet, WORKERS};
@@ -20,7 +20,7 @@
 const ENDLESS_MS: Range<u64> = 300..1200;
 /// Range of the events that an engine sends before it crashes.
 const EVENTS: Range<u32> = 0..12;
-/// Most places before the deadly part of a prompt.
+/// Most places before the poison part of a prompt.
 const MAX_PLACE: usize = 60;
 /// Time for which a node must have run undisturbed to be bound by the limits.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -53,14 +53,14 @@
             }
         }
         let number = rng.random_range(0..fleet.nodes.len());
-        let id = format!("s{seed}-deadly-{count}");
+        let id = format!("s{seed}-poison-{count}");
         let (name, since) = &names[number];
         if now.since(*since) > CONTACT_TIME {
             bound.borrow_mut().insert(id.clone());
         }
         let request = match rng.random_range(0..6) {
-            0..2 => deadly_call(&id, name),
-            2..5 => deadly_prompt(&id, name, place, events),
+            0..2 => poison_call(&id, name),
+            2..5 => poison_prompt(&id, name, place, events),
             _ => {
                 let worker = rng.random_range(ENGINES..WORKERS);
                 let millis = rng.random_range(ENDLESS_MS);
@@ -79,11 +79,11 @@
     }
 }
 
-/// The deadly requests that reached workers although their nodes had to refuse them.
+/// The poison requests that reached workers although their nodes had to refuse them.
 pub(super) fn late_requests(seen: &Seen, bound: &BTreeSet<String>) -> Vec<String> {
     let kinds = [
-        ("prompts with a deadly part", &seen.deadly_prompts, PROMPT_LIMIT),
-        ("copies of a deadly call", &seen.deadly_calls, CALL_LIMIT),
+        ("prompts with a part that crashes engines", &seen.poison_prompts, PROMPT_LIMIT),
+        ("copies of a poison call", &seen.poison_calls, CALL_LIMIT),
     ];
     kinds
         .into_iter()
