Split the gateway's admission by decision

admission.rs held four things: the wait for capacity, the search for a path, the choice of a replica and the reservation. Changes to admission, path choice and replicas would all have met in that file.

Each has a module of its own now: admission (waiting), path_choice, replica_choice and selection (what an attempt uses and reserves). Code was moved, not changed; names stay the same.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,9 +8,9 @@
 use upstreams::UpstreamResponse;
 
 use crate::{
-    admission::{Selection, SelectionQuery},
     lifecycle::{ActiveRequest, is_retry_safe},
     node::FailureEvidence,
+    selection::{Selection, SelectionQuery},
 };
 
 /// Attempts after which a request is given up, whatever its route allows, including those that an
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -11,9 +11,10 @@
 use upstreams::UpstreamResponse;
 
 use crate::{
-    admission::{CAPACITY_RETRY_AFTER, NoSelection, Selection},
+    admission::CAPACITY_RETRY_AFTER,
     attempt::Attempts,
     lifecycle::ActiveRequest,
+    selection::{NoSelection, Selection},
 };
 
 /// Least time that an upstream has for its response before an idempotent request may be sent to
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -15,11 +15,11 @@
 
 use crate::{
     Gateway,
-    admission::Selection,
     attempt::Attempts,
     lifecycle::ActiveRequest,
     node::FailureEvidence,
     refused_parts::{describe, log_refusal, log_withdrawal},
+    selection::Selection,
 };
 
 /// Delay between a broken connection and the probe that tells whether its upstream has crashed.
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
 use upstreams::Call;
 
-use crate::{Gateway, admission::Selection, crashes::request_parts, outcome::OutcomeLog};
+use crate::{Gateway, crashes::request_parts, outcome::OutcomeLog, selection::Selection};
 
 /// Longest time for a request that states no deadline, if the timeout of its route is longer.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
--- /dev/null
+++ b/crates/gateway/src/path_choice.rs
@@ -0,0 +1,147 @@
+//! Chooses the path of an attempt: the engines that together run the whole model.
+
+use catalog::ModelProfile;
+use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path};
+use rand::Rng;
+use types::Stage;
+
+use crate::{
+    lifecycle::ActiveRequest,
+    selection::{NoSelection, Selection, SelectionQuery},
+};
+
+/// Share of an engine's KV cache capacity, which is what the weights leave of its memory, that may
+/// be reserved for requests. The rest is left for requests that other nodes have admitted since
+/// their last beacon.
+const MAX_FILL: f64 = 0.92;
+/// Share of an engine's KV cache capacity that may be reserved when a resumed request is admitted.
+const MAX_RESUME_FILL: f64 = 1.0;
+
+/// Name under which the load table counts requests that cross from one failure domain to another,
+/// with the tokens that they carry across. It is not the name of an upstream. Under it,
+/// `token_layers` is the number of tokens times crossings.
+pub(crate) const CROSS_DOMAIN: &str = "(between domains)";
+/// Share of the capacity of the links between failure domains that requests may use. When the links
+/// are saturated, every stream that crosses them is delayed and occupies its engines for longer.
+const MAX_CROSSING_SHARE: f64 = 0.8;
+/// Share of that limit up to which every request may cross. Above it, requests are refused with a
+/// probability that rises to 1 at the limit.
+const UNTHROTTLED_SHARE: f64 = 0.5;
+/// Typical time from the first to the last token of a request, in seconds.
+const TYPICAL_LIFETIME_S: f64 = 3.0;
+
+impl ActiveRequest {
+    /// Whether some path has capacity now.
+    pub(crate) fn has_path(&self, query: SelectionQuery<'_>) -> bool {
+        self.model_profile().is_some_and(|profile| self.find_path(&profile, query).is_ok())
+    }
+
+    /// Whether some path has capacity now and contains no very slow engine.
+    pub(crate) fn has_fast_path(&self, query: SelectionQuery<'_>) -> bool {
+        let Some(profile) = self.model_profile() else { return false };
+        let Ok(path) = self.find_path(&profile, query) else { return false };
+        path.stages.iter().all(|stage| !self.gateway.is_very_slow(&stage.engine))
+    }
+
+    /// Chooses a path over engines that have capacity now.
+    fn find_path(
+        &self,
+        profile: &ModelProfile,
+        query: SelectionQuery<'_>,
+    ) -> Result<Path, NoSelection> {
+        let gateway = &self.gateway;
+        let mut candidates = Vec::new();
+        let may_cross;
+        {
+            let catalog = gateway.catalog.borrow();
+            let load = gateway.load.borrow();
+            let health = gateway.health.borrow();
+            let now = gateway.clock.now();
+            may_cross = may_cross_domains(profile, load.total(CROSS_DOMAIN).token_layers);
+            for upstream in catalog.upstreams().filter(|upstream| upstream.service == self.service)
+            {
+                let (Some(accelerator_kind), Some(layers)) =
+                    (&upstream.accelerator_kind, catalog.layers(upstream))
+                else {
+                    continue;
+                };
+                let Some(kind) = profile.accelerators.get(accelerator_kind) else { continue };
+                let is_usable = gateway.is_usable(upstream)
+                    || (query.with_leaving && gateway.is_in_last_use(upstream));
+                if !is_usable {
+                    continue;
+                }
+                let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
+                let reserved = load.total(&upstream.name);
+                candidates.push(PathCandidate {
+                    name: upstream.name.clone(),
+                    addr: upstream.addr,
+                    domain: upstream.domain.clone(),
+                    layers,
+                    step_factor: kind.step_factor * slowdown,
+                    kv_capacity: profile.kv_capacity(accelerator_kind, layers.len()),
+                    kv_reserved: reserved.token_layers,
+                    can_be_entry: reserved.entered < upstream.capacity
+                        && (query.allowed_entries.is_empty()
+                            || query.allowed_entries.contains(&upstream.name)),
+                });
+            }
+        }
+        let max_fill = if query.is_resumed { MAX_RESUME_FILL } else { MAX_FILL };
+        let avoid = query.avoid;
+        let path_query =
+            PathQuery { layers: profile.layers, tokens: self.tokens, max_fill, may_cross, avoid };
+        choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
+            let held = candidates.iter().map(|candidate| candidate.layers);
+            let covered = pipelines::covers_model(profile, held);
+            if covered { NoSelection::Full } else { NoSelection::NoUpstream }
+        })
+    }
+
+    pub(crate) fn choose_engines(
+        &self,
+        profile: &ModelProfile,
+        query: SelectionQuery<'_>,
+    ) -> Result<Selection, NoSelection> {
+        let Path { stages, crossings } = self.find_path(profile, query)?;
+        let mut loads: Vec<UpstreamLoad> = stages
+            .iter()
+            .enumerate()
+            .map(|(index, stage)| UpstreamLoad {
+                upstream: stage.engine.clone(),
+                load: Load {
+                    requests: 1,
+                    entered: u32::from(index == 0),
+                    token_layers: f64::from(stage.layers.len()) * f64::from(self.tokens),
+                },
+            })
+            .collect();
+        if crossings > 0 {
+            let token_layers = f64::from(crossings) * f64::from(self.tokens);
+            let load = Load { requests: 1, entered: 0, token_layers };
+            loads.push(UpstreamLoad { upstream: CROSS_DOMAIN.into(), load });
+        }
+        self.reserve_path(stages, loads)
+    }
+
+    fn reserve_path(
+        &self,
+        stages: Vec<Stage>,
+        loads: Vec<UpstreamLoad>,
+    ) -> Result<Selection, NoSelection> {
+        let first = stages.first().ok_or(NoSelection::NoUpstream)?;
+        let upstream = self.gateway.catalog.borrow().upstream(&first.engine).cloned();
+        let upstream = upstream.ok_or(NoSelection::NoUpstream)?;
+        Ok(self.reserve(upstream, stages, loads))
+    }
+}
+
+/// Whether a request may cross from one failure domain to another while requests in flight carry
+/// `tokens` across. Nodes learn of each other's requests with a delay, so the probability decreases
+/// gradually instead of dropping to 0 at a limit.
+fn may_cross_domains(profile: &ModelProfile, tokens: f64) -> bool {
+    let Some(per_second) = profile.crossing_rate else { return true };
+    let limit = per_second * MAX_CROSSING_SHARE * TYPICAL_LIFETIME_S;
+    let refusal_probability = (tokens / limit - UNTHROTTLED_SHARE) / (1.0 - UNTHROTTLED_SHARE);
+    rand::rng().random::<f64>() >= refusal_probability
+}
--- a/crates/gateway/src/pauses.rs
+++ b/crates/gateway/src/pauses.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use types::UpstreamName;
 
-use crate::{Gateway, admission::SelectionQuery, lifecycle::ActiveRequest};
+use crate::{Gateway, lifecycle::ActiveRequest, selection::SelectionQuery};
 
 /// Longest random time by which a node prolongs a pause, so that the nodes that an upstream has
 /// turned away do not all come back at the same moment.
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 use types::{Domain, LayerRange, UpstreamName};
 
-use crate::{Gateway, admission::CROSS_DOMAIN, audience::BEACON_RELAYS, updates::send_updates};
+use crate::{Gateway, audience::BEACON_RELAYS, path_choice::CROSS_DOMAIN, updates::send_updates};
 
 /// Prefix of the keys under which nodes register, followed by the node's name.
 pub(crate) const NODE_PREFIX: &str = "gypsumrack/nodes/";
--- /dev/null
+++ b/crates/gateway/src/selection.rs
@@ -0,0 +1,92 @@
+//! The upstreams that an attempt uses, and the reservation of their capacity.
+
+use std::{rc::Rc, sync::Arc};
+
+use catalog::Upstream;
+use clock::Timestamp;
+use pipelines::UpstreamLoad;
+use types::{Stage, UpstreamName};
+
+use crate::{Gateway, lifecycle::ActiveRequest, runs::RunGuard};
+
+/// The constraints on the selection of the upstreams for an attempt.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct SelectionQuery<'a> {
+    /// Upstreams that must not be used.
+    pub(crate) avoid: &'a [UpstreamName],
+    /// The only upstreams that may be the entry upstream; empty if there is no such limit.
+    pub(crate) allowed_entries: &'a [UpstreamName],
+    /// Whether upstreams that are leaving may be used while they still serve.
+    pub(crate) with_leaving: bool,
+    /// Whether the request is resumed: the caller already has a part of the stream, or an earlier
+    /// attempt may have run.
+    pub(crate) is_resumed: bool,
+}
+
+/// The upstreams of one attempt.
+pub(crate) struct Selection {
+    pub(crate) upstream: Arc<Upstream>,
+    pub(crate) client: Rc<dyn upstreams::UpstreamClient>,
+    pub(crate) stages: Vec<Stage>,
+    /// Whether the attempt may be abandoned because an engine is very slow and a better path
+    /// exists.
+    pub(crate) may_leave_slow: bool,
+    /// Whether the entry upstream has refused an earlier attempt of the request. It may send that
+    /// refusal once more, which cannot be told from the response to another attempt.
+    pub(crate) has_refused: bool,
+    /// Counts the attempt as one that may crash its upstreams.
+    pub(crate) run: RunGuard,
+    /// Counts the request in the load table for as long as the selection exists.
+    pub(crate) _reservation: Reservation,
+}
+
+/// Counts a request in the load of its upstreams until it is dropped.
+pub(crate) struct Reservation {
+    gateway: Rc<Gateway>,
+    loads: Vec<UpstreamLoad>,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.gateway.load.borrow_mut().remove(&self.loads);
+        self.gateway.wait_queue.wake_first();
+    }
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoSelection {
+    /// The upstreams have no free capacity.
+    Full,
+    /// No upstream can serve the request.
+    NoUpstream,
+    /// The request would crash its upstreams.
+    Poison,
+    /// No upstream can serve the request before this time, since some have asked for a pause.
+    Paused(Timestamp),
+}
+
+impl ActiveRequest {
+    /// Reserves capacity for an attempt on the chosen upstreams.
+    pub(crate) fn reserve(
+        &self,
+        upstream: Arc<Upstream>,
+        stages: Vec<Stage>,
+        loads: Vec<UpstreamLoad>,
+    ) -> Selection {
+        let gateway = self.gateway.clone();
+        gateway.load.borrow_mut().add(&loads);
+        let client = gateway.client(&upstream);
+        let run = self.start_run(&upstream, &stages);
+        let _reservation = Reservation { gateway, loads };
+        Selection {
+            upstream,
+            client,
+            stages,
+            may_leave_slow: false,
+            has_refused: false,
+            run,
+            _reservation,
+        }
+    }
+}
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -10,10 +10,10 @@
 use upstreams::UpstreamResponse;
 
 use crate::{
-    admission::{Selection, SelectionQuery},
     attempt::Attempts,
     buffered::failure_kind,
     lifecycle::ActiveRequest,
+    selection::{Selection, SelectionQuery},
 };
 
 /// Time after which a stream without its first event is overdue, as a share of the route's latency
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -18,10 +18,10 @@
 
 use crate::{
     Gateway,
-    admission::{Selection, SelectionQuery},
     attempt::Attempts,
     lifecycle::ActiveRequest,
     node::FailureEvidence,
+    selection::{Selection, SelectionQuery},
     stream_attempt::StreamFailure,
 };
 
