--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -33,11 +33,20 @@
     /// Times within which the different kinds of changes in the key-value service must take effect,
     /// in milliseconds.
     pub change_limits_ms: Vec<u64>,
+    /// Decisions under overload. Without this table, a node admits each request by itself and knows
+    /// nothing of the demand of the other nodes.
+    pub overload: Option<OverloadSettings>,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// Settings of the decisions under overload: admission by urgency and organisation, reports of
+/// demand between nodes, and paths that meet the latency targets.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OverloadSettings {}
+
 /// Maximum value of the settings that are given in seconds.
 const MAX_SECONDS: f64 = 600.0;
 /// Allowed range of each value in `change_limits_ms`, in milliseconds.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod schema;
 mod validate;
 
-pub use edge::{EdgeSettings, SettingsError};
+pub use edge::{EdgeSettings, OverloadSettings, SettingsError};
 pub use fault::{SettingFault, SettingFaults};
 pub use fleet::{ChangeRecord, Exception, FleetConfig, ModelConfig, Scope, ServiceConfig};
 pub use node::{ListenAddrs, LogFormat, LogLevel, LogSettings, NodeSettings, PlatformAddrs};
