Count entry upstreams until they are known to have ended

Cause: a resumable stream dropped an entry upstream from its limit as soon as its entry in the registry was removed. Such an upstream goes on serving for its drain time, so a third one could run the request.

Change: an entry upstream counts until its process has refused a connection, or a process that started later is registered under its name or address. While a stream at its limit waits for an upstream, it probes its earlier ones that are no longer registered, and may use another one as soon as one of them has ended.

Ruled out: counting every upstream for good, which cuts streams whose upstreams crash one after the other; a table of ended processes for the whole node, since only streams at their limit ask.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use upstreams::UpstreamResponse;
 
 use crate::{
+    entries::LiveEntry,
     lifecycle::{ActiveRequest, is_retry_safe},
     node::FailureEvidence,
     selection::{Selection, SelectionQuery},
@@ -41,9 +42,10 @@
     /// included.
     pub(crate) avoided: Vec<UpstreamName>,
     /// Entry upstreams on which a resumable stream may still run, without duplicates: those of
-    /// failed attempts that may have run, without the upstreams that no longer existed at the last
-    /// failure. Empty for other requests.
-    pub(crate) live_entries: Vec<UpstreamName>,
+    /// failed attempts that may have run, without the upstreams that were known to have ended at the
+    /// last failure. One whose entry in the registry is removed remains until then. Empty for other
+    /// requests.
+    pub(crate) live_entries: Vec<LiveEntry>,
     /// Entry upstreams of attempts at a stream that were refused.
     pub(crate) refusing_entries: Vec<UpstreamName>,
 }
@@ -54,19 +56,6 @@
         if self.possibly_run > 0 { Verdict::MayHaveRun } else { Verdict::NotRun }
     }
 
-    /// The only upstreams that may be the entry upstream of the next attempt, once the request has
-    /// used `max_entries` different ones, including that of the `current` attempt. Empty if more
-    /// may be used.
-    pub(crate) fn allowed_entries(
-        &self,
-        max_entries: u32,
-        current: Option<&UpstreamName>,
-    ) -> Vec<UpstreamName> {
-        let mut entries = self.live_entries.clone();
-        entries.extend(current.filter(|name| !self.live_entries.contains(name)).cloned());
-        if entries.len() < max_entries as usize { Vec::new() } else { entries }
-    }
-
     /// The constraints on the next attempt of a request that is not resumed.
     pub(crate) fn selection_query(&self) -> SelectionQuery<'_> {
         SelectionQuery { avoid: &self.avoided, ..SelectionQuery::default() }
@@ -109,14 +98,8 @@
         if entry_failed {
             attempts.avoided.push(name.clone());
         }
-        // Upstreams that no longer exist do not count towards the route's limit on entry upstreams.
-        // One that is only avoided may still be running the request.
-        let catalog = self.gateway.catalog.borrow();
-        attempts.live_entries.retain(|name| catalog.upstream(name).is_some());
-        drop(catalog);
-        if !attempts.live_entries.contains(name) {
-            attempts.live_entries.push(name.clone());
-        }
+        // One that is only avoided, or whose entry is removed, may still be running the request.
+        attempts.count_entry(&self.gateway, selection);
         attempts.count < MAX_STREAM_ATTEMPTS && self.take_retry(Verdict::MayHaveRun)
     }
 
--- /dev/null
+++ b/crates/gateway/src/entries.rs
@@ -0,0 +1,148 @@
+//! The entry upstreams that a resumable stream counts towards the limit of its route.
+
+use std::{cell::Cell, pin::pin, rc::Rc, sync::Arc, time::Duration};
+
+use catalog::Upstream;
+use clock::timeout;
+use futures_util::future::{Either, select};
+use transport::CallError;
+use types::UpstreamName;
+
+use crate::{
+    Gateway,
+    attempt::Attempts,
+    lifecycle::ActiveRequest,
+    selection::{NoSelection, Selection, SelectionQuery},
+};
+
+/// Time between two connection probes of an entry upstream without an entry in the registry, while
+/// a stream may not use another one.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Timeout of such a probe: several round trips between failure domains.
+const PROBE_LIMIT: Duration = Duration::from_millis(50);
+
+/// The entry upstream of a failed attempt, on which the stream may still run.
+pub(crate) struct LiveEntry {
+    upstream: Arc<Upstream>,
+    /// The client outlives the upstream's entry in the registry, after which the gateway keeps none.
+    client: Rc<dyn upstreams::UpstreamClient>,
+    /// Whether a probe of this request has shown that the process has ended.
+    has_ended: Cell<bool>,
+}
+
+impl LiveEntry {
+    fn of(selection: &Selection) -> LiveEntry {
+        LiveEntry {
+            upstream: selection.upstream.clone(),
+            client: selection.client.clone(),
+            has_ended: Cell::new(false),
+        }
+    }
+
+    fn is(&self, upstream: &Upstream) -> bool {
+        self.upstream.is_same_incarnation(upstream)
+    }
+}
+
+impl Attempts {
+    /// Counts the entry upstream of a failed attempt, and drops those that have ended.
+    pub(crate) fn count_entry(&mut self, gateway: &Gateway, selection: &Selection) {
+        self.drop_ended_entries(gateway);
+        if !self.live_entries.iter().any(|entry| entry.is(&selection.upstream)) {
+            self.live_entries.push(LiveEntry::of(selection));
+        }
+    }
+
+    fn drop_ended_entries(&mut self, gateway: &Gateway) {
+        self.live_entries.retain(|entry| !gateway.has_entry_ended(entry));
+    }
+}
+
+impl ActiveRequest {
+    /// The only upstreams that may be the entry upstream of the next attempt, once the request has
+    /// used the route's `max_entries` different ones that have not ended, including that of the
+    /// `current` attempt. Empty if more may be used.
+    pub(crate) fn allowed_entries(
+        &self,
+        attempts: &Attempts,
+        current: Option<&Upstream>,
+    ) -> Vec<UpstreamName> {
+        let gateway = &self.gateway;
+        let live = attempts.live_entries.iter().filter(|entry| !gateway.has_entry_ended(entry));
+        let others = live.filter(|entry| !current.is_some_and(|current| entry.is(current)));
+        let mut entries: Vec<UpstreamName> =
+            others.map(|entry| entry.upstream.name.clone()).collect();
+        entries.extend(current.map(|current| current.name.clone()));
+        if entries.len() < self.route.max_entries as usize { Vec::new() } else { entries }
+    }
+
+    /// Chooses the upstreams for an attempt as [`admit`](Self::admit) does. Returns `None` if the
+    /// request may use no further entry upstream and one of its earlier ones is found to have
+    /// ended, so that the limit is to be looked at again.
+    pub(crate) async fn admit_unless_entry_ends(
+        &self,
+        attempts: &mut Attempts,
+        query: SelectionQuery<'_>,
+    ) -> Option<Result<Selection, NoSelection>> {
+        let query = SelectionQuery { avoid: &attempts.avoided, ..query };
+        if query.allowed_entries.is_empty() {
+            return Some(self.admit(query).await);
+        }
+        let entry_end = self.wait_for_entry_end(&attempts.live_entries);
+        match select(pin!(self.admit(query)), pin!(entry_end)).await {
+            Either::Left((admitted, _)) => return Some(admitted),
+            Either::Right(((), _)) => {}
+        }
+        attempts.drop_ended_entries(&self.gateway);
+        None
+    }
+
+    /// Completes when one of the upstreams has ended.
+    async fn wait_for_entry_end(&self, entries: &[LiveEntry]) {
+        let gateway = &self.gateway;
+        loop {
+            for entry in entries {
+                gateway.probe_removed_entry(entry).await;
+            }
+            if entries.iter().any(|entry| gateway.has_entry_ended(entry)) {
+                return;
+            }
+            gateway.clock.sleep(PROBE_INTERVAL).await;
+        }
+    }
+}
+
+impl Gateway {
+    /// Whether the process of an upstream is known to have ended: it has refused a connection, or
+    /// another process that started later is registered under its name or address. The removal of
+    /// its entry shows nothing, since it may go on serving for its drain time.
+    fn has_entry_ended(&self, entry: &LiveEntry) -> bool {
+        let Upstream { name, addr, incarnation, .. } = &*entry.upstream;
+        if entry.has_ended.get() {
+            return true;
+        }
+        let now = self.clock.now();
+        if self.health.borrow().has_ended(name, *incarnation, now) {
+            return true;
+        }
+        let catalog = self.catalog.borrow();
+        catalog.upstreams().any(|other| {
+            (other.name == *name || other.addr == *addr) && other.incarnation > *incarnation
+        })
+    }
+
+    /// Probes an upstream that has no entry in the registry any more. Those that have one are probed
+    /// when a call to them breaks or is silent.
+    async fn probe_removed_entry(&self, entry: &LiveEntry) {
+        let LiveEntry { upstream, client, has_ended } = entry;
+        if self.catalog.borrow().upstream(&upstream.name).is_some() || self.is_paused(upstream) {
+            return;
+        }
+        let probe = timeout(&*self.clock, PROBE_LIMIT, client.probe()).await;
+        if matches!(probe, Ok(Err(CallError::Refused))) {
+            tracing::debug!(upstream = %upstream.name, boot = upstream.incarnation,
+                "entry upstream without an entry in the registry has ended");
+            has_ended.set(true);
+        }
+    }
+}
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -123,19 +123,19 @@
                     "the deadline has passed",
                 ));
             }
-            let allowed_entries = attempts.allowed_entries(self.route.max_entries, None);
+            let allowed_entries = self.allowed_entries(attempts, None);
             // A request that may have run cannot be refused as "not run", so it waits for capacity
             // as long as a stream that the caller already has a part of.
             let is_resumed = continued.is_some() || attempts.possibly_run > 0;
             let query = SelectionQuery {
-                avoid: &attempts.avoided,
                 allowed_entries: &allowed_entries,
                 is_resumed,
                 ..SelectionQuery::default()
             };
-            let mut selection = match self.admit(query).await {
-                Ok(selection) => selection,
-                Err(reason) => return Err(self.no_selection_failure(attempts, reason)),
+            let mut selection = match self.admit_unless_entry_ends(attempts, query).await {
+                Some(Ok(selection)) => selection,
+                Some(Err(reason)) => return Err(self.no_selection_failure(attempts, reason)),
+                None => continue,
             };
             selection.may_leave_slow = self.route.retry.allows_rerun() && attempts.count == 0;
             selection.has_refused = attempts.refusing_entries.contains(&selection.upstream.name);
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -73,7 +73,7 @@
         is_overdue: bool,
     ) -> Option<StreamFailure> {
         let name = &selection.upstream.name;
-        let allowed_entries = attempts.allowed_entries(self.route.max_entries, Some(name));
+        let allowed_entries = self.allowed_entries(attempts, Some(&selection.upstream));
         let query = SelectionQuery {
             avoid: &attempts.avoided,
             allowed_entries: &allowed_entries,
--- /dev/null
+++ b/crates/gateway/tests/gateway/entries.rs
@@ -0,0 +1,111 @@
+//! The limit on the entry upstreams of a stream. Upstreams whose entry is removed may go on serving.
+
+use std::{rc::Rc, time::Duration};
+
+use crate::support::{Fixture, Step, body, event};
+
+/// Change limit of the fixtures, so that a removed entry is known soon.
+const CHANGE_LIMIT_MS: u64 = 100;
+/// Time within which the gateway has read a change.
+const READ_TIME: Duration = Duration::from_millis(150);
+/// Time after which the second stream breaks: the change made meanwhile has then been read.
+const BREAK_DELAY: Duration = Duration::from_millis(250);
+
+/// Sends a stream whose first two attempts break, the second one after `change` has been made to
+/// what is registered. `change` gets the name and the address of the first entry upstream. Returns
+/// the body, and the number of different entry upstreams.
+async fn break_twice(change: impl FnOnce(&Fixture, &str, &str)) -> (Option<String>, usize) {
+    let fixture = Fixture::with_change_limit(Rc::default(), CHANGE_LIMIT_MS).with_upstreams().await;
+    fixture.store.write("upstreams/e5", Some("drafts 10.0.1.5:80 a up 0-5"));
+    compio::time::sleep(READ_TIME).await;
+    let late = Step::EventsThenLateBreak { numbers: vec![1], pause: BREAK_DELAY };
+    fixture.push_steps([Step::EventsThenBroken(vec![0]), late, Step::Events(vec![2])]);
+    let response = fixture.send("/drafts/x").await.expect("the stream begins");
+    let reader = compio::runtime::spawn(body(response));
+    compio::time::sleep(Duration::from_millis(50)).await;
+    let first = fixture.called_upstreams()[0].clone();
+    let addr = format!("10.0.1.{}:80", &first[1..]);
+    change(&fixture, &first, &addr);
+    let received = reader.await.expect("the reader does not panic");
+    let mut entries = fixture.called_upstreams();
+    entries.sort_unstable();
+    entries.dedup();
+    (received, entries.len())
+}
+
+fn whole_stream() -> Option<String> {
+    Some((0..3).map(event).collect())
+}
+
+/// Guards against a stream that runs on a third upstream while the first one, whose entry is
+/// removed, still serves it during its drain time.
+#[compio::test]
+async fn an_entry_upstream_whose_entry_is_removed_still_counts() {
+    let removed = |fixture: &Fixture, name: &str, _: &str| {
+        fixture.store.write(&entry(name), None);
+    };
+    let (received, entries) = break_twice(removed).await;
+    assert_eq!((received, entries), (None, 2));
+}
+
+/// Guards against a stream that is cut although its first upstream is known to have ended.
+#[compio::test]
+async fn an_entry_upstream_that_refuses_connections_does_not_count() {
+    let ended = |fixture: &Fixture, name: &str, _: &str| {
+        fixture.store.write(&entry(name), None);
+        fixture.upstreams.stopped.borrow_mut().push(name.into());
+    };
+    assert_eq!(break_twice(ended).await, (whole_stream(), 3));
+}
+
+/// Guards against a stream that is cut because its first upstream is only found to have ended while
+/// the stream already waits for another one.
+#[compio::test]
+async fn an_entry_upstream_that_ends_while_the_stream_waits_does_not_count() {
+    let ends_late = |fixture: &Fixture, name: &str, _: &str| {
+        fixture.store.write(&entry(name), None);
+        let (stopped, name) = (fixture.upstreams.stopped.clone(), name.to_owned());
+        compio::runtime::spawn(async move {
+            compio::time::sleep(BREAK_DELAY * 2).await;
+            stopped.borrow_mut().push(name);
+        })
+        .detach();
+    };
+    assert_eq!(break_twice(ends_late).await, (whole_stream(), 3));
+}
+
+/// Guards against a stream that is cut although another process runs at the address of its first
+/// upstream.
+#[compio::test]
+async fn an_entry_upstream_whose_address_is_used_by_another_does_not_count() {
+    let replaced = |fixture: &Fixture, name: &str, addr: &str| {
+        fixture.store.write(&entry(name), None);
+        fixture.store.write("upstreams/e9", Some(&format!("drafts {addr} a up 0-5 2")));
+    };
+    assert_eq!(break_twice(replaced).await, (whole_stream(), 3));
+}
+
+/// Guards against a stream that is cut although its first upstream has been restarted.
+#[compio::test]
+async fn an_entry_upstream_that_was_restarted_does_not_count() {
+    let restarted = |fixture: &Fixture, name: &str, addr: &str| {
+        fixture.store.write(&entry(name), Some(&format!("drafts {addr} a up 0-5 2")));
+    };
+    assert_eq!(break_twice(restarted).await, (whole_stream(), 3));
+}
+
+/// Guards against an upstream that counts as ended because an older process was registered at its
+/// address.
+#[compio::test]
+async fn an_older_entry_at_its_address_does_not_end_an_entry_upstream() {
+    let stale = |fixture: &Fixture, name: &str, addr: &str| {
+        fixture.store.write(&entry(name), None);
+        fixture.store.write("upstreams/e9", Some(&format!("drafts {addr} a up 0-5 0")));
+    };
+    let (received, entries) = break_twice(stale).await;
+    assert_eq!((received, entries), (None, 2));
+}
+
+fn entry(name: &str) -> String {
+    format!("upstreams/{name}")
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -113,7 +113,7 @@
     }
 
     /// Registers the routing table and the upstreams, and waits until the gateway knows them.
-    async fn with_upstreams(self) -> Fixture {
+    pub async fn with_upstreams(self) -> Fixture {
         self.store.write("table", Some("1"));
         for (name, value) in [
             ("r1", "registry 10.0.0.1:80 a up -"),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -50,6 +50,8 @@
     /// A stream of events with these numbers, which then ends inside an event without an error, as
     /// a stream without length may.
     EventsThenCut(Vec<u64>),
+    /// A stream of events with these numbers, which breaks after a pause.
+    EventsThenLateBreak { numbers: Vec<u64>, pause: Duration },
     /// A stream of events with these numbers, which then stays silent.
     EventsThenSilence(Vec<u64>),
     /// A stream of events with these numbers, a pause, and then further events up to its end.
@@ -259,6 +261,11 @@
                     parts.push(BodyPart::Bytes("id: 99\nda".into()));
                     Ok(stream(parts))
                 }
+                Step::EventsThenLateBreak { numbers, pause } => {
+                    let mut parts = events(&numbers);
+                    parts.extend([BodyPart::Pause(pause), BodyPart::Break]);
+                    Ok(stream(parts))
+                }
                 Step::EventsThenSilence(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Silence);
