Admit requests by the fill limit of their rank under [overload]

The gateway had one fill limit for all requests. With the settings table overload it takes the limit from the crate admission, with one draw for each request, so that attempts and waiting do not draw again. The routing table ranks the priorities of the routes to a service once for each version. Without the table, limits are as before. The range of limits is in the settings, with bounds.

--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -117,6 +117,8 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: BTreeMap<ServiceName, Service>,
     keys: HashMap<Arc<str>, Access>,
+    /// Different priorities of the routes to each service, in ascending order.
+    priorities: BTreeMap<ServiceName, Vec<u32>>,
     pub(crate) requires_key: bool,
     /// Largest allowed head of a request, in bytes.
     pub max_head_bytes: usize,
@@ -151,6 +153,15 @@
         self.services.get(service)
     }
 
+    /// Position of `priority` among the different priorities of the routes to `service`, and the
+    /// number of these. Position 0 is the most urgent one.
+    pub fn priority_rank(&self, service: &str, priority: u32) -> (u32, u32) {
+        let known = self.priorities.get(service).map_or(&[][..], Vec::as_slice);
+        let ranks = known.len().max(1);
+        let rank = known.partition_point(|other| *other < priority).min(ranks - 1);
+        (rank as u32, ranks as u32)
+    }
+
     /// All configured services.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &Service)> {
         self.services.iter()
@@ -217,7 +228,23 @@
     }
 
     /// Returns the finished table.
-    pub fn build(self) -> RoutingTable {
+    pub fn build(mut self) -> RoutingTable {
+        self.table.priorities = self.priorities();
         self.table
     }
+
+    /// The different priorities of the routes to each service, in ascending order.
+    fn priorities(&self) -> BTreeMap<ServiceName, Vec<u32>> {
+        let mut priorities: BTreeMap<ServiceName, Vec<u32>> = BTreeMap::new();
+        for route in self.table.hosts.values().flatten() {
+            for weighted in route.weighted_services.iter().filter(|weighted| weighted.weight > 0) {
+                priorities.entry(weighted.service.clone()).or_default().push(route.priority);
+            }
+        }
+        for known in priorities.values_mut() {
+            known.sort_unstable();
+            known.dedup();
+        }
+        priorities
+    }
 }
--- a/crates/catalog/tests/state.rs
+++ b/crates/catalog/tests/state.rs
@@ -159,3 +159,25 @@
     assert_eq!(route.service(0.1).map(|name| name.as_str()), Some("s1"));
     assert_eq!(route.service(0.9).map(|name| name.as_str()), Some("s2"));
 }
+
+/// Guards against ranks that count a priority twice, count routes of other services or without
+/// weight, or lie beyond the number of ranks for an organisation's own priority.
+#[test]
+fn priorities_are_ranked_within_their_service() {
+    let route = |path: &str, priority, services: &[(&str, u32)]| Route {
+        priority,
+        ..route("host", path, services)
+    };
+    let table = RoutingTableBuilder::new(1)
+        .route(route("/a/", 7, &[("model", 1)]))
+        .route(route("/b/", 3, &[("model", 1), ("other", 0)]))
+        .route(route("/c/", 7, &[("model", 1)]))
+        .route(route("/d/", u32::MAX, &[("model", 1)]))
+        .route(route("/e/", 0, &[("other", 1)]))
+        .build();
+    let rank = |priority| table.priority_rank("model", priority);
+    assert_eq!([rank(3), rank(7), rank(u32::MAX)], [(0, 3), (1, 3), (2, 3)]);
+    assert_eq!([rank(0), rank(5), rank(8)], [(0, 3), (1, 3), (2, 3)]);
+    assert_eq!(table.priority_rank("other", 9), (0, 1));
+    assert_eq!(table.priority_rank("unknown", 9), (0, 1));
+}
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::{pin::pin, time::Duration};
 
+use admission::Standing;
 use clock::Timestamp;
 use futures_util::future::select;
 
@@ -62,6 +63,18 @@
         outcome
     }
 
+    /// What the fill limit of the request depends on.
+    pub(crate) fn standing(&self, resumed: bool) -> Standing {
+        let (rank, ranks) = self.table.priority_rank(&self.service, self.priority);
+        Standing { rank, ranks, over_share: self.is_over_share(), resumed }
+    }
+
+    /// Whether the organisation of the request uses more than its fair share while capacity is
+    /// scarce. Nodes do not report their load by organisation yet.
+    fn is_over_share(&self) -> bool {
+        false
+    }
+
     /// Until when a request that arrives now may wait for capacity.
     fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
         let limit = if query.is_resumed {
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -45,6 +45,8 @@
     pub(crate) service: ServiceName,
     pub(crate) organisation: Option<Organisation>,
     pub(crate) priority: u32,
+    /// Random number from 0 to 1 that decides up to which fill of its engines it is admitted.
+    pub(crate) draw: f64,
     pub(crate) method: Method,
     /// Request target: path and query of the URL.
     pub(crate) target: Arc<str>,
@@ -199,6 +201,7 @@
             gateway: self,
             id: request.id,
             priority: access.and_then(|access| access.priority).unwrap_or(route.priority),
+            draw: rand::rng().random(),
             route,
             service,
             organisation,
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -1,5 +1,6 @@
 //! Chooses the path of an attempt: the engines that together run the whole model.
 
+use admission::{FillRange, fill_limit};
 use catalog::ModelProfile;
 use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path};
 use rand::Rng;
@@ -87,7 +88,7 @@
                 });
             }
         }
-        let max_fill = if query.is_resumed { MAX_RESUME_FILL } else { MAX_FILL };
+        let max_fill = self.max_fill(query);
         let avoid = query.avoid;
         let path_query =
             PathQuery { layers: profile.layers, tokens: self.tokens, max_fill, may_cross, avoid };
@@ -98,6 +99,22 @@
         })
     }
 
+    /// Share of an engine's KV cache capacity up to which the request may be admitted.
+    fn max_fill(&self, query: SelectionQuery<'_>) -> f64 {
+        match &self.gateway.settings.overload {
+            Some(overload) => {
+                let range = FillRange {
+                    max_fill: overload.max_fill,
+                    taper: overload.fill_taper,
+                    rank_spread: overload.fill_spread,
+                };
+                fill_limit(&range, self.standing(query.is_resumed), self.draw)
+            }
+            None if query.is_resumed => MAX_RESUME_FILL,
+            None => MAX_FILL,
+        }
+    }
+
     pub(crate) fn choose_engines(
         &self,
         profile: &ModelProfile,
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -54,17 +54,24 @@
 
     /// Creates a gateway that reads `store` and has to apply changes within `limit_ms`.
     pub fn with_change_limit(store: Rc<MemoryStore>, limit_ms: u64) -> Fixture {
-        Fixture::with_limits(store, limit_ms, RETRY_EXTRA)
+        Fixture::with_limits(store, limit_ms, RETRY_EXTRA, "")
     }
 
-    /// Creates a gateway that reads `store`, has to apply changes within `limit_ms`, and may retry
-    /// `retry_extra` requests more than a share of them.
-    fn with_limits(store: Rc<MemoryStore>, limit_ms: u64, retry_extra: u32) -> Fixture {
+    /// Like [`ready`](Fixture::ready), with these settings of the table `overload`.
+    pub async fn ready_with_overload(settings: &str) -> Fixture {
+        let table = format!("[overload]\n{settings}\n");
+        let fixture = Fixture::with_limits(Rc::default(), CHANGE_LIMIT_MS, RETRY_EXTRA, &table);
+        fixture.with_upstreams().await
+    }
+
+    /// Creates a gateway that reads `store`, has to apply changes within `limit_ms`, may retry
+    /// `retry_extra` requests more than a share of them, and has the tables `more` in its settings.
+    fn with_limits(store: Rc<MemoryStore>, limit_ms: u64, retry_extra: u32, more: &str) -> Fixture {
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
         let settings = EdgeSettings::parse(&format!(
             "name = \"n\"\ndomain = \"a\"\ncallers = \"127.0.0.1:1\"\nhealth = \"127.0.0.1:2\"\n\
              peers = \"127.0.0.1:3\"\nstore = \"127.0.0.1:4\"\ngrace_s = 8\nretry_ratio = 0.2\n\
-             retry_extra = {retry_extra}\nretry_window_s = 10\nchange_limits_ms = [{limit_ms}]\n",
+             retry_extra = {retry_extra}\nretry_window_s = 10\nchange_limits_ms = [{limit_ms}]\n{more}",
         ))
         .expect("settings are valid");
         let upstreams = Rc::new(ScriptedUpstreams {
@@ -108,7 +115,7 @@
 
     /// Like [`ready`](Fixture::ready), but the first few requests leave nothing in the retry budget.
     pub async fn ready_without_retries() -> Fixture {
-        let fixture = Fixture::with_limits(Rc::default(), CHANGE_LIMIT_MS, 0);
+        let fixture = Fixture::with_limits(Rc::default(), CHANGE_LIMIT_MS, 0, "");
         fixture.with_upstreams().await
     }
 
--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -43,9 +43,49 @@
 
 /// Settings of the decisions under overload: admission by urgency and organisation, reports of
 /// demand between nodes, and paths that meet the latency targets.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct OverloadSettings {}
+pub struct OverloadSettings {
+    /// Highest share of an engine's KV cache capacity up to which a request that is not resumed is
+    /// admitted.
+    pub max_fill: f64,
+    /// Width of the range below `max_fill` in which the admission of the most urgent requests tapers
+    /// off.
+    pub fill_taper: f64,
+    /// Additional width of that range for the least urgent requests.
+    pub fill_spread: f64,
+}
+
+impl Default for OverloadSettings {
+    fn default() -> OverloadSettings {
+        OverloadSettings { max_fill: 0.98, fill_taper: 0.14, fill_spread: 0.2 }
+    }
+}
+
+/// Allowed range of `max_fill`. With a lower value, requests are refused while less than half of the
+/// memory is in use.
+const MAX_FILL: std::ops::RangeInclusive<f64> = 0.6..=1.0;
+/// Allowed range of `fill_taper` and `fill_spread`.
+const FILL_WIDTH: std::ops::RangeInclusive<f64> = 0.0..=0.4;
+
+impl OverloadSettings {
+    fn check(&self) -> Result<(), String> {
+        let shares = [
+            ("max_fill", self.max_fill, MAX_FILL),
+            ("fill_taper", self.fill_taper, FILL_WIDTH),
+            ("fill_spread", self.fill_spread, FILL_WIDTH),
+        ];
+        for (key, share, allowed) in shares {
+            if !allowed.contains(&share) {
+                let (least, most) = (allowed.start(), allowed.end());
+                return Err(format!(
+                    "overload.{key} is {share}, but must be from {least} to {most}"
+                ));
+            }
+        }
+        Ok(())
+    }
+}
 
 /// Maximum value of the settings that are given in seconds.
 const MAX_SECONDS: f64 = 600.0;
@@ -90,7 +130,7 @@
         if self.name.is_empty() || self.domain.is_empty() {
             return Err("name and domain must not be empty".into());
         }
-        Ok(())
+        self.overload.as_ref().map_or(Ok(()), OverloadSettings::check)
     }
 }
 
