Derive Retry-After from the rate at which capacity is freed

Every caller that was refused for lack of capacity was told to come back after 0.7 s, so refused callers returned as one wave, whatever the load.

With [overload], the time follows from the requests in flight of all nodes, the mean time for which answered requests hold their upstreams, and the requests that wait or were refused just before at this node. It is spread at random, at least 0.2 s and at most a third of the remaining time. Hold times of refused attempts are ruled out: they last milliseconds and would make the estimate too short.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decisions on whether a request is admitted, waits or is refused while capacity is scarce.
 //!
 //! Purpose: plain functions and structs that any front end can use. [`fill_limit`] says how full an
-//! engine may be for a request to be admitted.
+//! engine may be for a request to be admitted. [`FleetLoad`] estimates how long a request waits, and
+//! [`retry_after`] says when a refused caller should come back.
 //!
 //! Invariants: a fill limit is from 0 to 1 and never lower for a more urgent request with the same
 //! draw; the size of every structure is bounded; no input, however absurd, makes a function panic.
@@ -12,5 +13,7 @@
 //! once for each request.
 
 mod fill;
+mod flow;
 
 pub use fill::{FillRange, Standing, fill_limit, own_part};
+pub use flow::{FleetLoad, Flow, retry_after};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -164,6 +164,7 @@
     pub(crate) fn record_success(&self, selection: &Selection) {
         self.gateway.health.borrow_mut().record_success(&selection.upstream.name);
         self.record_answer(selection);
+        self.observe_hold(selection);
     }
 
     /// Records that all engines of a path have accepted the request.
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -11,7 +11,6 @@
 use upstreams::UpstreamResponse;
 
 use crate::{
-    admission::CAPACITY_RETRY_AFTER,
     attempt::Attempts,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection},
@@ -197,7 +196,9 @@
         message: &str,
     ) -> RoutedFailure {
         let delay = match kind {
-            FailureKind::Overloaded => CAPACITY_RETRY_AFTER,
+            FailureKind::Overloaded if attempts.verdict() == Verdict::NotRun => {
+                self.capacity_retry_after()
+            }
             _ => UNAVAILABLE_RETRY_AFTER,
         };
         self.give_up_for(attempts, kind, message, delay)
@@ -217,6 +218,7 @@
         let message =
             if causes.is_empty() { message.to_owned() } else { format!("{message} ({causes})") };
         if attempts.verdict() == Verdict::NotRun {
+            self.log.set_retry_after(delay);
             self.log.end("refused", Verdict::NotRun, 0);
             return RoutedFailure::retry_after(Failure::not_run(kind, message), delay);
         }
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -65,6 +65,7 @@
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
             wait_queue: WaitQueue::default(),
+            flows: RefCell::default(),
             crashes: RefCell::new(CrashTable::default()),
             runs: RunTable::default(),
             members: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod buffered;
 mod builder;
 mod crashes;
+mod flow;
 mod leaving;
 mod lifecycle;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use transport::{ConnectionObserver, CutCause};
 
@@ -40,6 +40,8 @@
     pub(crate) table_version: IntGauge,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
+    /// Times after which refused callers may retry, from the estimate of the waiting time.
+    pub(crate) retry_after: Histogram,
     /// Requests that wait for capacity.
     pub(crate) waiting: IntGauge,
     /// Requests whose connection ended before their response was complete, by cause.
@@ -113,6 +115,14 @@
                 .expect("gauge is valid"),
             waiting: IntGauge::new("gypsumrack_waiting", "Requests that wait for room")
                 .expect("gauge is valid"),
+            retry_after: Histogram::with_opts(
+                HistogramOpts::new(
+                    "gypsumrack_retry_after_seconds",
+                    "Time after which refused callers may retry",
+                )
+                .buckets(LATENCY_BOUNDS.to_vec()),
+            )
+            .expect("histogram is valid"),
             cut_requests: counter_vec(
                 "gypsumrack_cut_requests_total",
                 "Requests whose connection ended before their response was complete",
@@ -154,6 +164,7 @@
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.waiting.clone()),
+            Box::new(self.retry_after.clone()),
             Box::new(self.cut_requests.clone()),
             Box::new(self.early_responses.clone()),
         ];
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use admission::Flow;
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
@@ -68,6 +69,8 @@
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     pub(crate) wait_queue: WaitQueue,
+    /// How fast the upstreams of each service are freed.
+    pub(crate) flows: RefCell<HashMap<ServiceName, Flow>>,
     /// Crashes of engines, and the parts of prompts that are refused for them.
     pub(crate) crashes: RefCell<CrashTable>,
     /// The attempts that take part in a crash if an engine of theirs ends now.
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -1,4 +1,4 @@
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use catalog::Route;
 use clock::Timestamp;
@@ -25,6 +25,7 @@
     causes: Vec<String>,
     reason: Option<String>,
     first_byte: Option<Timestamp>,
+    retry_after: Option<Duration>,
     ended: Option<(&'static str, Verdict, u16)>,
 }
 
@@ -84,6 +85,11 @@
         self.state.borrow_mut().reason = Some(reason.to_owned());
     }
 
+    /// Sets the time after which the caller of a refused request may retry.
+    pub(crate) fn set_retry_after(&self, delay: Duration) {
+        self.state.borrow_mut().retry_after = Some(delay);
+    }
+
     /// The causes of the failed attempts, for the message to the caller.
     pub(crate) fn causes(&self) -> String {
         self.state.borrow().causes.join("; ")
@@ -98,7 +104,7 @@
     /// Forgets an end and its reason: the request goes on.
     pub(crate) fn clear_end(&self) {
         let mut state = self.state.borrow_mut();
-        (state.ended, state.reason) = (None, None);
+        (state.ended, state.reason, state.retry_after) = (None, None, None);
     }
 
     /// Records how the request ended.
@@ -134,6 +140,7 @@
             sends = state.attempts,
             upstream = state.last_upstream.as_ref().map(|name| name.as_str()),
             reason = state.reason.as_deref(),
+            retry_after_ms = state.retry_after.map(|delay| delay.as_millis() as u64),
             causes = (!state.causes.is_empty()).then(|| state.causes.join("; ")),
             first_ms = state.first_byte.map(since),
             total_ms = since(self.gateway.clock.now()),
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -28,6 +28,8 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) client: Rc<dyn upstreams::UpstreamClient>,
     pub(crate) stages: Vec<Stage>,
+    /// When the upstreams were selected.
+    pub(crate) selected: Timestamp,
     /// Whether the attempt may be abandoned because an engine is very slow and a better path
     /// exists.
     pub(crate) may_leave_slow: bool,
@@ -77,12 +79,14 @@
         let gateway = self.gateway.clone();
         gateway.load.borrow_mut().add(&loads);
         let client = gateway.client(&upstream);
+        let selected = gateway.clock.now();
         let run = self.start_run(&upstream, &stages);
         let _reservation = Reservation { gateway, loads };
         Selection {
             upstream,
             client,
             stages,
+            selected,
             may_leave_slow: false,
             has_refused: false,
             run,
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -32,6 +32,10 @@
         self.queue.borrow().is_empty()
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.queue.borrow().len()
+    }
+
     pub(crate) fn wake_first(&self) {
         let mut queue = self.queue.borrow_mut();
         if let Some(mut first) = queue.first_entry()
--- a/crates/gateway/tests/gateway/overload.rs
+++ b/crates/gateway/tests/gateway/overload.rs
@@ -1,5 +1,7 @@
 //! Requests at a gateway whose engines have little capacity left.
 
+use std::time::Duration;
+
 use callers::{GenerationSize, RoutedRequest, Router};
 
 use crate::support::{Fixture, Step, body, request};
@@ -39,3 +41,18 @@
         }
     }
 }
+
+/// Guards against refused callers that all come back after the same time, and against one that is
+/// told a time beyond a third of what its request has left.
+#[compio::test]
+async fn refused_callers_are_told_different_times() {
+    let fixture = Fixture::ready_with_overload("max_fill = 0.6\nfill_taper = 0.0").await;
+    let mut times = Vec::new();
+    for _ in 0..3 {
+        let failure = fixture.gateway.clone().route(sized(70)).await.err().expect("no room");
+        times.push(failure.retry_after.expect("a refused caller is told when to retry"));
+    }
+    let third = Duration::from_millis(1000) / 3;
+    assert!(times.iter().all(|time| (Duration::from_millis(200)..third).contains(time)));
+    assert!(times[0] != times[1] || times[1] != times[2], "{times:?}");
+}
