Order waiting requests by target, urgency and organisation

The queue of a node ordered by priority and arrival, had no bound, and held back all services behind its first request. A model request was refused after half of its latency target, although a late answer is worth something.

The crate admission has the order: resumed requests, those that are expected to be in time, the others; then urgency, fairness over organisations by tokens, arrival. One grant in eight goes to the request that has waited longest. When the first request does not fit, the next one tries. A full queue sheds, and a request that cannot be served before its end is refused at once if hold times were observed. wait_queue keeps the wakers. With [overload], each service has a queue and a late request has the fill limit of the next rank; without it, the order is as before.

A wake of the whole queue when capacity is freed was ruled out: each search for a path costs a small node a good part of its processor.

--- a/crates/admission/src/fill.rs
+++ b/crates/admission/src/fill.rs
@@ -14,8 +14,8 @@
     pub max_fill: f64,
     /// Width of the range of limits of the most urgent requests, which ends at `max_fill`.
     pub taper: f64,
-    /// Additional width of the range of the least urgent requests of an organisation that uses more
-    /// than its fair share. The ranks before it have a part of this.
+    /// Additional width of the range of the least urgent requests that are late or whose organisation
+    /// uses more than its fair share. The ranks before have a part of this.
     pub rank_spread: f64,
 }
 
@@ -34,15 +34,19 @@
     pub ranks: u32,
     /// Whether its organisation uses more than its fair share while capacity is scarce.
     pub over_share: bool,
+    /// Whether it can no longer meet its latency target.
+    pub late: bool,
     /// Whether it is resumed.
     pub resumed: bool,
 }
 
 impl Standing {
-    /// Position from 0, the most urgent rank, to 1, the least urgent one above its fair share.
+    /// Position from 0, the most urgent rank, to 1, which is below the least urgent one. A late
+    /// request and one above its fair share have the position of the next rank.
     fn position(self) -> f64 {
         let ranks = self.ranks.max(1);
-        let rank = self.rank.min(ranks - 1) + u32::from(self.over_share);
+        let lowered = u32::from(self.over_share || self.late);
+        let rank = self.rank.min(ranks - 1) + lowered;
         f64::from(rank) / f64::from(ranks)
     }
 }
--- a/crates/admission/src/flow.rs
+++ b/crates/admission/src/flow.rs
@@ -38,10 +38,11 @@
 }
 
 impl FleetLoad {
-    /// Requests that end in a second, on all nodes. At least one counts as in flight, since nothing
-    /// would be freed otherwise.
+    /// Requests that end in a second, on all nodes. At least one of each node counts as in flight: a
+    /// node that does not know the others would expect nothing to be freed.
     fn freed_per_s(&self) -> f64 {
-        f64::from(self.in_flight.max(1)) / self.hold.max(MIN_HOLD).as_secs_f64()
+        (f64::from(self.in_flight)).max(self.nodes.max(1) as f64)
+            / self.hold.max(MIN_HOLD).as_secs_f64()
     }
 
     /// Requests of this node that end in a second, if each node has an equal part.
@@ -83,7 +84,12 @@
         self.hold = Some(mean.mul_f64(1.0 - HOLD_WEIGHT) + time.mul_f64(HOLD_WEIGHT));
     }
 
-    /// Mean time for which a request holds its upstreams.
+    /// Whether a hold time was observed.
+    pub fn has_observed(&self) -> bool {
+        self.hold.is_some()
+    }
+
+    /// Mean time for which a request holds its upstreams, or a typical time if none was observed.
     pub fn hold(&self) -> Duration {
         self.hold.unwrap_or(TYPICAL_HOLD)
     }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Purpose: plain functions and structs that any front end can use. [`fill_limit`] says how full an
 //! engine may be for a request to be admitted. [`FleetLoad`] estimates how long a request waits, and
-//! [`retry_after`] says when a refused caller should come back.
+//! [`retry_after`] says when a refused caller should come back. [`AdmissionQueue`] orders the requests
+//! that wait.
 //!
 //! Invariants: a fill limit is from 0 to 1 and never lower for a more urgent request with the same
 //! draw; the size of every structure is bounded; no input, however absurd, makes a function panic.
@@ -14,6 +15,8 @@
 
 mod fill;
 mod flow;
+mod queue;
 
 pub use fill::{FillRange, Standing, fill_limit, own_part};
 pub use flow::{FleetLoad, Flow, retry_after};
+pub use queue::{AdmissionQueue, Enqueued, QueueLimits, Ticket, Waiting};
--- a/crates/admission/tests/fill.rs
+++ b/crates/admission/tests/fill.rs
@@ -12,7 +12,7 @@
 const HARD_LIMIT: f64 = 0.92;
 
 fn standing(rank: u32, ranks: u32) -> Standing {
-    Standing { rank, ranks, over_share: false, resumed: false }
+    Standing { rank, ranks, over_share: false, late: false, resumed: false }
 }
 
 fn any_number() -> impl Strategy<Value = f64> {
@@ -20,8 +20,8 @@
 }
 
 proptest! {
-    /// Guards against a limit outside 0 to 1, against a less urgent request or one of an
-    /// organisation above its share that has a higher limit than another one with the same draw, and
+    /// Guards against a limit outside 0 to 1, against a less urgent request a late one, or one of an
+    /// organisation above its share, that has a higher limit than another one with the same draw, and
     /// against a panic on absurd settings.
     #[test]
     fn limits_are_bounded_and_monotone(
@@ -36,6 +36,8 @@
         prop_assert!(limit(standing(rank.saturating_add(1), ranks)) <= own);
         let over_share = Standing { over_share: true, ..standing(rank, ranks) };
         prop_assert!(limit(over_share) <= own);
+        let late = Standing { late: true, ..standing(rank, ranks) };
+        prop_assert!(limit(late) <= own);
         let resumed = Standing { resumed: true, ..standing(rank, ranks) };
         prop_assert_eq!(limit(resumed), 1.0);
     }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,24 +1,32 @@
 //! Chooses the upstreams for an attempt, and waits for one while none has free capacity.
 
-use std::{pin::pin, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
-use admission::Standing;
+use admission::{QueueLimits, Standing, Waiting};
 use clock::Timestamp;
 use futures_util::future::select;
+use types::ServiceName;
 
 use crate::{
+    Gateway,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection, SelectionQuery},
-    wait_queue::QueueEntry,
+    wait_queue::{QueueEntry, WaitQueue},
 };
 
 /// Time for which a resumed request waits for capacity. Callers abandon a stream after two
 /// seconds without an event.
 const RESUME_WAIT: Duration = Duration::from_millis(1500);
-/// Priority of a resumed request in the wait queue; lower numbers go first.
-const RESUME_PRIORITY: u32 = 0;
-/// Longest wait for capacity before a request is refused, as a share of the route's latency target.
-const MAX_WAIT_SHARE: f64 = 0.5;
+/// Longest wait for capacity of a request that meets its route's latency target, as a share of the
+/// target. Without the settings for overload, requests are refused after it.
+pub(crate) const MAX_WAIT_SHARE: f64 = 0.5;
+/// Requests that are admitted in a row by urgency before the one that has waited longest.
+const GRANT_STREAK: u32 = 7;
+/// Requests that are tried one after the other when capacity is freed. Each search for a path takes
+/// time, and small nodes have a twelfth of a core.
+const LOOKAHEAD: usize = 2;
+/// The queue of a node without the settings for overload: by priority and arrival, without a bound.
+const PLAIN_QUEUE: QueueLimits = QueueLimits { length: usize::MAX, streak: u32::MAX, lookahead: 1 };
 /// Time between two capacity checks while a request waits. No notification arrives when the load of
 /// other nodes drops or when an engine has loaded its layers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
@@ -44,7 +52,8 @@
         let gateway = &self.gateway;
         let end = self.wait_end(query);
         self.check_pauses(query, end)?;
-        if query.is_resumed || gateway.wait_queue.is_empty() {
+        let wait_queue = gateway.wait_queue(&self.service);
+        if query.is_resumed || wait_queue.order().is_empty() {
             match self.choose(query) {
                 Ok(selection) => return Ok(selection),
                 Err(NoSelection::NoUpstream)
@@ -55,18 +64,60 @@
                 Err(_) => {}
             }
         }
-        let priority = if query.is_resumed { RESUME_PRIORITY } else { self.priority + 1 };
-        let entry = gateway.wait_queue.enqueue(priority);
-        gateway.metrics.waiting.inc();
-        let outcome = self.wait_for_capacity(&entry, query, end).await;
-        gateway.metrics.waiting.dec();
+        let started = gateway.clock.now();
+        let waiting = self.waiting(query, end);
+        let wait = self.expected_wait(&wait_queue, &waiting);
+        let outcome = match wait_queue.enqueue(waiting, wait) {
+            Ok(entry) => {
+                gateway.metrics.waiting.inc();
+                let outcome = self.wait_for_capacity(&entry, query, end).await;
+                gateway.metrics.waiting.dec();
+                outcome
+            }
+            Err(reason) => Err(reason),
+        };
+        let label = wait_label(outcome.as_ref().err());
+        gateway.metrics.waits.with_label_values(&[label]).inc();
+        self.log.add_wait(gateway.clock.now().since(started));
         outcome
     }
 
+    /// The request as one that waits until `end`.
+    fn waiting(&self, query: SelectionQuery<'_>, end: Timestamp) -> Waiting {
+        let resumed = query.is_resumed;
+        if self.gateway.settings.overload.is_none() {
+            // All requests are of one group and one organisation.
+            let start_by = Timestamp::from_origin(Duration::MAX);
+            let (rank, organisation, tokens) = (self.priority, None, 0);
+            return Waiting { resumed, rank, organisation, tokens, start_by, end };
+        }
+        Waiting {
+            resumed,
+            rank: self.standing(resumed).rank,
+            organisation: self.organisation.clone(),
+            tokens: u64::from(self.tokens.max(1)),
+            start_by: self.start_by,
+            end,
+        }
+    }
+
+    /// How long the request is expected to wait behind those that are admitted before it. A resumed
+    /// one can no longer be refused as not run, so it waits whatever is expected. Without an
+    /// observation, no request is refused for the estimate.
+    fn expected_wait(&self, wait_queue: &WaitQueue, waiting: &Waiting) -> Duration {
+        let is_plain = self.gateway.settings.overload.is_none();
+        if waiting.resumed || is_plain || !self.gateway.flow(&self.service).has_observed() {
+            return Duration::ZERO;
+        }
+        let ahead = wait_queue.order().ahead(waiting, self.gateway.clock.now());
+        self.gateway.fleet_load(&self.service).expected_wait(ahead)
+    }
+
     /// What the fill limit of the request depends on.
     pub(crate) fn standing(&self, resumed: bool) -> Standing {
         let (rank, ranks) = self.table.priority_rank(&self.service, self.priority);
-        Standing { rank, ranks, over_share: self.is_over_share(), resumed }
+        let late = self.gateway.clock.now() > self.start_by;
+        Standing { rank, ranks, over_share: self.is_over_share(), late, resumed }
     }
 
     /// Whether the organisation of the request uses more than its fair share while capacity is
@@ -77,10 +128,13 @@
 
     /// Until when a request that arrives now may wait for capacity.
     fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
-        let limit = if query.is_resumed {
-            RESUME_WAIT
-        } else {
-            self.route.latency_target.mul_f64(MAX_WAIT_SHARE)
+        let limit = match &self.gateway.settings.overload {
+            _ if query.is_resumed => RESUME_WAIT,
+            Some(overload) if self.model_profile().is_some() => {
+                Duration::from_millis(overload.max_wait_ms)
+            }
+            Some(_) => self.route.timeout,
+            None => self.route.latency_target.mul_f64(MAX_WAIT_SHARE),
         };
         (self.gateway.clock.now() + limit).min(self.deadline)
     }
@@ -95,26 +149,33 @@
 
     async fn wait_for_capacity(
         &self,
-        entry: &QueueEntry<'_>,
+        entry: &QueueEntry,
         query: SelectionQuery<'_>,
         end: Timestamp,
     ) -> Result<Selection, NoSelection> {
         let clock = &self.gateway.clock;
         loop {
             self.check_pauses(query, end)?;
+            if entry.is_shed() {
+                return Err(NoSelection::QueueFull);
+            }
             let mut no_selection = NoSelection::Full;
-            if entry.is_first() {
+            if entry.may_try() {
                 match self.choose(query) {
-                    Ok(selection) => return Ok(selection),
+                    Ok(selection) => {
+                        entry.grant();
+                        return Ok(selection);
+                    }
                     Err(reason) => no_selection = reason,
                 }
+                entry.block(clock.now() + CHECK_INTERVAL);
             }
             let remaining = end.since(clock.now());
             if remaining.is_zero() {
                 return Err(no_selection);
             }
             let pause = clock.sleep(remaining.min(CHECK_INTERVAL));
-            select(pin!(entry.capacity_freed()), pause).await;
+            select(pin!(entry.woken()), pause).await;
         }
     }
 
@@ -136,3 +197,39 @@
         }
     }
 }
+
+impl Gateway {
+    /// The queue of the requests that wait for capacity of `service`. Without the settings for
+    /// overload, all services share one.
+    pub(crate) fn wait_queue(&self, service: &ServiceName) -> Rc<WaitQueue> {
+        let (key, limits) = match &self.settings.overload {
+            Some(overload) => {
+                let length = overload.queue_length;
+                let limits = QueueLimits { length, streak: GRANT_STREAK, lookahead: LOOKAHEAD };
+                (service.clone(), limits)
+            }
+            None => ("".into(), PLAIN_QUEUE),
+        };
+        let mut queues = self.wait_queues.borrow_mut();
+        let create = || Rc::new(WaitQueue::new(self.clock.clone(), limits));
+        queues.entry(key).or_insert_with(create).clone()
+    }
+
+    /// Wakes the first waiting request of each service, since capacity was freed.
+    pub(crate) fn wake_waiting(&self) {
+        for wait_queue in self.wait_queues.borrow().values() {
+            wait_queue.wake_first();
+        }
+    }
+}
+
+/// How a wait ended, for the metrics.
+fn wait_label(reason: Option<&NoSelection>) -> &'static str {
+    match reason {
+        None => "admitted",
+        Some(NoSelection::Full) => "expired",
+        Some(NoSelection::QueueFull) => "queue-full",
+        Some(NoSelection::Late) => "late",
+        Some(_) => "failed",
+    }
+}
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -175,6 +175,13 @@
             NoSelection::Full => {
                 self.give_up(attempts, FailureKind::Overloaded, "the upstreams have no room")
             }
+            NoSelection::QueueFull => {
+                self.give_up(attempts, FailureKind::Overloaded, "too many requests wait for room")
+            }
+            NoSelection::Late => {
+                let message = "the request cannot be served in time";
+                self.give_up(attempts, FailureKind::Overloaded, message)
+            }
             NoSelection::Poison => self.refuse_poison(attempts),
             NoSelection::NoUpstream => {
                 let message = "no upstream can serve the request";
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Gateway, metrics::Metrics, observed_store::ObservedStore, runs::RunTable, updates::Outbox,
-    wait_queue::WaitQueue, wakeup::Wakeup,
+    wakeup::Wakeup,
 };
 
 /// Builds a [`Gateway`].
@@ -64,7 +64,7 @@
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
-            wait_queue: WaitQueue::default(),
+            wait_queues: RefCell::default(),
             flows: RefCell::default(),
             crashes: RefCell::new(CrashTable::default()),
             runs: RunTable::default(),
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -48,7 +48,7 @@
             return CAPACITY_RETRY_AFTER;
         }
         let fleet = gateway.fleet_load(&self.service);
-        let waiting = gateway.wait_queue.len();
+        let waiting = gateway.wait_queue(&self.service).order().len();
         let now = gateway.clock.now();
         let wait = gateway.flow(&self.service).record_refusal(&fleet, waiting, now);
         let after = retry_after(wait, self.time_left(), rand::rng().random());
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -14,7 +14,10 @@
 use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
 use upstreams::Call;
 
-use crate::{Gateway, crashes::request_parts, outcome::OutcomeLog, selection::Selection};
+use crate::{
+    Gateway, admission::MAX_WAIT_SHARE, crashes::request_parts, outcome::OutcomeLog,
+    selection::Selection,
+};
 
 /// Longest time for a request that states no deadline, if the timeout of its route is longer.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -57,6 +60,8 @@
     /// Number of the last event that the caller already has.
     pub(crate) resume_after: Option<u64>,
     pub(crate) deadline: Timestamp,
+    /// Latest start at which the request still meets its latency target.
+    pub(crate) start_by: Timestamp,
     /// What tells it apart from other requests when engines crash.
     pub(crate) parts: RequestParts,
     /// Whether the answer has begun.
@@ -175,6 +180,7 @@
         let limit = route.timeout.min(time_limit);
         let margin = RESPONSE_MARGIN.min(limit / 10);
         let deadline = arrived + (limit - margin);
+        let start_by = arrived + route.latency_target.mul_f64(MAX_WAIT_SHARE);
         let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
         let body = body.map_err(reject)?;
         let roll = rand::rng().random::<f64>();
@@ -213,6 +219,7 @@
             tokens,
             resume_after: request.resume_after,
             deadline,
+            start_by,
             parts,
             has_begun: Cell::new(false),
             crash_check: Cell::new(None),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     pub(crate) table_version: IntGauge,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
+    /// Requests that found no capacity on arrival, by how their wait ended.
+    pub(crate) waits: IntCounterVec,
     /// Times after which refused callers may retry, from the estimate of the waiting time.
     pub(crate) retry_after: Histogram,
     /// Requests that wait for capacity.
@@ -115,6 +117,11 @@
                 .expect("gauge is valid"),
             waiting: IntGauge::new("gypsumrack_waiting", "Requests that wait for room")
                 .expect("gauge is valid"),
+            waits: counter_vec(
+                "gypsumrack_waits_total",
+                "Requests that found no room on arrival",
+                &["outcome"],
+            ),
             retry_after: Histogram::with_opts(
                 HistogramOpts::new(
                     "gypsumrack_retry_after_seconds",
@@ -164,6 +171,7 @@
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.waiting.clone()),
+            Box::new(self.waits.clone()),
             Box::new(self.retry_after.clone()),
             Box::new(self.cut_requests.clone()),
             Box::new(self.early_responses.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -68,7 +68,8 @@
     pub(crate) pauses: RefCell<PauseTable>,
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
-    pub(crate) wait_queue: WaitQueue,
+    /// The requests that wait for capacity, by service.
+    pub(crate) wait_queues: RefCell<HashMap<ServiceName, Rc<WaitQueue>>>,
     /// How fast the upstreams of each service are freed.
     pub(crate) flows: RefCell<HashMap<ServiceName, Flow>>,
     /// Crashes of engines, and the parts of prompts that are refused for them.
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -25,6 +25,8 @@
     causes: Vec<String>,
     reason: Option<String>,
     first_byte: Option<Timestamp>,
+    /// Time spent in the queue of waiting requests.
+    waited: Duration,
     retry_after: Option<Duration>,
     ended: Option<(&'static str, Verdict, u16)>,
 }
@@ -85,6 +87,11 @@
         self.state.borrow_mut().reason = Some(reason.to_owned());
     }
 
+    /// Adds a time spent in the queue of waiting requests.
+    pub(crate) fn add_wait(&self, time: Duration) {
+        self.state.borrow_mut().waited += time;
+    }
+
     /// Sets the time after which the caller of a refused request may retry.
     pub(crate) fn set_retry_after(&self, delay: Duration) {
         self.state.borrow_mut().retry_after = Some(delay);
@@ -140,6 +147,7 @@
             sends = state.attempts,
             upstream = state.last_upstream.as_ref().map(|name| name.as_str()),
             reason = state.reason.as_deref(),
+            waited_ms = (!state.waited.is_zero()).then(|| state.waited.as_millis() as u64),
             retry_after_ms = state.retry_after.map(|delay| delay.as_millis() as u64),
             causes = (!state.causes.is_empty()).then(|| state.causes.join("; ")),
             first_ms = state.first_byte.map(since),
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -51,7 +51,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.gateway.load.borrow_mut().remove(&self.loads);
-        self.gateway.wait_queue.wake_first();
+        self.gateway.wake_waiting();
     }
 }
 
@@ -60,6 +60,10 @@
 pub(crate) enum NoSelection {
     /// The upstreams have no free capacity.
     Full,
+    /// Too many requests wait for capacity.
+    QueueFull,
+    /// The request cannot be served before its caller leaves.
+    Late,
     /// No upstream can serve the request.
     NoUpstream,
     /// The request would crash its upstreams.
--- a/crates/gateway/tests/gateway/overload.rs
+++ b/crates/gateway/tests/gateway/overload.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use callers::{GenerationSize, RoutedRequest, Router};
+use compio::runtime::spawn;
+use futures_util::future::join;
 
 use crate::support::{Fixture, Step, body, request};
 
@@ -46,7 +48,7 @@
 /// told a time beyond a third of what its request has left.
 #[compio::test]
 async fn refused_callers_are_told_different_times() {
-    let fixture = Fixture::ready_with_overload("max_fill = 0.6\nfill_taper = 0.0").await;
+    let fixture = Fixture::ready_with_overload("max_fill = 0.6\nmax_wait_ms = 50").await;
     let mut times = Vec::new();
     for _ in 0..3 {
         let failure = fixture.gateway.clone().route(sized(70)).await.err().expect("no room");
@@ -56,3 +58,47 @@
     assert!(times.iter().all(|time| (Duration::from_millis(200)..third).contains(time)));
     assert!(times[0] != times[1] || times[1] != times[2], "{times:?}");
 }
+
+/// Time for which the streams of [`Fixture::fill`] occupy the engines. It is longer than half of the
+/// latency target.
+const BUSY: Duration = Duration::from_millis(300);
+
+impl Fixture {
+    /// Fills both replicas of the model with a stream each, for [`BUSY`].
+    async fn fill(&self) {
+        for _ in 0..2 {
+            let (before, after) = (vec![0], vec![1]);
+            self.push_steps([Step::EventsAroundPause { before, pause: BUSY, after }]);
+            let response = self.gateway.clone().route(sized(70)).await.expect("there is room");
+            spawn(body(response)).detach();
+        }
+    }
+}
+
+/// Guards against requests that are refused although capacity for them is freed before their callers
+/// leave, and against a longer wait on a node without the settings.
+#[compio::test]
+async fn requests_wait_beyond_their_latency_target() {
+    for (fixture, is_admitted) in
+        [(Fixture::ready().await, false), (Fixture::ready_with_overload("").await, true)]
+    {
+        fixture.fill().await;
+        fixture.push_steps([Step::Events(vec![0])]);
+        let answer = fixture.gateway.clone().route(sized(70)).await;
+        assert_eq!(answer.is_ok(), is_admitted);
+    }
+}
+
+/// Guards against a queue without a bound: with one place, one of two requests is refused at once
+/// and the other one gets the capacity that is freed.
+#[compio::test]
+async fn the_queue_of_a_node_is_bounded() {
+    let fixture = Fixture::ready_with_overload("queue_length = 1").await;
+    fixture.fill().await;
+    fixture.push_steps([Step::Events(vec![0])]);
+    let send = || fixture.gateway.clone().route(sized(70));
+    let (first, second) = join(send(), send()).await;
+    assert!(first.is_ok());
+    let failure = second.err().expect("the queue is full");
+    assert!(failure.failure.message.contains("too many requests wait"), "{failure:?}");
+}
--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -54,11 +54,21 @@
     pub fill_taper: f64,
     /// Additional width of that range for the least urgent requests.
     pub fill_spread: f64,
+    /// Most requests of a service that wait for capacity at the node.
+    pub queue_length: usize,
+    /// Longest wait of a request for engines, in milliseconds.
+    pub max_wait_ms: u64,
 }
 
 impl Default for OverloadSettings {
     fn default() -> OverloadSettings {
-        OverloadSettings { max_fill: 0.98, fill_taper: 0.14, fill_spread: 0.2 }
+        OverloadSettings {
+            max_fill: 0.98,
+            fill_taper: 0.14,
+            fill_spread: 0.2,
+            queue_length: 64,
+            max_wait_ms: 1500,
+        }
     }
 }
 
@@ -67,6 +77,10 @@
 const MAX_FILL: std::ops::RangeInclusive<f64> = 0.6..=1.0;
 /// Allowed range of `fill_taper` and `fill_spread`.
 const FILL_WIDTH: std::ops::RangeInclusive<f64> = 0.0..=0.4;
+/// Allowed range of `queue_length`. The order of the queue is computed anew for each check.
+const QUEUE_LENGTH: std::ops::RangeInclusive<usize> = 1..=1024;
+/// Allowed range of `max_wait_ms`.
+const MAX_WAIT_MS: std::ops::RangeInclusive<u64> = 50..=60_000;
 
 impl OverloadSettings {
     fn check(&self) -> Result<(), String> {
@@ -83,6 +97,20 @@
                 ));
             }
         }
+        if !QUEUE_LENGTH.contains(&self.queue_length) {
+            let (least, most) = (QUEUE_LENGTH.start(), QUEUE_LENGTH.end());
+            let length = self.queue_length;
+            return Err(format!(
+                "overload.queue_length is {length}, but must be from {least} to {most}"
+            ));
+        }
+        if !MAX_WAIT_MS.contains(&self.max_wait_ms) {
+            let (least, most) = (MAX_WAIT_MS.start(), MAX_WAIT_MS.end());
+            let wait = self.max_wait_ms;
+            return Err(format!(
+                "overload.max_wait_ms is {wait}, but must be from {least} to {most} ms"
+            ));
+        }
         Ok(())
     }
 }
