Limit a node without load information to its part of the capacity

Nodes that have restarted together know nothing of each other and would fill the engines together. A node that does not know the load of the others admits a request only within its equal part of the capacity. When it knows them is decided by one function, which says yes until the coverage of the beacons is known.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -16,6 +16,12 @@
         RefMut::map(self.flows.borrow_mut(), |flows| flows.entry(service.clone()).or_default())
     }
 
+    /// Whether this node has heard the load of enough other nodes. It does not count yet which nodes
+    /// it has heard.
+    pub(crate) fn knows_fleet_load(&self) -> bool {
+        true
+    }
+
     /// The load of all nodes on a service.
     pub(crate) fn fleet_load(&self, service: &ServiceName) -> FleetLoad {
         let catalog = self.catalog.borrow();
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -1,10 +1,10 @@
 //! Chooses the path of an attempt: the engines that together run the whole model.
 
-use admission::{FillRange, fill_limit};
+use admission::{FillRange, fill_limit, own_part};
 use catalog::ModelProfile;
 use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path};
 use rand::Rng;
-use types::Stage;
+use types::{Stage, UpstreamName};
 
 use crate::{
     lifecycle::ActiveRequest,
@@ -89,6 +89,9 @@
             }
         }
         let max_fill = self.max_fill(query);
+        if !query.is_resumed && self.exceeds_own_part(profile, &candidates, max_fill) {
+            return Err(NoSelection::Full);
+        }
         let avoid = query.avoid;
         let path_query =
             PathQuery { layers: profile.layers, tokens: self.tokens, max_fill, may_cross, avoid };
@@ -115,6 +118,28 @@
         }
     }
 
+    /// Whether the request would take more than this node's part of the capacity, while the node
+    /// does not know the load of the others. A single request is always within it.
+    fn exceeds_own_part(
+        &self,
+        profile: &ModelProfile,
+        candidates: &[PathCandidate],
+        max_fill: f64,
+    ) -> bool {
+        let gateway = &self.gateway;
+        if gateway.settings.overload.is_none() || gateway.knows_fleet_load() {
+            return false;
+        }
+        let capacity = candidates.iter().map(|candidate| candidate.kv_capacity).sum();
+        let is_candidate =
+            |name: &UpstreamName| candidates.iter().any(|candidate| candidate.name == *name);
+        let load = gateway.load.borrow();
+        let own = load.own().filter(|(name, _)| is_candidate(name));
+        let in_use: f64 = own.map(|(_, load)| load.token_layers).sum();
+        let added = f64::from(profile.layers) * f64::from(self.tokens);
+        in_use > 0.0 && in_use + added > own_part(capacity, max_fill, gateway.node_count())
+    }
+
     pub(crate) fn choose_engines(
         &self,
         profile: &ModelProfile,
