Wait for a share of the latency target, with narrower fill limits

Waits of up to 1.5 s let the requests that wait at all nodes start together as soon as old beliefs show room.

The wait for engines is a share of the latency target again, by default 0.3, and the setting is the share. The default range ends at 0.96, so that its middle for the most urgent rank is the limit without the settings.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -17,9 +17,9 @@
 /// Time for which a resumed request waits for capacity. Callers abandon a stream after two
 /// seconds without an event.
 const RESUME_WAIT: Duration = Duration::from_millis(1500);
-/// Longest wait for capacity of a request that meets its route's latency target, as a share of the
-/// target. Without the settings for overload, requests are refused after it.
-pub(crate) const MAX_WAIT_SHARE: f64 = 0.5;
+/// Longest wait for capacity before a request is refused, as a share of the route's latency target,
+/// without the settings for overload.
+const MAX_WAIT_SHARE: f64 = 0.5;
 /// Requests that are admitted in a row by urgency before the one that has waited longest.
 const GRANT_STREAK: u32 = 7;
 /// Requests that are tried one after the other when capacity is freed. Each search for a path takes
@@ -130,11 +130,8 @@
     fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
         let limit = match &self.gateway.settings.overload {
             _ if query.is_resumed => RESUME_WAIT,
-            Some(overload) if self.model_profile().is_some() => {
-                Duration::from_millis(overload.max_wait_ms)
-            }
-            Some(_) => self.route.timeout,
-            None => self.route.latency_target.mul_f64(MAX_WAIT_SHARE),
+            Some(_) if self.model_profile().is_none() => self.route.timeout,
+            _ => self.route.latency_target.mul_f64(self.gateway.wait_share()),
         };
         (self.gateway.clock.now() + limit).min(self.deadline)
     }
@@ -215,6 +212,11 @@
         queues.entry(key).or_insert_with(create).clone()
     }
 
+    /// Longest wait of a request for engines, as a share of its route's latency target.
+    pub(crate) fn wait_share(&self) -> f64 {
+        self.settings.overload.as_ref().map_or(MAX_WAIT_SHARE, |overload| overload.wait_share)
+    }
+
     /// Wakes the first waiting request of each service, since capacity was freed.
     pub(crate) fn wake_waiting(&self) {
         for wait_queue in self.wait_queues.borrow().values() {
--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -56,18 +56,18 @@
     pub fill_spread: f64,
     /// Most requests of a service that wait for capacity at the node.
     pub queue_length: usize,
-    /// Longest wait of a request for engines, in milliseconds.
-    pub max_wait_ms: u64,
+    /// Longest wait of a request for engines, as a share of its route's latency target.
+    pub wait_share: f64,
 }
 
 impl Default for OverloadSettings {
     fn default() -> OverloadSettings {
         OverloadSettings {
-            max_fill: 0.98,
-            fill_taper: 0.14,
-            fill_spread: 0.2,
+            max_fill: 0.96,
+            fill_taper: 0.08,
+            fill_spread: 0.3,
             queue_length: 64,
-            max_wait_ms: 1500,
+            wait_share: 0.3,
         }
     }
 }
@@ -79,8 +79,8 @@
 const FILL_WIDTH: std::ops::RangeInclusive<f64> = 0.0..=0.4;
 /// Allowed range of `queue_length`. The order of the queue is computed anew for each check.
 const QUEUE_LENGTH: std::ops::RangeInclusive<usize> = 1..=1024;
-/// Allowed range of `max_wait_ms`.
-const MAX_WAIT_MS: std::ops::RangeInclusive<u64> = 50..=60_000;
+/// Allowed range of `wait_share`. Above 1, requests are admitted that can only be late.
+const WAIT_SHARE: std::ops::RangeInclusive<f64> = 0.05..=4.0;
 
 impl OverloadSettings {
     fn check(&self) -> Result<(), String> {
@@ -88,6 +88,7 @@
             ("max_fill", self.max_fill, MAX_FILL),
             ("fill_taper", self.fill_taper, FILL_WIDTH),
             ("fill_spread", self.fill_spread, FILL_WIDTH),
+            ("wait_share", self.wait_share, WAIT_SHARE),
         ];
         for (key, share, allowed) in shares {
             if !allowed.contains(&share) {
@@ -104,13 +105,6 @@
                 "overload.queue_length is {length}, but must be from {least} to {most}"
             ));
         }
-        if !MAX_WAIT_MS.contains(&self.max_wait_ms) {
-            let (least, most) = (MAX_WAIT_MS.start(), MAX_WAIT_MS.end());
-            let wait = self.max_wait_ms;
-            return Err(format!(
-                "overload.max_wait_ms is {wait}, but must be from {least} to {most} ms"
-            ));
-        }
         Ok(())
     }
 }
