--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -11,7 +11,6 @@
 use upstreams::UpstreamResponse;
 
 use crate::{
-    admission::CAPACITY_RETRY_AFTER,
     attempt::Attempts,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection},
@@ -176,6 +175,13 @@
             NoSelection::Full => {
                 self.give_up(attempts, FailureKind::Overloaded, "the upstreams have no room")
             }
+            NoSelection::QueueFull => {
+                self.give_up(attempts, FailureKind::Overloaded, "too many requests wait for room")
+            }
+            NoSelection::Late => {
+                let message = "the request cannot be served in time";
+                self.give_up(attempts, FailureKind::Overloaded, message)
+            }
             NoSelection::Poison => self.refuse_poison(attempts),
             NoSelection::NoUpstream => {
                 let message = "no upstream can serve the request";
@@ -197,7 +203,9 @@
         message: &str,
     ) -> RoutedFailure {
         let delay = match kind {
-            FailureKind::Overloaded => CAPACITY_RETRY_AFTER,
+            FailureKind::Overloaded if attempts.verdict() == Verdict::NotRun => {
+                self.capacity_retry_after()
+            }
             _ => UNAVAILABLE_RETRY_AFTER,
         };
         self.give_up_for(attempts, kind, message, delay)
@@ -217,6 +225,7 @@
         let message =
             if causes.is_empty() { message.to_owned() } else { format!("{message} ({causes})") };
         if attempts.verdict() == Verdict::NotRun {
+            self.log.set_retry_after(delay);
             self.log.end("refused", Verdict::NotRun, 0);
             return RoutedFailure::retry_after(Failure::not_run(kind, message), delay);
         }
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -45,6 +45,8 @@
     pub(crate) service: ServiceName,
     pub(crate) organisation: Option<Organisation>,
     pub(crate) priority: u32,
+    /// Random number from 0 to 1 that decides up to which fill of its engines it is admitted.
+    pub(crate) draw: f64,
     pub(crate) method: Method,
     /// Request target: path and query of the URL.
     pub(crate) target: Arc<str>,
@@ -55,6 +57,8 @@
     /// Number of the last event that the caller already has.
     pub(crate) resume_after: Option<u64>,
     pub(crate) deadline: Timestamp,
+    /// Latest start at which the request still meets its latency target.
+    pub(crate) start_by: Timestamp,
     /// What tells it apart from other requests when engines crash.
     pub(crate) parts: RequestParts,
     /// Whether the answer has begun.
@@ -173,6 +177,7 @@
         let limit = route.timeout.min(time_limit);
         let margin = RESPONSE_MARGIN.min(limit / 10);
         let deadline = arrived + (limit - margin);
+        let start_by = arrived + route.latency_target.mul_f64(self.wait_share());
         let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
         let body = body.map_err(reject)?;
         let roll = rand::rng().random::<f64>();
@@ -199,6 +204,7 @@
             gateway: self,
             id: request.id,
             priority: access.and_then(|access| access.priority).unwrap_or(route.priority),
+            draw: rand::rng().random(),
             route,
             service,
             organisation,
@@ -210,6 +216,7 @@
             tokens,
             resume_after: request.resume_after,
             deadline,
+            start_by,
             parts,
             has_begun: Cell::new(false),
             crash_check: Cell::new(None),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use admission::Flow;
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
@@ -67,7 +68,10 @@
     pub(crate) pauses: RefCell<PauseTable>,
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
-    pub(crate) wait_queue: WaitQueue,
+    /// The requests that wait for capacity, by service.
+    pub(crate) wait_queues: RefCell<HashMap<ServiceName, Rc<WaitQueue>>>,
+    /// How fast the upstreams of each service are freed.
+    pub(crate) flows: RefCell<HashMap<ServiceName, Flow>>,
     /// Crashes of engines, and the parts of prompts that are refused for them.
     pub(crate) crashes: RefCell<CrashTable>,
     /// The attempts that take part in a crash if an engine of theirs ends now.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -28,6 +28,8 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) client: Rc<dyn upstreams::UpstreamClient>,
     pub(crate) stages: Vec<Stage>,
+    /// When the upstreams were selected.
+    pub(crate) selected: Timestamp,
     /// Whether the attempt may be abandoned because an engine is very slow and a better path
     /// exists.
     pub(crate) may_leave_slow: bool,
@@ -49,7 +51,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.gateway.load.borrow_mut().remove(&self.loads);
-        self.gateway.wait_queue.wake_first();
+        self.gateway.wake_waiting();
     }
 }
 
@@ -58,6 +60,10 @@
 pub(crate) enum NoSelection {
     /// The upstreams have no free capacity.
     Full,
+    /// Too many requests wait for capacity.
+    QueueFull,
+    /// The request cannot be served before its caller leaves.
+    Late,
     /// No upstream can serve the request.
     NoUpstream,
     /// The request would crash its upstreams.
@@ -77,12 +83,14 @@
         let gateway = self.gateway.clone();
         gateway.load.borrow_mut().add(&loads);
         let client = gateway.client(&upstream);
+        let selected = gateway.clock.now();
         let run = self.start_run(&upstream, &stages);
         let _reservation = Reservation { gateway, loads };
         Selection {
             upstream,
             client,
             stages,
+            selected,
             may_leave_slow: false,
             has_refused: false,
             run,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod lifecycle;
 mod log;
+mod overload;
 mod pauses;
 mod planner;
 mod silence;
