Accept datagrams whose decoded values exceed the size of a datagram

The decoder limits the size of the values that it reads, and counts a number by the size of its type. A load of a beacon has three numbers and a length, which count as 24 bytes beside the name and take 4 to 8. A beacon with about 40 upstreams thus exceeded the limit of 1,400 bytes and was discarded by each receiver: no other node knew the load of the busiest nodes.

The limit is now the largest size that the content of a datagram can have after decoding. A stated length beyond it is still rejected before memory is reserved. Beacons with fewer upstreams were ruled out: the datagram itself is not full. The new test received nothing before the change.

--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -8,6 +8,9 @@
 
 /// Largest datagram, in bytes. It fits into one Ethernet packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
+/// Largest size of the values in a datagram after decoding, in bytes. The decoder counts each number
+/// by the size of its type, up to 16 bytes, also if its encoding takes a single byte.
+const MAX_DECODED_BYTES: usize = 16 * MAX_DATAGRAM_BYTES;
 /// Largest total size of the changes in one datagram. The remaining bytes are for the kind of the
 /// datagram and the number of changes.
 const MAX_CHANGES_BYTES: usize = 1380;
@@ -205,7 +208,7 @@
         let BufResult(result, buffer) = self.socket.recv_from(buffer).await;
         let (length, _) = result?;
         // Without a limit, the decoder reserves memory for any length that the datagram states.
-        let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+        let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
         let decoded = bincode::serde::decode_from_slice(&buffer[..length], config);
         Ok(decoded.ok().map(|(datagram, _)| datagram))
     }
--- a/crates/peers/tests/datagrams.rs
+++ b/crates/peers/tests/datagrams.rs
@@ -6,7 +6,7 @@
     rc::Rc,
 };
 
-use peers::{Beacon, Datagram, DatagramSocket};
+use peers::{Beacon, BeaconLoad, Datagram, DatagramSocket, MAX_BEACON_ENTRIES};
 use proptest::prelude::*;
 
 fn beacon() -> Datagram {
@@ -45,6 +45,24 @@
     })
 }
 
+/// Guards against a busy node whose beacons no other node accepts: the receiver counted the size of
+/// the decoded values instead of that of the datagram.
+#[test]
+fn a_full_beacon_is_received() {
+    let load = |number| BeaconLoad {
+        upstream: format!("upstream-{number:07}").as_str().into(),
+        requests: 3,
+        entered: 1,
+        token_layers: 100_000,
+    };
+    let Datagram::Beacon(beacon) = beacon() else { panic!("not a beacon") };
+    let loads = (0..MAX_BEACON_ENTRIES).map(load).collect();
+    let full = Datagram::Beacon(Beacon { loads, ..beacon });
+    let bytes = bincode::serde::encode_to_vec(&full, bincode::config::standard());
+    let received = receive_all(&[bytes.expect("the beacon can be encoded")]);
+    assert_eq!(received, [Some(full)]);
+}
+
 /// Guards against a node that ends, or no longer receives anything, because a datagram states a
 /// length that no datagram can have: the receiver reserved memory for it.
 #[test]
