Send the load on all upstreams, and beacons faster under pressure

A beacon left out the load beyond 40 upstreams, so the busiest nodes were under-reported. With the settings for decisions under overload, the rest goes into parts, a new kind of datagram at the end of the list. Loads are put into datagrams by their encoded size, so a beacon with long names or many reports of failing and slow upstreams no longer exceeds a datagram either. Each part is valid by itself and expires by its own age. A part that did not arrive with two beacons in a row is dropped, and a beacon without load drops all parts: the sender keeps no record of what it sent before.

Under pressure, beacons go to all domains in each round and rounds are shorter, within 600 datagrams per second and node. BeaconPlan decides this by the sizes of the domains and the datagrams of a round. Differences to the last beacon instead of whole loads were ruled out: a lost datagram would leave wrong load.

Before the change, the new test of the gateway knew none of 90 upstreams.

--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -13,8 +13,8 @@
 use upstreams::Connector;
 
 use crate::{
-    Gateway, metrics::Metrics, observed_store::ObservedStore, runs::RunTable, updates::Outbox,
-    wait_queue::WaitQueue, wakeup::Wakeup,
+    Gateway, metrics::Metrics, observed_store::ObservedStore, pressure::Pressure, runs::RunTable,
+    updates::Outbox, wait_queue::WaitQueue, wakeup::Wakeup,
 };
 
 /// Builds a [`Gateway`].
@@ -61,6 +61,7 @@
             catalog: RefCell::new(CatalogState::default()),
             clients: RefCell::default(),
             load: RefCell::new(LoadTable::default()),
+            pressure: Pressure::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod admission;
 mod attempt;
 mod audience;
+mod beacons;
 mod buffered;
 mod builder;
 mod crashes;
@@ -41,6 +42,7 @@
 mod pauses;
 mod peering;
 mod planner;
+mod pressure;
 mod refused_parts;
 mod replica_choice;
 mod run;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,8 +18,9 @@
 use crashes::CrashTable;
 
 use crate::{
-    metrics::Metrics, observer::GatewayObserver, peering::Member, runs::RunTable,
-    stream_probe::ProbeTimes, updates::Outbox, wait_queue::WaitQueue, wakeup::Wakeup,
+    metrics::Metrics, observer::GatewayObserver, peering::Member, pressure::Pressure,
+    runs::RunTable, stream_probe::ProbeTimes, updates::Outbox, wait_queue::WaitQueue,
+    wakeup::Wakeup,
 };
 
 /// What a failure of an upstream shows about its process.
@@ -63,6 +64,7 @@
     pub(crate) catalog: RefCell<CatalogState>,
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
+    pub(crate) pressure: Pressure,
     pub(crate) health: RefCell<HealthTable>,
     pub(crate) pauses: RefCell<PauseTable>,
     /// Limits on retries, by service.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod crashing_parts;
 mod crashing_requests;
 mod datagrams;
+mod fleet_load;
 mod leaving;
 mod lifecycle;
 mod log;
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -6,6 +6,8 @@
 use transport::TurnLimit;
 use types::{LayerRange, NodeName, UpstreamName};
 
+use crate::LoadPart;
+
 /// Largest datagram, in bytes. It fits into one Ethernet packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 /// Largest size of the values in a datagram after decoding, in bytes. The decoder counts each number
@@ -19,8 +21,8 @@
 /// Most parts of prompts in one note about a crash, so that it fits into a datagram. A part has up to
 /// 20 bytes.
 const MAX_NOTE_PARTS: usize = 40;
-/// Largest number of upstreams in [`Beacon::loads`]. This number fits into a datagram if the names
-/// have up to 16 bytes.
+/// Largest number of upstreams in [`Beacon::loads`] of a node that does not send [`LoadPart`]s. This
+/// number fits into a datagram if the names have up to 16 bytes.
 pub const MAX_BEACON_ENTRIES: usize = 40;
 
 /// State of the sender, sent to other nodes several times a second. If a beacon is lost, the next
@@ -79,7 +81,7 @@
 }
 
 /// A message that is not answered and that may be lost: the receiver gets its content in another
-/// way later.
+/// way later. The encoding numbers the variants by their position, so new ones are added at the end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     /// State of the sender.
@@ -101,6 +103,11 @@
     Leaving(Vec<(UpstreamName, u64)>),
     /// [`Leaving`](Datagram::Leaving), of which the receiver passes on those that are new to it.
     RelayLeaving(Vec<(UpstreamName, u64)>),
+    /// Load that did not fit into the sender's beacon.
+    LoadPart(LoadPart),
+    /// A [`LoadPart`](Datagram::LoadPart) that the receiver passes on to the nodes of its failure
+    /// domain.
+    RelayLoadPart(LoadPart),
 }
 
 impl Datagram {
@@ -111,6 +118,7 @@
             Datagram::Beacon(beacon) => Datagram::RelayBeacon(beacon),
             Datagram::StoreChanges(changes) => Datagram::RelayStoreChanges(changes),
             Datagram::Leaving(upstreams) => Datagram::RelayLeaving(upstreams),
+            Datagram::LoadPart(part) => Datagram::RelayLoadPart(part),
             other => other,
         }
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -15,6 +15,7 @@
 mod frame;
 mod handler;
 mod link;
+mod load_part;
 mod message;
 mod network;
 mod outgoing;
@@ -28,6 +29,7 @@
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handler::{Direction, PeerHandler};
 pub use link::{ANSWER_TIMEOUT, HEARTBEAT_INTERVAL, SUSPECT_AFTER};
+pub use load_part::{LoadPart, MAX_LOAD_PARTS};
 pub use message::{
     Deltas, Heartbeat, Kind, MAX_DELTA_FACTS, MAX_TRACES, Message, Snapshot, SnapshotQuery,
 };
--- a/crates/peers/tests/datagrams.rs
+++ b/crates/peers/tests/datagrams.rs
@@ -63,6 +63,76 @@
     assert_eq!(received, [Some(full)]);
 }
 
+/// A beacon with load on `count` upstreams whose names have 16 bytes.
+fn beacon_with_loads(count: usize) -> Beacon {
+    let load = |number| BeaconLoad {
+        upstream: format!("upstream-{number:07}").as_str().into(),
+        requests: 300,
+        entered: 300,
+        token_layers: 100_000_000_000,
+    };
+    let Datagram::Beacon(beacon) = beacon() else { panic!("not a beacon") };
+    let reports = |number| format!("upstream-{number:07}").as_str().into();
+    Beacon {
+        loads: (0..count).map(load).collect(),
+        failing: (0..8).map(|number| (reports(number), 1)).collect(),
+        slow: (0..8).map(|number| (reports(number), 1, 400)).collect(),
+        ..beacon
+    }
+}
+
+/// Guards against load on many upstreams that does not fit into one datagram, and against a datagram
+/// that is too large to be sent because the node also reports failing and slow upstreams.
+#[test]
+fn load_on_ninety_upstreams_fits_into_several_datagrams() {
+    let whole = beacon_with_loads(90);
+    let datagrams = Datagram::of_beacon(whole.clone());
+    assert!(datagrams.len() > 1);
+    let encoded: Vec<Vec<u8>> = datagrams
+        .iter()
+        .flat_map(|datagram| [datagram.clone(), datagram.clone().for_relay()])
+        .map(|datagram| {
+            bincode::serde::encode_to_vec(&datagram, bincode::config::standard())
+                .expect("the datagram can be encoded")
+        })
+        .collect();
+    assert!(encoded.iter().all(|bytes| bytes.len() <= 1400));
+    let received: Vec<Datagram> = receive_all(&encoded).into_iter().flatten().collect();
+    let loads = received.into_iter().flat_map(|datagram| match datagram {
+        Datagram::Beacon(beacon) => beacon.loads,
+        Datagram::LoadPart(part) => part.loads,
+        _ => Vec::new(),
+    });
+    assert_eq!(loads.collect::<Vec<_>>(), whole.loads);
+}
+
+/// The kinds of datagrams that the previous release knows, without their content.
+#[derive(Debug, serde::Deserialize)]
+#[allow(dead_code)]
+enum PreviousKind {
+    Beacon,
+    StoreChanges,
+    Failed,
+    RelayBeacon,
+    RelayStoreChanges,
+    Crashes,
+    Leaving,
+    RelayLeaving,
+}
+
+/// Guards against a node of the previous release that takes a part of a beacon for something else.
+#[test]
+fn the_previous_release_ignores_new_kinds() {
+    for datagram in Datagram::of_beacon(beacon_with_loads(90)).into_iter().skip(1) {
+        for datagram in [datagram.clone(), datagram.for_relay()] {
+            let config = bincode::config::standard();
+            let bytes = bincode::serde::encode_to_vec(&datagram, config).expect("it is encoded");
+            let kind = bincode::serde::decode_from_slice::<PreviousKind, _>(&bytes, config);
+            assert!(kind.is_err(), "{kind:?}");
+        }
+    }
+}
+
 /// Guards against a node that ends, or no longer receives anything, because a datagram states a
 /// length that no datagram can have: the receiver reserved memory for it.
 #[test]
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -14,6 +14,7 @@
 //! of an engine, even if the engine carries out an earlier order late. This crate must not know
 //! about sockets or encodings.
 
+mod beacon_plan;
 mod budget;
 mod health;
 mod load;
@@ -21,6 +22,7 @@
 mod pause;
 mod placement;
 
+pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes};
 pub use budget::SharedRetryBudget;
 pub use health::HealthTable;
 pub use load::{Load, LoadTable, UpstreamLoad};
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -45,20 +45,28 @@
 #[derive(Default)]
 pub struct LoadTable {
     own: HashMap<UpstreamName, Load>,
-    peers: BTreeMap<NodeName, PeerLoad>,
+    peers: BTreeMap<NodeName, BTreeMap<u8, PeerLoad>>,
     /// Sums over `peers`, so that the time to choose an upstream does not grow with the number of
     /// nodes.
     peer_totals: HashMap<UpstreamName, Load>,
 }
 
-/// Load of another node's requests, according to its last message.
+/// One part of the load of another node's requests, according to its last message.
 struct PeerLoad {
     /// Time at which the message arrived.
     received: Timestamp,
+    /// First parts that have arrived from the node since.
+    missed: u32,
     /// Load on each upstream.
     load: Vec<(UpstreamName, Load)>,
 }
 
+/// Number of a node's part that is sent in each of its rounds.
+const FIRST_PART: u8 = 0;
+/// First parts after which a further part that did not arrive with them is dropped. A further part
+/// arrives after the first one of its round, so at 1 it would be dropped in each round.
+const MAX_MISSED: u32 = 2;
+
 impl LoadTable {
     /// Adds the load of a request of this node.
     pub fn add(&mut self, loads: &[UpstreamLoad]) {
@@ -74,12 +82,38 @@
         }
     }
 
-    /// Replaces the load of another node's requests.
+    /// Replaces the load of another node's requests that its beacons hold. Other parts of the node
+    /// are dropped if it reports no load, or if it no longer sends them.
     pub fn set_peer(&mut self, node: NodeName, load: Vec<(UpstreamName, Load)>, now: Timestamp) {
+        let is_idle = load.is_empty();
+        let LoadTable { peers, peer_totals, .. } = self;
+        if let Some(parts) = peers.get_mut(&node) {
+            parts.retain(|number, part| {
+                part.missed += 1;
+                let is_sent = *number == FIRST_PART || (!is_idle && part.missed < MAX_MISSED);
+                if !is_sent {
+                    subtract_all(peer_totals, &part.load);
+                }
+                is_sent
+            });
+        }
+        self.set_part(node, FIRST_PART, load, now);
+    }
+
+    /// Replaces one part of the load of another node's requests. The part that its beacons hold has
+    /// the number 0.
+    pub fn set_part(
+        &mut self,
+        node: NodeName,
+        number: u8,
+        load: Vec<(UpstreamName, Load)>,
+        now: Timestamp,
+    ) {
         for (upstream, load) in &load {
             self.peer_totals.entry(upstream.clone()).or_default().add(*load);
         }
-        if let Some(previous) = self.peers.insert(node, PeerLoad { received: now, load }) {
+        let part = PeerLoad { received: now, missed: 0, load };
+        if let Some(previous) = self.peers.entry(node).or_default().insert(number, part) {
             subtract_all(&mut self.peer_totals, &previous.load);
         }
     }
@@ -87,13 +121,16 @@
     /// Removes the load of nodes whose last message is older than `max_age`.
     pub fn expire(&mut self, now: Timestamp, max_age: Duration) {
         let LoadTable { peers, peer_totals, .. } = self;
-        peers.retain(|_, peer| {
-            let is_recent = now.since(peer.received) < max_age;
-            if !is_recent {
-                subtract_all(peer_totals, &peer.load);
-            }
-            is_recent
-        });
+        for parts in peers.values_mut() {
+            parts.retain(|_, part| {
+                let is_recent = now.since(part.received) < max_age;
+                if !is_recent {
+                    subtract_all(peer_totals, &part.load);
+                }
+                is_recent
+            });
+        }
+        peers.retain(|_, parts| !parts.is_empty());
     }
 
     /// Load of the requests of all nodes on an upstream.
