Estimate the load that other nodes have added since their beacons

A node that admits a request knows only what the others held at their last beacons, so in a burst all nodes fill the same engine. With the settings for decisions under overload, the load table keeps the growth between the last two messages of each node as a line over time for each upstream, and path choice adds it: growth per second times the age of each message, never negative, at most as much as is known. Sums over all nodes, so that the requests that end on one node offset those that begin on another.

Extrapolating each node by itself with decreases cut off was ruled out: the noise of single requests adds up. Replicas of plain services keep the reported load: their requests end before the next beacon.

--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -49,6 +49,8 @@
     pub fn build(self) -> Rc<Gateway> {
         let store_silent = Rc::<Wakeup>::default();
         let store = Rc::new(ObservedStore::new(self.store, store_silent.clone()));
+        let estimates_growth = self.settings.overload.is_some();
+        let load = if estimates_growth { LoadTable::with_growth() } else { LoadTable::default() };
         Rc::new_cyclic(|own| Gateway {
             own: own.clone(),
             clock: self.clock,
@@ -60,7 +62,7 @@
             stopped_at: Cell::new(None),
             catalog: RefCell::new(CatalogState::default()),
             clients: RefCell::default(),
-            load: RefCell::new(LoadTable::default()),
+            load: RefCell::new(load),
             pressure: Pressure::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -57,7 +57,8 @@
             let load = gateway.load.borrow();
             let health = gateway.health.borrow();
             let now = gateway.clock.now();
-            may_cross = may_cross_domains(profile, load.total(CROSS_DOMAIN).token_layers);
+            may_cross =
+                may_cross_domains(profile, load.total_estimate(CROSS_DOMAIN, now).token_layers);
             for upstream in catalog.upstreams().filter(|upstream| upstream.service == self.service)
             {
                 let (Some(accelerator_kind), Some(layers)) =
@@ -72,7 +73,7 @@
                     continue;
                 }
                 let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
-                let reserved = load.total(&upstream.name);
+                let reserved = load.total_estimate(&upstream.name, now);
                 candidates.push(PathCandidate {
                     name: upstream.name.clone(),
                     addr: upstream.addr,
--- a/crates/gateway/src/pressure.rs
+++ b/crates/gateway/src/pressure.rs
@@ -51,9 +51,10 @@
 
     /// Whether an upstream that this node uses is filled beyond the threshold.
     fn has_filled_upstream(&self) -> bool {
-        let load = self.load.borrow();
+        let (load, now) = (self.load.borrow(), self.clock.now());
         load.own().any(|(name, _)| {
-            self.fill(name, load.total(name)).is_some_and(|fill| fill >= PRESSURE_FILL)
+            self.fill(name, load.total_estimate(name, now))
+                .is_some_and(|fill| fill >= PRESSURE_FILL)
         })
     }
 
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod beacon_plan;
 mod budget;
+mod growth;
 mod health;
 mod load;
 mod path;
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -4,6 +4,8 @@
 use clock::Timestamp;
 use types::{NodeName, UpstreamName};
 
+use crate::growth::{Growth, GrowthTable};
+
 /// Load of requests in flight on an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -49,6 +51,8 @@
     /// Sums over `peers`, so that the time to choose an upstream does not grow with the number of
     /// nodes.
     peer_totals: HashMap<UpstreamName, Load>,
+    /// The growth of the load of the other nodes, if it is estimated.
+    growth: Option<GrowthTable>,
 }
 
 /// One part of the load of another node's requests, according to its last message.
@@ -59,6 +63,8 @@
     missed: u32,
     /// Load on each upstream.
     load: Vec<(UpstreamName, Load)>,
+    /// Change since the message before, if growth is estimated and there was such a message.
+    growth: Option<Growth>,
 }
 
 /// Number of a node's part that is sent in each of its rounds.
@@ -68,6 +74,11 @@
 const MAX_MISSED: u32 = 2;
 
 impl LoadTable {
+    /// Creates a table that estimates the growth of the load of the other nodes.
+    pub fn with_growth() -> LoadTable {
+        LoadTable { growth: Some(GrowthTable::default()), ..LoadTable::default() }
+    }
+
     /// Adds the load of a request of this node.
     pub fn add(&mut self, loads: &[UpstreamLoad]) {
         for item in loads {
@@ -86,13 +97,13 @@
     /// are dropped if it reports no load, or if it no longer sends them.
     pub fn set_peer(&mut self, node: NodeName, load: Vec<(UpstreamName, Load)>, now: Timestamp) {
         let is_idle = load.is_empty();
-        let LoadTable { peers, peer_totals, .. } = self;
+        let LoadTable { peers, peer_totals, growth, .. } = self;
         if let Some(parts) = peers.get_mut(&node) {
             parts.retain(|number, part| {
                 part.missed += 1;
                 let is_sent = *number == FIRST_PART || (!is_idle && part.missed < MAX_MISSED);
                 if !is_sent {
-                    subtract_all(peer_totals, &part.load);
+                    part.remove_from(peer_totals, growth);
                 }
                 is_sent
             });
@@ -109,23 +120,34 @@
         load: Vec<(UpstreamName, Load)>,
         now: Timestamp,
     ) {
+        let LoadTable { peers, peer_totals, growth: sums, .. } = self;
         for (upstream, load) in &load {
-            self.peer_totals.entry(upstream.clone()).or_default().add(*load);
+            peer_totals.entry(upstream.clone()).or_default().add(*load);
+        }
+        let parts = peers.entry(node).or_default();
+        let previous = parts.remove(&number);
+        if let Some(previous) = &previous {
+            previous.remove_from(peer_totals, sums);
         }
-        let part = PeerLoad { received: now, missed: 0, load };
-        if let Some(previous) = self.peers.entry(node).or_default().insert(number, part) {
-            subtract_all(&mut self.peer_totals, &previous.load);
+        // A node without load sends nothing more, so its decrease would be extrapolated for as long
+        // as its last message counts.
+        let mut growth = None;
+        if let (Some(previous), Some(sums), false) = (previous, sums, load.is_empty()) {
+            let change = Growth::new(previous.load, previous.received, now);
+            sums.add(&change, &load);
+            growth = Some(change);
         }
+        parts.insert(number, PeerLoad { received: now, missed: 0, load, growth });
     }
 
     /// Removes the load of nodes whose last message is older than `max_age`.
     pub fn expire(&mut self, now: Timestamp, max_age: Duration) {
-        let LoadTable { peers, peer_totals, .. } = self;
+        let LoadTable { peers, peer_totals, growth, .. } = self;
         for parts in peers.values_mut() {
             parts.retain(|_, part| {
                 let is_recent = now.since(part.received) < max_age;
                 if !is_recent {
-                    subtract_all(peer_totals, &part.load);
+                    part.remove_from(peer_totals, growth);
                 }
                 is_recent
             });
@@ -140,12 +162,36 @@
         total
     }
 
+    /// Like [`total`](LoadTable::total), with the load that the other nodes are estimated to have
+    /// added since their last messages. Equal to it if the table does not estimate growth.
+    pub fn total_estimate(&self, upstream: &str, now: Timestamp) -> Load {
+        let mut total = self.total(upstream);
+        if let Some(growth) = &self.growth {
+            let known = self.peer_totals.get(upstream).copied().unwrap_or_default();
+            total.add(growth.estimate(upstream, known, now));
+        }
+        total
+    }
+
     /// Load of the requests of this node on each upstream.
     pub fn own(&self) -> impl Iterator<Item = (&UpstreamName, &Load)> {
         self.own.iter()
     }
 }
 
+impl PeerLoad {
+    fn remove_from(
+        &self,
+        totals: &mut HashMap<UpstreamName, Load>,
+        growth: &mut Option<GrowthTable>,
+    ) {
+        subtract_all(totals, &self.load);
+        if let (Some(sums), Some(change)) = (growth, &self.growth) {
+            sums.remove(change, &self.load);
+        }
+    }
+}
+
 /// Subtracts the loads of `ended` from those of their upstreams.
 fn subtract_all(loads: &mut HashMap<UpstreamName, Load>, ended: &[(UpstreamName, Load)]) {
     for (upstream, load) in ended {
