Add the demand of the fleet and fair shares of organisations

DemandTable sums the requests in flight and waiting over all nodes by service, priority and organisation. An organisation is over its share if it runs more than max-min fairness gives it out of what all organisations run; as long as no other one waits, its share is lent. Requests that were refused for lack of capacity count as waiting for a second: a node has few arrivals and its queue is almost always empty. A report names eight organisations and sums up the others. The datagram for it comes at the end of the list.

Priorities are reported as numbers and not as ranks, since nodes with two versions of the configuration would number ranks differently.

--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -6,7 +6,7 @@
 use transport::TurnLimit;
 use types::{LayerRange, NodeName, UpstreamName};
 
-use crate::LoadPart;
+use crate::{DemandReport, LoadPart};
 
 /// Largest datagram, in bytes. It fits into one Ethernet packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -108,6 +108,11 @@
     /// A [`LoadPart`](Datagram::LoadPart) that the receiver passes on to the nodes of its failure
     /// domain.
     RelayLoadPart(LoadPart),
+    /// Requests that the sender has in flight and waiting.
+    Demand(DemandReport),
+    /// A report of [`Demand`](Datagram::Demand) that the receiver passes on to the nodes of its
+    /// failure domain.
+    RelayDemand(DemandReport),
 }
 
 impl Datagram {
@@ -119,6 +124,7 @@
             Datagram::StoreChanges(changes) => Datagram::RelayStoreChanges(changes),
             Datagram::Leaving(upstreams) => Datagram::RelayLeaving(upstreams),
             Datagram::LoadPart(part) => Datagram::RelayLoadPart(part),
+            Datagram::Demand(report) => Datagram::RelayDemand(report),
             other => other,
         }
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,6 +12,7 @@
 //! how a node uses a message; it calls the node through the [`PeerHandler`] trait.
 
 mod datagram;
+mod demand_report;
 mod frame;
 mod handler;
 mod link;
@@ -26,6 +27,7 @@
     Beacon, BeaconLoad, Datagram, DatagramSocket, MAX_BEACON_ENTRIES, MAX_DATAGRAM_BYTES,
     StoreChange,
 };
+pub use demand_report::{DemandReport, RequestCount, ServiceReport};
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handler::{Direction, PeerHandler};
 pub use link::{ANSWER_TIMEOUT, HEARTBEAT_INTERVAL, SUSPECT_AFTER};
--- a/crates/peers/src/load_part.rs
+++ b/crates/peers/src/load_part.rs
@@ -59,7 +59,7 @@
 }
 
 /// Size of a value in a datagram. A value that cannot be encoded fits into none.
-fn encoded_bytes(value: &impl Serialize) -> usize {
+pub(crate) fn encoded_bytes(value: &impl Serialize) -> usize {
     let encoded = bincode::serde::encode_to_vec(value, bincode::config::standard());
     encoded.map_or(MAX_DATAGRAM_BYTES, |bytes| bytes.len())
 }
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -16,6 +16,8 @@
 
 mod beacon_plan;
 mod budget;
+mod demand;
+mod fair_share;
 mod growth;
 mod health;
 mod load;
@@ -25,6 +27,8 @@
 
 pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes};
 pub use budget::SharedRetryBudget;
+pub use demand::{Demand, DemandKey, DemandTable, MAX_REPORTED_ORGANISATIONS, ServiceDemand};
+pub use fair_share::fair_level;
 pub use health::HealthTable;
 pub use load::{Load, LoadTable, UpstreamLoad};
 pub use path::{Path, PathCandidate, PathQuery, choose_path};
