--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -217,6 +217,11 @@
         self.settings.overload.as_ref().map_or(MAX_WAIT_SHARE, |overload| overload.wait_share)
     }
 
+    /// Whether a request waits for capacity.
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.wait_queues.borrow().values().any(|wait_queue| !wait_queue.order().is_empty())
+    }
+
     /// Wakes the first waiting request of each service, since capacity was freed.
     pub(crate) fn wake_waiting(&self) {
         for wait_queue in self.wait_queues.borrow().values() {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,9 +12,11 @@
 //! how a node uses a message; it calls the node through the [`PeerHandler`] trait.
 
 mod datagram;
+mod demand_report;
 mod frame;
 mod handler;
 mod link;
+mod load_part;
 mod message;
 mod network;
 mod outgoing;
@@ -25,9 +27,11 @@
     Beacon, BeaconLoad, Datagram, DatagramSocket, MAX_BEACON_ENTRIES, MAX_DATAGRAM_BYTES,
     StoreChange,
 };
+pub use demand_report::{DemandReport, RequestCount, ServiceReport};
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handler::{Direction, PeerHandler};
 pub use link::{ANSWER_TIMEOUT, HEARTBEAT_INTERVAL, SUSPECT_AFTER};
+pub use load_part::{LoadPart, MAX_LOAD_PARTS};
 pub use message::{
     Deltas, Heartbeat, Kind, MAX_DELTA_FACTS, MAX_TRACES, Message, Snapshot, SnapshotQuery,
 };
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -14,14 +14,21 @@
 //! of an engine, even if the engine carries out an earlier order late. This crate must not know
 //! about sockets or encodings.
 
+mod beacon_plan;
 mod budget;
+mod demand;
+mod fair_share;
+mod growth;
 mod health;
 mod load;
 mod path;
 mod pause;
 mod placement;
 
+pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes};
 pub use budget::SharedRetryBudget;
+pub use demand::{Demand, DemandKey, DemandTable, MAX_REPORTED_ORGANISATIONS, ServiceDemand};
+pub use fair_share::fair_level;
 pub use health::HealthTable;
 pub use load::{Load, LoadTable, UpstreamLoad};
 pub use path::{Path, PathCandidate, PathQuery, choose_path};
