Prefer paths that are predicted to meet the latency targets

The cost of a path covers memory only. A slow engine with much memory thus receives more requests than it can decode in time, and every stream through it is late, while another path has room.

The times that the configuration states under `runtime` are decoded into an optional latency model. Plain functions predict the time of an event and of the first event for a path, from the requests and the reserved KV cache of its engines. With the settings table [overload], the search first admits only engines and paths that keep to 0.8 of the targets, and takes the cheapest. If it finds none, a second search takes the path whose predicted times exceed the targets the least, so targets never make a request fail that finds a path without them. Without the table or the times, the search is as before, with the same sequence of random numbers; one warning per version names the services whose times are missing or out of range.

An additive penalty instead of two searches was ruled out: no single weight both keeps a cheap path that is in time and outweighs every cost otherwise. A search that keeps several labels per engine would find all paths in time, but costs several times as much.

--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -1,5 +1,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
+use crate::LatencyModel;
+
 /// Properties of a kind of accelerator.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AcceleratorKind {
@@ -23,6 +25,9 @@
     /// Tokens per second whose activations all links between failure domains can carry together;
     /// `None` if the configuration does not say.
     pub crossing_rate: Option<f64>,
+    /// How long the engines take; `None` if the configuration does not say or states values that
+    /// cannot be true.
+    pub latency: Option<LatencyModel>,
     /// Kinds of accelerators, by name.
     pub accelerators: BTreeMap<Arc<str>, AcceleratorKind>,
 }
@@ -36,6 +41,12 @@
         (free_mb * 1e6 / (self.kv_bytes / f64::from(self.layers))).max(0.0)
     }
 
+    /// Factor of `accelerator_kind` on the time to prefill prompts; 1 if it is not known.
+    pub fn read_factor(&self, accelerator_kind: &str) -> f64 {
+        let factors = self.latency.as_ref().map(|latency| &latency.read_factors);
+        factors.and_then(|factors| factors.get(accelerator_kind)).copied().unwrap_or(1.0)
+    }
+
     /// Number of layers that fit into `share` of the memory of an accelerator of
     /// `accelerator_kind`.
     pub fn layers_within(&self, accelerator_kind: &str, share: f64) -> u32 {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod codec;
 mod engine;
+mod latency;
 mod leaving;
 mod state;
 mod table;
@@ -20,6 +21,7 @@
 
 pub use codec::CatalogCodec;
 pub use engine::{AcceleratorKind, ModelProfile};
+pub use latency::LatencyModel;
 pub use leaving::{LeavingMark, LeavingSource};
 pub use state::{CatalogState, UpdateOutcome};
 pub use table::{
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod observer;
 mod outcome;
 mod path_choice;
+mod path_targets;
 mod pauses;
 mod peering;
 mod planner;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -52,6 +52,8 @@
     pub(crate) body: Bytes,
     /// Most tokens that the request may occupy in the KV caches of engines.
     pub(crate) tokens: u32,
+    /// Number of prompt tokens.
+    pub(crate) prompt: u32,
     /// Number of the last event that the caller already has.
     pub(crate) resume_after: Option<u64>,
     pub(crate) deadline: Timestamp,
@@ -208,6 +210,7 @@
             headers: request.headers,
             body,
             tokens,
+            prompt: request.generation.map_or(0, |generation| generation.prompt),
             resume_after: request.resume_after,
             deadline,
             parts,
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// When the request was prepared, which is after its body was read.
+    pub(crate) fn started(&self) -> Timestamp {
+        self.started
+    }
+
     /// Marks the request as in flight: it is counted until this value is dropped. That is before
     /// its upstreams are selected, so it may still be refused.
     pub(crate) fn start(&self) {
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -81,6 +81,9 @@
                     step_factor: kind.step_factor * slowdown,
                     kv_capacity: profile.kv_capacity(accelerator_kind, layers.len()),
                     kv_reserved: reserved.token_layers,
+                    requests: reserved.requests,
+                    unread: 0.0,
+                    read_factor: profile.read_factor(accelerator_kind) * slowdown,
                     can_be_entry: reserved.entered < upstream.capacity
                         && (query.allowed_entries.is_empty()
                             || query.allowed_entries.contains(&upstream.name)),
@@ -88,9 +91,14 @@
             }
         }
         let max_fill = if query.is_resumed { MAX_RESUME_FILL } else { MAX_FILL };
-        let avoid = query.avoid;
-        let path_query =
-            PathQuery { layers: profile.layers, tokens: self.tokens, max_fill, may_cross, avoid };
+        let path_query = PathQuery {
+            layers: profile.layers,
+            tokens: self.tokens,
+            max_fill,
+            may_cross,
+            avoid: query.avoid,
+            targets: self.path_targets(profile),
+        };
         choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
             let held = candidates.iter().map(|candidate| candidate.layers);
             let covered = pipelines::covers_model(profile, held);
@@ -103,7 +111,7 @@
         profile: &ModelProfile,
         query: SelectionQuery<'_>,
     ) -> Result<Selection, NoSelection> {
-        let Path { stages, crossings } = self.find_path(profile, query)?;
+        let Path { stages, crossings, .. } = self.find_path(profile, query)?;
         let mut loads: Vec<UpstreamLoad> = stages
             .iter()
             .enumerate()
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,12 +3,12 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use catalog::UpdateOutcome;
+use catalog::{RoutingTable, Service, UpdateOutcome};
 use clock::supervise;
 use compio::runtime::spawn;
 use futures_util::future::{Either, select};
 use keyvalue::{Changes, Item, KvError};
-use types::UpstreamName;
+use types::{ServiceName, UpstreamName};
 
 use crate::{Gateway, peering::NODE_PREFIX, planner::PLANNER_KEY, refused_parts::REFUSED_PREFIX};
 
@@ -177,12 +177,26 @@
         }
     };
     let version = table.version();
+    let without_latency = services_without_latency(&table);
     if gateway.catalog.borrow_mut().apply_table(table) == UpdateOutcome::Applied {
         gateway.metrics.table_version.set(version.try_into().unwrap_or(i64::MAX));
         tracing::info!(version, revision = item.revision, "configuration is in force");
+        if gateway.settings.overload.is_some() && !without_latency.is_empty() {
+            tracing::warn!(version, services = ?without_latency,
+                "runtime values are missing or out of range; paths are chosen without them");
+        }
     }
 }
 
+/// The services with a model whose configuration does not say how long their engines take.
+fn services_without_latency(table: &RoutingTable) -> Vec<ServiceName> {
+    let lacks_latency = |service: &Service| {
+        service.model_profile.as_ref().is_some_and(|profile| profile.latency.is_none())
+    };
+    let services = table.services().filter(|(_, service)| lacks_latency(service));
+    services.map(|(name, _)| name.clone()).collect()
+}
+
 /// Applies a change of an upstream's entry. Returns whether it changes the catalog of this node.
 fn apply_upstream(gateway: &Rc<Gateway>, name: &UpstreamName, item: &Item) -> bool {
     let (before, before_phase) = {
--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -87,6 +87,7 @@
         kv_bytes: 10_000.0,
         // A single request of 20 tokens uses up what may cross between failure domains.
         crossing_rate: Some(8.0),
+        latency: None,
         accelerators: BTreeMap::from([("gpu".into(), kind)]),
     };
     let drafts = Service { model_profile: Some(std::sync::Arc::new(engine)) };
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -16,14 +16,18 @@
 
 mod budget;
 mod health;
+mod latency;
 mod load;
 mod path;
 mod pause;
 mod placement;
+mod targets;
 
 pub use budget::SharedRetryBudget;
 pub use health::HealthTable;
+pub use latency::{EngineTimes, EngineWork, PathTimes, reading_share};
 pub use load::{Load, LoadTable, UpstreamLoad};
 pub use path::{Path, PathCandidate, PathQuery, choose_path};
 pub use pause::PauseTable;
 pub use placement::{EngineView, Placement, covers_model, plan};
+pub use targets::PathTargets;
--- a/crates/pipelines/src/path.rs
+++ b/crates/pipelines/src/path.rs
@@ -3,6 +3,11 @@
 use rand::Rng;
 use types::{Domain, LayerRange, Stage, UpstreamName, check_coverage};
 
+use crate::{
+    latency::PathTimes,
+    targets::{PathTargets, TimePrice, choose_within_targets},
+};
+
 /// Largest number of stages of a path.
 const MAX_STAGES: usize = 32;
 /// Cost of a transition between failure domains, in units of the time of a decoding step through
@@ -36,6 +41,12 @@
     pub kv_reserved: f64,
     /// Whether the path may begin with it.
     pub can_be_entry: bool,
+    /// Number of requests in flight.
+    pub requests: u32,
+    /// Prompt tokens of these requests that are not prefilled yet, times layers.
+    pub unread: f64,
+    /// Factor on the time to prefill prompts.
+    pub read_factor: f64,
 }
 
 /// Engines that together run the whole model.
@@ -45,6 +56,8 @@
     pub stages: Vec<Stage>,
     /// Number of transitions between failure domains.
     pub crossings: u32,
+    /// Predicted times, if the query states targets.
+    pub times: Option<PathTimes>,
 }
 
 /// Requirements for a path.
@@ -60,6 +73,9 @@
     pub may_cross: bool,
     /// Engines that must not be used.
     pub avoid: &'a [UpstreamName],
+    /// Latency targets. Paths that are predicted to meet them are preferred to those that are not.
+    /// Without targets, only the cost decides.
+    pub targets: Option<PathTargets<'a>>,
 }
 
 /// The cheapest known path that ends with a given candidate.
@@ -71,14 +87,30 @@
     /// Index of the candidate before the last one, if there is one.
     predecessor: Option<usize>,
     stages: usize,
+    /// Predicted times; zero if the query states no targets.
+    times: PathTimes,
 }
 
-/// Chooses the cheapest path whose engines have room for the request. Returns `None` if there is
-/// none.
+/// Chooses the cheapest path whose engines have room for the request, among those that are
+/// predicted to meet the targets of the query if there are any. Returns `None` if there is none.
 pub fn choose_path(
     candidates: &[PathCandidate],
     query: &PathQuery<'_>,
     rng: &mut impl Rng,
+) -> Option<Path> {
+    match &query.targets {
+        Some(targets) => choose_within_targets(candidates, query, targets, rng),
+        None => find_cheapest(candidates, query, None, rng),
+    }
+}
+
+/// Finds the cheapest path whose engines have room for the request. With `price`, predicted times
+/// add to the cost, and paths that `price` does not admit are left out.
+pub(crate) fn find_cheapest(
+    candidates: &[PathCandidate],
+    query: &PathQuery<'_>,
+    price: Option<&TimePrice<'_>>,
+    rng: &mut impl Rng,
 ) -> Option<Path> {
     let mut sorted: Vec<usize> = (0..candidates.len())
         .filter(|index| {
@@ -86,6 +118,7 @@
             !candidate.layers.is_empty()
                 && candidate.layers.end <= query.layers
                 && !query.avoid.contains(&candidate.name)
+                && price.is_none_or(|price| price.admits_engine(*index))
         })
         .collect();
     sorted.sort_by_key(|index| candidates[*index].layers.end);
@@ -94,11 +127,15 @@
         let candidate = &candidates[index];
         if candidate.layers.start == 0 && candidate.can_be_entry {
             let factor = 1.0 + JITTER * rng.random::<f64>();
-            best[index] = stage_cost(candidate, 0, query).map(|cost| BestPath {
-                cost: cost * factor,
-                factor,
-                predecessor: None,
-                stages: 1,
+            let start = (PathTimes::default(), 0.0);
+            best[index] = stage_cost(candidate, 0, query).and_then(|cost| {
+                let share = share_from(candidate, 0, query);
+                let (times, time_cost) = match price {
+                    Some(price) => price.extend(start.0, index, share, false)?,
+                    None => start,
+                };
+                let cost = (cost + time_cost) * factor;
+                Some(BestPath { cost, factor, predecessor: None, stages: 1, times })
             });
         }
         for &predecessor in &sorted[..position] {
@@ -110,13 +147,22 @@
             if !extends || shorter.stages == MAX_STAGES || (crosses && !query.may_cross) {
                 continue;
             }
-            let Some(added) = stage_cost(candidate, previous.layers.end, query) else { continue };
+            let Some(mut added) = stage_cost(candidate, previous.layers.end, query) else {
+                continue;
+            };
+            let mut times = shorter.times;
+            if let Some(price) = price {
+                let share = share_from(candidate, previous.layers.end, query);
+                let Some(extended) = price.extend(times, index, share, crosses) else { continue };
+                times = extended.0;
+                added += extended.1;
+            }
             let crossing = if crosses { CROSSING_COST } else { 0.0 };
             let cost = shorter.cost + added * shorter.factor + crossing;
             if best[index].is_none_or(|other| cost < other.cost) {
                 let (factor, stages) = (shorter.factor, shorter.stages + 1);
-                best[index] =
-                    Some(BestPath { cost, factor, predecessor: Some(predecessor), stages });
+                let predecessor = Some(predecessor);
+                best[index] = Some(BestPath { cost, factor, predecessor, stages, times });
             }
         }
     }
@@ -126,7 +172,8 @@
         .filter_map(|index| best[*index].map(|found| (*index, found.cost)))
         .min_by(|one, other| one.1.total_cmp(&other.1))?
         .0;
-    let path = collect_path(candidates, &best, last);
+    let mut path = collect_path(candidates, &best, last);
+    path.times = best[last].filter(|_| price.is_some()).map(|found| found.times);
     let ranges = path.stages.iter().map(|stage| stage.layers);
     // Engines do not check the path, so a gap or an overlap would produce a wrong answer.
     assert_eq!(check_coverage(ranges, query.layers), Ok(()), "path covers the model");
@@ -146,6 +193,11 @@
     Some(share * candidate.step_factor * (1.0 + FILL_WEIGHT * filled * filled))
 }
 
+/// Share of the model's layers that the candidate runs from layer `start` on.
+fn share_from(candidate: &PathCandidate, start: u32, query: &PathQuery<'_>) -> f64 {
+    f64::from(candidate.layers.end - start) / f64::from(query.layers)
+}
+
 /// Follows the links of `best` back from the candidate `last` to the first one.
 fn collect_path(candidates: &[PathCandidate], best: &[Option<BestPath>], last: usize) -> Path {
     let mut stages = Vec::new();
@@ -162,5 +214,5 @@
         stages.push(Stage { engine: candidate.name.clone(), addr: candidate.addr, layers });
     }
     stages.reverse();
-    Path { stages, crossings }
+    Path { stages, crossings, times: None }
 }
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -21,6 +21,7 @@
         layer_mb: 1750.0,
         kv_bytes: 590_000.0,
         crossing_rate: None,
+        latency: None,
         accelerators: BTreeMap::from([
             ("big".into(), kind(72_000.0, 1.4)),
             ("mid".into(), kind(21_600.0, 16.0)),
@@ -43,11 +44,21 @@
         kv_capacity: 1e9,
         kv_reserved: 0.0,
         can_be_entry: true,
+        requests: 0,
+        unread: 0.0,
+        read_factor: 1.0,
     }
 }
 
 fn query() -> PathQuery<'static> {
-    PathQuery { layers: LAYERS, tokens: 1000, max_fill: 0.9, may_cross: true, avoid: &[] }
+    PathQuery {
+        layers: LAYERS,
+        tokens: 1000,
+        max_fill: 0.9,
+        may_cross: true,
+        avoid: &[],
+        targets: None,
+    }
 }
 
 fn engines() -> impl Strategy<Value = Vec<EngineView>> {
