Count prompts that are not prefilled yet in the choice of paths

An engine prefills at most a chunk of prompt tokens between the tokens of other requests, so long and short prompts that arrive together at the cheapest engines wait behind one another while other engines are free. The cost of a path did not include this wait.

A node now counts the prompts of its own streams on each engine, from the send to the first event. Those of other nodes are estimated from the KV cache that these have reserved, with the share of unread prompts that this node sees in its own reservations, blended with the share of usual requests. Both are part of the predicted time to the first event, which is part of the cost.

Growth of the reported load was ruled out as the estimate: a beacon arrives later than most prompts take to be prefilled. The search for a path without a margin now only admits paths that meet the whole targets.

--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -61,6 +61,7 @@
             catalog: RefCell::new(CatalogState::default()),
             clients: RefCell::default(),
             load: RefCell::new(LoadTable::default()),
+            unread: RefCell::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod stream;
 mod stream_attempt;
 mod stream_probe;
+mod unread;
 mod updates;
 mod wait_queue;
 mod wakeup;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable, PauseTable, SharedRetryBudget};
+use pipelines::{HealthTable, LoadTable, PauseTable, SharedRetryBudget, UnreadTable};
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
@@ -63,6 +63,8 @@
     pub(crate) catalog: RefCell<CatalogState>,
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
+    /// Prompt tokens that engines have not prefilled yet.
+    pub(crate) unread: RefCell<UnreadTable>,
     pub(crate) health: RefCell<HealthTable>,
     pub(crate) pauses: RefCell<PauseTable>,
     /// Limits on retries, by service.
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -1,7 +1,7 @@
 //! Chooses the path of an attempt: the engines that together run the whole model.
 
 use catalog::ModelProfile;
-use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path};
+use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path, unread_share};
 use rand::Rng;
 use types::Stage;
 
@@ -50,12 +50,14 @@
         query: SelectionQuery<'_>,
     ) -> Result<Path, NoSelection> {
         let gateway = &self.gateway;
+        let targets = self.path_targets(profile, query);
         let mut candidates = Vec::new();
         let may_cross;
         {
             let catalog = gateway.catalog.borrow();
             let load = gateway.load.borrow();
             let health = gateway.health.borrow();
+            let unread = gateway.unread.borrow();
             let now = gateway.clock.now();
             may_cross = may_cross_domains(profile, load.total(CROSS_DOMAIN).token_layers);
             for upstream in catalog.upstreams().filter(|upstream| upstream.service == self.service)
@@ -73,6 +75,11 @@
                 }
                 let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
                 let reserved = load.total(&upstream.name);
+                let read_factor = profile.read_factor(accelerator_kind);
+                let waiting = targets.map_or(0.0, |targets| {
+                    let share = unread_share(targets.model, kind.step_factor, read_factor);
+                    unread.unread(&upstream.name, reserved.token_layers, share)
+                });
                 candidates.push(PathCandidate {
                     name: upstream.name.clone(),
                     addr: upstream.addr,
@@ -82,8 +89,8 @@
                     kv_capacity: profile.kv_capacity(accelerator_kind, layers.len()),
                     kv_reserved: reserved.token_layers,
                     requests: reserved.requests,
-                    unread: 0.0,
-                    read_factor: profile.read_factor(accelerator_kind) * slowdown,
+                    unread: waiting,
+                    read_factor: read_factor * slowdown,
                     can_be_entry: reserved.entered < upstream.capacity
                         && (query.allowed_entries.is_empty()
                             || query.allowed_entries.contains(&upstream.name)),
@@ -97,7 +104,7 @@
             max_fill,
             may_cross,
             avoid: query.avoid,
-            targets: self.path_targets(profile),
+            targets,
         };
         choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
             let held = candidates.iter().map(|candidate| candidate.layers);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,7 +7,7 @@
 use pipelines::UpstreamLoad;
 use types::{Stage, UpstreamName};
 
-use crate::{Gateway, lifecycle::ActiveRequest, runs::RunGuard};
+use crate::{Gateway, lifecycle::ActiveRequest, runs::RunGuard, unread::UnreadGuard};
 
 /// The constraints on the selection of the upstreams for an attempt.
 #[derive(Clone, Copy, Default)]
@@ -36,6 +36,8 @@
     pub(crate) has_refused: bool,
     /// Counts the attempt as one that may crash its upstreams.
     pub(crate) run: RunGuard,
+    /// Counts the prompt as unread until the first event.
+    pub(crate) unread: UnreadGuard,
     /// Counts the request in the load table for as long as the selection exists.
     pub(crate) _reservation: Reservation,
 }
@@ -78,6 +80,7 @@
         gateway.load.borrow_mut().add(&loads);
         let client = gateway.client(&upstream);
         let run = self.start_run(&upstream, &stages);
+        let unread = self.start_reading(&stages);
         let _reservation = Reservation { gateway, loads };
         Selection {
             upstream,
@@ -86,6 +89,7 @@
             may_leave_slow: false,
             has_refused: false,
             run,
+            unread,
             _reservation,
         }
     }
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -184,6 +184,7 @@
             match self.first_events(attempts, &mut stream, continued).await {
                 Ok(()) => {
                     if stream.unforwarded.is_some() {
+                        stream.selection.unread.record_event();
                         self.record_path_acceptance(&stream.selection);
                     }
                     return Ok(stream);
--- a/crates/pipelines/src/latency.rs
+++ b/crates/pipelines/src/latency.rs
@@ -110,7 +110,7 @@
 
 /// Share of its time in flight for which a usual request waits for its first event on an engine
 /// without other work.
-pub fn reading_share(model: &LatencyModel, step_factor: f64, read_factor: f64) -> f64 {
+pub(crate) fn reading_share(model: &LatencyModel, step_factor: f64, read_factor: f64) -> f64 {
     let read_ms = model.usual_prompt * MS_PER_S / model.read_rate * read_factor;
     let decode_ms = model.usual_answer * model.step_ms * step_factor;
     read_ms / (read_ms + decode_ms)
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -22,12 +22,14 @@
 mod pause;
 mod placement;
 mod targets;
+mod unread;
 
 pub use budget::SharedRetryBudget;
 pub use health::HealthTable;
-pub use latency::{EngineTimes, EngineWork, PathTimes, reading_share};
+pub use latency::{EngineTimes, EngineWork, PathTimes};
 pub use load::{Load, LoadTable, UpstreamLoad};
 pub use path::{Path, PathCandidate, PathQuery, choose_path};
 pub use pause::PauseTable;
 pub use placement::{EngineView, Placement, covers_model, plan};
 pub use targets::PathTargets;
+pub use unread::{RequestSize, UnreadTable, unread_share};
--- a/crates/pipelines/src/targets.rs
+++ b/crates/pipelines/src/targets.rs
@@ -8,15 +8,14 @@
     path::{Path, PathCandidate, PathQuery, find_cheapest},
 };
 
-/// Share of a target that the predicted times of a path may take. The rest is for the network, and
-/// for requests of other nodes that this node does not know of yet.
-const TARGET_SHARE: f64 = 0.8;
-/// Cost of a predicted time to the first event that is as long as its target, in the unit of the
-/// cost of paths. With this term, prompts do not wait behind others while another path is free.
-const FIRST_EVENT_COST: f64 = 16.0;
-/// Cost of a predicted time that is as long as its target, while no path meets all targets. It
-/// outweighs the other costs, so that the path is chosen that exceeds its targets the least.
-const LATE_COST: f64 = 64.0;
+/// Share of a target that the predicted times of a path should take. The rest is for the network,
+/// and for requests of other nodes that this node does not know of yet.
+const TARGET_SHARE: f64 = 0.7;
+/// Cost of a predicted time that is as long as its target, in the unit of the cost of paths. It
+/// makes a wait of a twentieth of the target for the first event about as costly as the difference
+/// between a full engine and an empty one, so that prompts do not wait behind others while another
+/// path is free.
+const TIME_COST: f64 = 64.0;
 
 /// Latency targets of a request.
 #[derive(Clone, Copy, Debug)]
@@ -32,10 +31,10 @@
 }
 
 impl PathTargets<'_> {
-    /// Whether a path with these predicted times meets the targets.
-    pub fn are_met(&self, times: &PathTimes) -> bool {
-        times.event_ms <= self.gap_ms * TARGET_SHARE
-            && times.first_event_ms() <= self.first_event_ms * TARGET_SHARE
+    /// Whether a path with these predicted times meets `share` of the targets.
+    pub fn are_met(&self, times: &PathTimes, share: f64) -> bool {
+        times.event_ms <= self.gap_ms * share
+            && times.first_event_ms() <= self.first_event_ms * share
     }
 }
 
@@ -44,16 +43,15 @@
     targets: &'a PathTargets<'a>,
     /// Times of each candidate.
     engines: &'a [EngineTimes],
-    /// Whether only paths that meet the targets are admitted.
-    is_strict: bool,
+    /// Share of the targets that the predicted times of an admitted path may take.
+    share: f64,
 }
 
 impl TimePrice<'_> {
     /// Whether the search may use a candidate. An engine that decodes so slowly with one more
     /// request that streams through such engines miss their targets takes none.
     pub(crate) fn admits_engine(&self, candidate: usize) -> bool {
-        let limit = self.targets.gap_ms * TARGET_SHARE;
-        !self.is_strict || self.engines[candidate].decode_ms <= limit
+        self.engines[candidate].decode_ms <= self.targets.gap_ms * self.share
     }
 
     /// Predicts the times of a path with `times` after a further stage, on a candidate that runs
@@ -68,17 +66,16 @@
     ) -> Option<(PathTimes, f64)> {
         let targets = self.targets;
         let next = times.then(targets.model, &self.engines[candidate], share, crosses);
-        let first = (next.first_event_ms() - times.first_event_ms()) / targets.first_event_ms;
-        if self.is_strict {
-            return targets.are_met(&next).then_some((next, first * FIRST_EVENT_COST));
-        }
-        let event = (next.event_ms - times.event_ms) / targets.gap_ms;
-        Some((next, (first + event) * LATE_COST))
+        let added = next.first_event_ms() - times.first_event_ms();
+        targets
+            .are_met(&next, self.share)
+            .then_some((next, TIME_COST * added / targets.first_event_ms))
     }
 }
 
-/// Chooses the cheapest path that is predicted to meet the targets. If the search finds none,
-/// chooses the one that exceeds them the least.
+/// Chooses the cheapest path that is predicted to meet the targets, with a margin if there is one.
+/// A request that is late on every path takes the cheapest one, as without targets: spread over the
+/// paths with the least delay, such requests would make others late there.
 pub(crate) fn choose_within_targets(
     candidates: &[PathCandidate],
     query: &PathQuery<'_>,
@@ -87,11 +84,13 @@
 ) -> Option<Path> {
     let predict = |candidate| predict_engine(candidate, targets);
     let engines: Vec<EngineTimes> = candidates.iter().map(predict).collect();
-    let strict = TimePrice { targets, engines: &engines, is_strict: true };
-    find_cheapest(candidates, query, Some(&strict), rng).or_else(|| {
-        let lenient = TimePrice { is_strict: false, ..strict };
-        find_cheapest(candidates, query, Some(&lenient), rng)
-    })
+    for share in [TARGET_SHARE, 1.0] {
+        let price = TimePrice { targets, engines: &engines, share };
+        if let Some(path) = find_cheapest(candidates, query, Some(&price), rng) {
+            return Some(path);
+        }
+    }
+    find_cheapest(candidates, query, None, rng)
 }
 
 fn predict_engine(candidate: &PathCandidate, targets: &PathTargets<'_>) -> EngineTimes {
