--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -64,6 +64,7 @@
             clients: RefCell::default(),
             load: RefCell::new(load),
             pressure: Pressure::default(),
+            unread: RefCell::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -2,7 +2,7 @@
 
 use admission::{FillRange, fill_limit, own_part};
 use catalog::ModelProfile;
-use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path};
+use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path, unread_share};
 use rand::Rng;
 use types::{Stage, UpstreamName};
 
@@ -51,12 +51,14 @@
         query: SelectionQuery<'_>,
     ) -> Result<Path, NoSelection> {
         let gateway = &self.gateway;
+        let targets = self.path_targets(profile, query);
         let mut candidates = Vec::new();
         let may_cross;
         {
             let catalog = gateway.catalog.borrow();
             let load = gateway.load.borrow();
             let health = gateway.health.borrow();
+            let unread = gateway.unread.borrow();
             let now = gateway.clock.now();
             may_cross =
                 may_cross_domains(profile, load.total_estimate(CROSS_DOMAIN, now).token_layers);
@@ -75,6 +77,11 @@
                 }
                 let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
                 let reserved = load.total_estimate(&upstream.name, now);
+                let read_factor = profile.read_factor(accelerator_kind);
+                let waiting = targets.map_or(0.0, |targets| {
+                    let share = unread_share(targets.model, kind.step_factor, read_factor);
+                    unread.unread(&upstream.name, reserved.token_layers, share)
+                });
                 candidates.push(PathCandidate {
                     name: upstream.name.clone(),
                     addr: upstream.addr,
@@ -83,6 +90,9 @@
                     step_factor: kind.step_factor * slowdown,
                     kv_capacity: profile.kv_capacity(accelerator_kind, layers.len()),
                     kv_reserved: reserved.token_layers,
+                    requests: reserved.requests,
+                    unread: waiting,
+                    read_factor: read_factor * slowdown,
                     can_be_entry: reserved.entered < upstream.capacity
                         && (query.allowed_entries.is_empty()
                             || query.allowed_entries.contains(&upstream.name)),
@@ -93,9 +103,14 @@
         if !query.is_resumed && self.exceeds_own_part(profile, &candidates, max_fill) {
             return Err(NoSelection::Full);
         }
-        let avoid = query.avoid;
-        let path_query =
-            PathQuery { layers: profile.layers, tokens: self.tokens, max_fill, may_cross, avoid };
+        let path_query = PathQuery {
+            layers: profile.layers,
+            tokens: self.tokens,
+            max_fill,
+            may_cross,
+            avoid: query.avoid,
+            targets,
+        };
         choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
             let held = candidates.iter().map(|candidate| candidate.layers);
             let covered = pipelines::covers_model(profile, held);
@@ -146,7 +161,7 @@
         profile: &ModelProfile,
         query: SelectionQuery<'_>,
     ) -> Result<Selection, NoSelection> {
-        let Path { stages, crossings } = self.find_path(profile, query)?;
+        let Path { stages, crossings, .. } = self.find_path(profile, query)?;
         let mut loads: Vec<UpstreamLoad> = stages
             .iter()
             .enumerate()
