Reserve the expected size of requests under [overload]

Under [overload] and with the model's usual output in the configuration, a request reserves its prompt and half of its expected output, which is what it holds on average. The caller's estimate counts within a factor of two of the usual output.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -16,7 +16,9 @@
 mod fill;
 mod flow;
 mod queue;
+mod size;
 
 pub use fill::{FillRange, Standing, fill_limit, own_part};
 pub use flow::{FleetLoad, Flow, retry_after};
 pub use queue::{AdmissionQueue, Enqueued, QueueLimits, Ticket, Waiting};
+pub use size::SizeHints;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -2,8 +2,9 @@
 
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
+use admission::SizeHints;
 use bytes::Bytes;
-use callers::{RoutedFailure, RoutedRequest, RoutedResponse, Router};
+use callers::{GenerationSize, RoutedFailure, RoutedRequest, RoutedResponse, Router};
 use catalog::{Access, ModelProfile, RetryPolicy, Route, RoutingTable};
 use clock::Timestamp;
 use crashes::RequestParts;
@@ -144,6 +145,27 @@
         active.run_buffered().await
     }
 
+    /// Tokens for which a request reserves KV cache: its largest size or, under `[overload]`, the
+    /// size that is expected from what the configuration says of the model.
+    fn reserved_tokens(
+        &self,
+        table: &RoutingTable,
+        service: &ServiceName,
+        size: GenerationSize,
+    ) -> u32 {
+        let max_output = if size.output == 0 { DEFAULT_OUTPUT_TOKENS } else { size.output };
+        let profile = table.service(service).and_then(|service| service.model_profile.as_ref());
+        let latency = profile.and_then(|profile| profile.latency.as_ref());
+        match latency.filter(|_| self.settings.overload.is_some()) {
+            Some(model) => {
+                let (prompt, estimate) = (size.prompt, size.output_hint);
+                let usual_output = model.usual_answer;
+                SizeHints { prompt, max_output, estimate, usual_output }.expected_tokens()
+            }
+            None => size.prompt.saturating_add(max_output),
+        }
+    }
+
     /// Resolves the route, access rights and limits of a request, and reads its body.
     async fn prepare(
         self: Rc<Self>,
@@ -194,13 +216,9 @@
             return Err(reject(self.poison_failure(&refusal)));
         }
         self.retry_budget(&service).count_request(arrived);
-        let tokens = request.generation.map_or(0, |generation| {
-            generation.prompt.saturating_add(if generation.output == 0 {
-                DEFAULT_OUTPUT_TOKENS
-            } else {
-                generation.output
-            })
-        });
+        let tokens = request
+            .generation
+            .map_or(0, |generation| self.reserved_tokens(&table, &service, generation));
         Ok(ActiveRequest {
             log: OutcomeLog::new(self.clone(), &request.id, &route, organisation.as_ref()),
             gateway: self,
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -112,6 +112,7 @@
                 self.apply_load_part(part.clone());
                 return Some(Datagram::LoadPart(part));
             }
+            Datagram::Demand(_) | Datagram::RelayDemand(_) => {}
             Datagram::RelayStoreChanges(changes) => {
                 let new = self.apply_store_changes(changes);
                 return (!new.is_empty()).then_some(Datagram::StoreChanges(new));
