Count waiting requests by their place in the queue

A caller that left while its request waited was counted in gypsumrack_waiting for ever, since the gauge was decreased only after the wait. The place in the queue counts itself now.

With [overload], a request to a plain service may wait until its deadline; it is refused at once when no replica is left. A request counts as late from half of its latency target on, whatever the setting of the wait.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -20,6 +20,9 @@
 /// Longest wait for capacity before a request is refused, as a share of the route's latency target,
 /// without the settings for overload.
 const MAX_WAIT_SHARE: f64 = 0.5;
+/// Latest start at which a request is expected to meet its latency target, as a share of the target.
+/// The prompt takes the rest.
+pub(crate) const START_SHARE: f64 = 0.5;
 /// Requests that are admitted in a row by urgency before the one that has waited longest.
 const GRANT_STREAK: u32 = 7;
 /// Requests that are tried one after the other when capacity is freed. Each search for a path takes
@@ -56,11 +59,7 @@
         if query.is_resumed || wait_queue.order().is_empty() {
             match self.choose(query) {
                 Ok(selection) => return Ok(selection),
-                Err(NoSelection::NoUpstream)
-                    if self.model_profile().is_none() && self.paused_until(query).is_none() =>
-                {
-                    return Err(NoSelection::NoUpstream);
-                }
+                Err(reason) if self.is_without_upstream(reason, query) => return Err(reason),
                 Err(_) => {}
             }
         }
@@ -68,12 +67,7 @@
         let waiting = self.waiting(query, end);
         let wait = self.expected_wait(&wait_queue, &waiting);
         let outcome = match wait_queue.enqueue(waiting, wait) {
-            Ok(entry) => {
-                gateway.metrics.waiting.inc();
-                let outcome = self.wait_for_capacity(&entry, query, end).await;
-                gateway.metrics.waiting.dec();
-                outcome
-            }
+            Ok(entry) => self.wait_for_capacity(&entry, query, end).await,
             Err(reason) => Err(reason),
         };
         let label = wait_label(outcome.as_ref().err());
@@ -82,6 +76,14 @@
         outcome
     }
 
+    /// Whether waiting cannot help a request to a plain service: no replica is left, and none has
+    /// asked for a pause. Engines may be loading their layers.
+    fn is_without_upstream(&self, reason: NoSelection, query: SelectionQuery<'_>) -> bool {
+        reason == NoSelection::NoUpstream
+            && self.model_profile().is_none()
+            && self.paused_until(query).is_none()
+    }
+
     /// The request as one that waits until `end`.
     fn waiting(&self, query: SelectionQuery<'_>, end: Timestamp) -> Waiting {
         let resumed = query.is_resumed;
@@ -165,6 +167,12 @@
                     }
                     Err(reason) => no_selection = reason,
                 }
+                // Only with the settings for overload, such a request would wait until its deadline.
+                if self.gateway.settings.overload.is_some()
+                    && self.is_without_upstream(no_selection, query)
+                {
+                    return Err(no_selection);
+                }
                 entry.block(clock.now() + CHECK_INTERVAL);
             }
             let remaining = end.since(clock.now());
@@ -208,12 +216,13 @@
             None => ("".into(), PLAIN_QUEUE),
         };
         let mut queues = self.wait_queues.borrow_mut();
-        let create = || Rc::new(WaitQueue::new(self.clock.clone(), limits));
+        let waiting = &self.metrics.waiting;
+        let create = || Rc::new(WaitQueue::new(self.clock.clone(), limits, waiting.clone()));
         queues.entry(key).or_insert_with(create).clone()
     }
 
     /// Longest wait of a request for engines, as a share of its route's latency target.
-    pub(crate) fn wait_share(&self) -> f64 {
+    fn wait_share(&self) -> f64 {
         self.settings.overload.as_ref().map_or(MAX_WAIT_SHARE, |overload| overload.wait_share)
     }
 
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -14,7 +14,10 @@
 use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
 use upstreams::Call;
 
-use crate::{Gateway, crashes::request_parts, outcome::OutcomeLog, selection::Selection};
+use crate::{
+    Gateway, admission::START_SHARE, crashes::request_parts, outcome::OutcomeLog,
+    selection::Selection,
+};
 
 /// Longest time for a request that states no deadline, if the timeout of its route is longer.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -177,7 +180,7 @@
         let limit = route.timeout.min(time_limit);
         let margin = RESPONSE_MARGIN.min(limit / 10);
         let deadline = arrived + (limit - margin);
-        let start_by = arrived + route.latency_target.mul_f64(self.wait_share());
+        let start_by = arrived + route.latency_target.mul_f64(START_SHARE);
         let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
         let body = body.map_err(reject)?;
         let roll = rand::rng().random::<f64>();
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -11,6 +11,7 @@
 
 use admission::{AdmissionQueue, Enqueued, QueueLimits, Ticket, Waiting};
 use clock::{Clock, Timestamp};
+use prometheus::IntGauge;
 
 use crate::selection::NoSelection;
 
@@ -20,6 +21,8 @@
     queue: RefCell<AdmissionQueue>,
     /// The waiting tasks that have not been woken.
     wakers: RefCell<HashMap<Ticket, Waker>>,
+    /// Number of entries of all queues, for the metrics.
+    count: IntGauge,
 }
 
 /// The place of one request in a [`WaitQueue`]. Dropping it leaves the queue.
@@ -29,9 +32,9 @@
 }
 
 impl WaitQueue {
-    pub(crate) fn new(clock: Rc<dyn Clock>, limits: QueueLimits) -> WaitQueue {
+    pub(crate) fn new(clock: Rc<dyn Clock>, limits: QueueLimits, count: IntGauge) -> WaitQueue {
         let queue = RefCell::new(AdmissionQueue::new(limits));
-        WaitQueue { clock, queue, wakers: RefCell::default() }
+        WaitQueue { clock, queue, wakers: RefCell::default(), count }
     }
 
     /// The queue itself, to read it.
@@ -55,6 +58,7 @@
             Enqueued::Full => return Err(NoSelection::QueueFull),
             Enqueued::Late => return Err(NoSelection::Late),
         };
+        self.count.inc();
         Ok(QueueEntry { wait_queue: self.clone(), ticket })
     }
 
@@ -119,6 +123,7 @@
 
 impl Drop for QueueEntry {
     fn drop(&mut self) {
+        self.wait_queue.count.dec();
         self.wait_queue.queue.borrow_mut().remove(self.ticket);
         self.wait_queue.wakers.borrow_mut().remove(&self.ticket);
         self.wait_queue.wake_next();
--- a/crates/gateway/tests/gateway/overload.rs
+++ b/crates/gateway/tests/gateway/overload.rs
@@ -59,6 +59,9 @@
     assert!(times[0] != times[1] || times[1] != times[2], "{times:?}");
 }
 
+/// Settings of a node whose requests wait longer than [`BUSY`] and have the same fill limits when they
+/// are late.
+const LONG_WAIT: &str = "wait_share = 4.0\nfill_spread = 0.0";
 /// Time for which the streams of [`Fixture::fill`] occupy the engines. It is longer than half of the
 /// latency target.
 const BUSY: Duration = Duration::from_millis(300);
@@ -82,7 +85,7 @@
     for (fixture, is_admitted) in [
         (Fixture::ready().await, false),
         (Fixture::ready_with_overload("").await, false),
-        (Fixture::ready_with_overload("wait_share = 4.0").await, true),
+        (Fixture::ready_with_overload(LONG_WAIT).await, true),
     ] {
         fixture.fill().await;
         fixture.push_steps([Step::Events(vec![0])]);
@@ -95,7 +98,7 @@
 /// and the other one gets the capacity that is freed.
 #[compio::test]
 async fn the_queue_of_a_node_is_bounded() {
-    let fixture = Fixture::ready_with_overload("queue_length = 1\nwait_share = 4.0").await;
+    let fixture = Fixture::ready_with_overload(&format!("queue_length = 1\n{LONG_WAIT}")).await;
     fixture.fill().await;
     fixture.push_steps([Step::Events(vec![0])]);
     let send = || fixture.gateway.clone().route(sized(70));
@@ -104,3 +107,21 @@
     let failure = second.err().expect("the queue is full");
     assert!(failure.failure.message.contains("too many requests wait"), "{failure:?}");
 }
+
+/// Guards against a caller that leaves while its request waits, and is counted as waiting for ever.
+#[compio::test]
+async fn a_caller_that_leaves_waits_no_longer() {
+    let fixture = Fixture::ready_with_overload(LONG_WAIT).await;
+    fixture.fill().await;
+    let waiting = |count| {
+        let metrics = String::from_utf8_lossy(&fixture.gateway.metrics()).into_owned();
+        metrics.contains(&format!("gypsumrack_waiting {count}\n"))
+    };
+    let request = fixture.gateway.clone().route(sized(70));
+    let task = spawn(request);
+    compio::time::sleep(Duration::from_millis(20)).await;
+    assert!(waiting(1));
+    drop(task);
+    compio::time::sleep(Duration::from_millis(20)).await;
+    assert!(waiting(0));
+}
