--- a/crates/admission/src/fill.rs
+++ b/crates/admission/src/fill.rs
@@ -21,7 +21,7 @@
 
 impl Default for FillRange {
     fn default() -> FillRange {
-        FillRange { max_fill: 0.96, taper: 0.08, rank_spread: 0.3 }
+        FillRange { max_fill: 0.98, taper: 0.08, rank_spread: 0.3 }
     }
 }
 
--- a/crates/admission/tests/fill.rs
+++ b/crates/admission/tests/fill.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-const RANGE: FillRange = FillRange { max_fill: 0.96, taper: 0.08, rank_spread: 0.3 };
+const RANGE: FillRange = FillRange { max_fill: 0.98, taper: 0.08, rank_spread: 0.3 };
 
 /// The limit of all requests without the taper.
 const HARD_LIMIT: f64 = 0.92;
--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -63,11 +63,11 @@
 impl Default for OverloadSettings {
     fn default() -> OverloadSettings {
         OverloadSettings {
-            max_fill: 0.96,
+            max_fill: 0.98,
             fill_taper: 0.08,
             fill_spread: 0.3,
             queue_length: 64,
-            wait_share: 0.3,
+            wait_share: 0.5,
         }
     }
 }
