Raise the cost of crossings while links between domains are slow

All streams over a link that has become slow are late, and new requests go on crossing it because the cost of a crossing is fixed.

A node compares the gaps between events of its streams, as multiples of the predicted gaps, between those that cross domains and those that do not. If the mean ratio is 2 or more over at least 3 streams of each kind, the cost of a crossing is multiplied by it and falls back within seconds. A stream counts once and by at most a factor of 4, so one slow stream changes nothing. One ratio for all links was preferred to one for each pair of domains, for which a node has too few streams.

The search visits only the engines whose paths a candidate can extend, and compares numbers instead of names of domains. The choice and the sequence of random numbers are unchanged.

--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -62,6 +62,7 @@
             clients: RefCell::default(),
             load: RefCell::new(LoadTable::default()),
             unread: RefCell::default(),
+            crossing_gaps: RefCell::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod buffered;
 mod builder;
 mod crashes;
+mod event_gaps;
 mod leaving;
 mod lifecycle;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,10 @@
     pub(crate) invalid_notices: IntCounterVec,
     /// Orders sent to engines, by outcome.
     pub(crate) orders: IntCounterVec,
+    /// Paths that were chosen, by whether they are predicted to meet the latency targets.
+    pub(crate) paths: IntCounterVec,
+    /// Times that the links between failure domains were found to be slow.
+    pub(crate) slow_crossings: IntCounter,
     /// Version of the routing table in force.
     pub(crate) table_version: IntGauge,
     /// Requests in flight.
@@ -104,6 +108,16 @@
                 &["notice"],
             ),
             orders: counter_vec("gypsumrack_orders_total", "Orders to engines", &["outcome"]),
+            paths: counter_vec(
+                "gypsumrack_paths_total",
+                "Paths chosen by whether they should meet the latency targets",
+                &["prediction"],
+            ),
+            slow_crossings: IntCounter::new(
+                "gypsumrack_slow_crossings_total",
+                "Times that links between failure domains were found to be slow",
+            )
+            .expect("counter is valid"),
             table_version: IntGauge::new(
                 "gypsumrack_table_version",
                 "Version of the configuration in force",
@@ -151,6 +165,8 @@
             Box::new(self.pauses.clone()),
             Box::new(self.invalid_notices.clone()),
             Box::new(self.orders.clone()),
+            Box::new(self.paths.clone()),
+            Box::new(self.slow_crossings.clone()),
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.waiting.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable, PauseTable, SharedRetryBudget, UnreadTable};
+use pipelines::{CrossingGaps, HealthTable, LoadTable, PauseTable, SharedRetryBudget, UnreadTable};
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
@@ -65,6 +65,8 @@
     pub(crate) load: RefCell<LoadTable>,
     /// Prompt tokens that engines have not prefilled yet.
     pub(crate) unread: RefCell<UnreadTable>,
+    /// Gaps between the events of this node's streams.
+    pub(crate) crossing_gaps: RefCell<CrossingGaps>,
     pub(crate) health: RefCell<HealthTable>,
     pub(crate) pauses: RefCell<PauseTable>,
     /// Limits on retries, by service.
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -3,9 +3,9 @@
 use catalog::ModelProfile;
 use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path, unread_share};
 use rand::Rng;
-use types::Stage;
 
 use crate::{
+    event_gaps::GapWatch,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection, SelectionQuery},
 };
@@ -53,12 +53,14 @@
         let targets = self.path_targets(profile, query);
         let mut candidates = Vec::new();
         let may_cross;
+        let crossing_factor;
         {
             let catalog = gateway.catalog.borrow();
             let load = gateway.load.borrow();
             let health = gateway.health.borrow();
             let unread = gateway.unread.borrow();
             let now = gateway.clock.now();
+            crossing_factor = gateway.crossing_gaps.borrow().cost_factor(now);
             may_cross = may_cross_domains(profile, load.total(CROSS_DOMAIN).token_layers);
             for upstream in catalog.upstreams().filter(|upstream| upstream.service == self.service)
             {
@@ -103,6 +105,7 @@
             tokens: self.tokens,
             max_fill,
             may_cross,
+            crossing_factor,
             avoid: query.avoid,
             targets,
         };
@@ -118,7 +121,8 @@
         profile: &ModelProfile,
         query: SelectionQuery<'_>,
     ) -> Result<Selection, NoSelection> {
-        let Path { stages, crossings, .. } = self.find_path(profile, query)?;
+        let path = self.find_path(profile, query)?;
+        let (stages, crossings) = (&path.stages, path.crossings);
         let mut loads: Vec<UpstreamLoad> = stages
             .iter()
             .enumerate()
@@ -136,18 +140,19 @@
             let load = Load { requests: 1, entered: 0, token_layers };
             loads.push(UpstreamLoad { upstream: CROSS_DOMAIN.into(), load });
         }
-        self.reserve_path(stages, loads)
+        self.reserve_path(path, loads)
     }
 
-    fn reserve_path(
-        &self,
-        stages: Vec<Stage>,
-        loads: Vec<UpstreamLoad>,
-    ) -> Result<Selection, NoSelection> {
-        let first = stages.first().ok_or(NoSelection::NoUpstream)?;
+    fn reserve_path(&self, path: Path, loads: Vec<UpstreamLoad>) -> Result<Selection, NoSelection> {
+        let first = path.stages.first().ok_or(NoSelection::NoUpstream)?;
         let upstream = self.gateway.catalog.borrow().upstream(&first.engine).cloned();
         let upstream = upstream.ok_or(NoSelection::NoUpstream)?;
-        Ok(self.reserve(upstream, stages, loads))
+        if self.gateway.settings.overload.is_some() {
+            let prediction = if path.times.is_some() { "in-time" } else { "late-or-unknown" };
+            self.gateway.metrics.paths.with_label_values(&[prediction]).inc();
+        }
+        let gap_watch = GapWatch::start(self.gateway.clone(), &path);
+        Ok(Selection { gap_watch, ..self.reserve(upstream, path.stages, loads) })
     }
 }
 
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,7 +7,9 @@
 use pipelines::UpstreamLoad;
 use types::{Stage, UpstreamName};
 
-use crate::{Gateway, lifecycle::ActiveRequest, runs::RunGuard, unread::UnreadGuard};
+use crate::{
+    Gateway, event_gaps::GapWatch, lifecycle::ActiveRequest, runs::RunGuard, unread::UnreadGuard,
+};
 
 /// The constraints on the selection of the upstreams for an attempt.
 #[derive(Clone, Copy, Default)]
@@ -38,6 +40,8 @@
     pub(crate) run: RunGuard,
     /// Counts the prompt as unread until the first event.
     pub(crate) unread: UnreadGuard,
+    /// Watches the gaps between events; `None` unless times are predicted for the path.
+    pub(crate) gap_watch: Option<GapWatch>,
     /// Counts the request in the load table for as long as the selection exists.
     pub(crate) _reservation: Reservation,
 }
@@ -90,6 +94,7 @@
             has_refused: false,
             run,
             unread,
+            gap_watch: None,
             _reservation,
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -120,9 +120,13 @@
             if stream.ended {
                 return ForwardOutcome::Complete;
             }
+            let started = self.gateway.clock.now();
             if let Err(cause) = self.next_events(attempts, stream, max_gap).await {
                 return ForwardOutcome::Broken(cause);
             }
+            if let Some(watch) = &stream.selection.gap_watch {
+                watch.record_wait(self.gateway.clock.now().since(started));
+            }
         }
     }
 
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -15,6 +15,7 @@
 //! about sockets or encodings.
 
 mod budget;
+mod crossing;
 mod health;
 mod latency;
 mod load;
@@ -25,6 +26,7 @@
 mod unread;
 
 pub use budget::SharedRetryBudget;
+pub use crossing::CrossingGaps;
 pub use health::HealthTable;
 pub use latency::{EngineTimes, EngineWork, PathTimes};
 pub use load::{Load, LoadTable, UpstreamLoad};
--- a/crates/pipelines/src/path.rs
+++ b/crates/pipelines/src/path.rs
@@ -71,6 +71,8 @@
     pub max_fill: f64,
     /// Whether the path may pass through more than one failure domain.
     pub may_cross: bool,
+    /// Factor on the cost of a transition between failure domains; 1 unless the links are slow.
+    pub crossing_factor: f64,
     /// Engines that must not be used.
     pub avoid: &'a [UpstreamName],
     /// Latency targets. Paths that are predicted to meet them are preferred to those that are not.
@@ -122,8 +124,10 @@
         })
         .collect();
     sorted.sort_by_key(|index| candidates[*index].layers.end);
+    let ends: Vec<u32> = sorted.iter().map(|index| candidates[*index].layers.end).collect();
+    let domains = number_domains(candidates);
     let mut best: Vec<Option<BestPath>> = vec![None; candidates.len()];
-    for (position, &index) in sorted.iter().enumerate() {
+    for &index in &sorted {
         let candidate = &candidates[index];
         if candidate.layers.start == 0 && candidate.can_be_entry {
             let factor = 1.0 + JITTER * rng.random::<f64>();
@@ -138,18 +142,22 @@
                 Some(BestPath { cost, factor, predecessor: None, stages: 1, times })
             });
         }
-        for &predecessor in &sorted[..position] {
+        // The engines whose paths the candidate can extend, in groups that end at the same layer.
+        let first = ends.partition_point(|end| *end < candidate.layers.start);
+        let last = ends.partition_point(|end| *end < candidate.layers.end);
+        let mut stage = (candidate.layers.end, None);
+        for &predecessor in &sorted[first..last] {
             let previous = &candidates[predecessor];
             let Some(shorter) = best[predecessor] else { continue };
-            let extends = previous.layers.end >= candidate.layers.start
-                && previous.layers.end < candidate.layers.end;
-            let crosses = previous.domain != candidate.domain;
-            if !extends || shorter.stages == MAX_STAGES || (crosses && !query.may_cross) {
+            let crosses = domains[predecessor] != domains[index];
+            if shorter.stages == MAX_STAGES || (crosses && !query.may_cross) {
                 continue;
             }
-            let Some(mut added) = stage_cost(candidate, previous.layers.end, query) else {
-                continue;
-            };
+            if stage.0 != previous.layers.end {
+                let start = previous.layers.end;
+                stage = (start, stage_cost(candidate, start, query));
+            }
+            let Some(mut added) = stage.1 else { continue };
             let mut times = shorter.times;
             if let Some(price) = price {
                 let share = share_from(candidate, previous.layers.end, query);
@@ -157,7 +165,7 @@
                 times = extended.0;
                 added += extended.1;
             }
-            let crossing = if crosses { CROSSING_COST } else { 0.0 };
+            let crossing = if crosses { CROSSING_COST * query.crossing_factor } else { 0.0 };
             let cost = shorter.cost + added * shorter.factor + crossing;
             if best[index].is_none_or(|other| cost < other.cost) {
                 let (factor, stages) = (shorter.factor, shorter.stages + 1);
@@ -193,6 +201,20 @@
     Some(share * candidate.step_factor * (1.0 + FILL_WEIGHT * filled * filled))
 }
 
+/// Numbers the failure domains of the candidates, since names are slow to compare.
+fn number_domains(candidates: &[PathCandidate]) -> Vec<usize> {
+    let mut known: Vec<&Domain> = Vec::new();
+    let mut numbers = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        let number = known.iter().position(|domain| **domain == candidate.domain);
+        numbers.push(number.unwrap_or(known.len()));
+        if number.is_none() {
+            known.push(&candidate.domain);
+        }
+    }
+    numbers
+}
+
 /// Share of the model's layers that the candidate runs from layer `start` on.
 fn share_from(candidate: &PathCandidate, start: u32, query: &PathQuery<'_>) -> f64 {
     f64::from(candidate.layers.end - start) / f64::from(query.layers)
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -56,6 +56,7 @@
         tokens: 1000,
         max_fill: 0.9,
         may_cross: true,
+        crossing_factor: 1.0,
         avoid: &[],
         targets: None,
     }
--- /dev/null
+++ b/crates/pipelines/tests/paths/main.rs
@@ -0,0 +1,8 @@
+//! Choice of paths by latency targets, unread prompts and slow links.
+
+mod crossing;
+mod replay;
+mod replays;
+mod support;
+mod targets;
+mod unread;
--- a/crates/pipelines/tests/support/replay.rs
+++ b/crates/pipelines/tests/paths/replay.rs
@@ -12,7 +12,7 @@
 use rand::{SeedableRng, rngs::StdRng};
 use types::Stage;
 
-use super::{LAYERS, query, targets};
+use crate::support::{LAYERS, query, targets};
 
 /// Time between two beacons, in milliseconds.
 const BEACON_MS: f64 = 500.0;
--- a/crates/pipelines/tests/replays.rs
+++ b/crates/pipelines/tests/paths/replays.rs
@@ -1,11 +1,9 @@
 //! Long prompts beside short ones, replayed against engines without a network. Each replay is
 //! compared with the choice without targets, which looks at memory only.
 
-mod support;
-
-use support::{
-    engine, model,
+use crate::{
     replay::{Replay, Served},
+    support::{engine, model},
 };
 
 /// Prompt tokens of long and of short prompts.
--- a/crates/pipelines/tests/support/mod.rs
+++ b/crates/pipelines/tests/paths/support.rs
@@ -1,8 +1,5 @@
 //! Engines and targets like those of the heavily loaded deployments.
 
-#[allow(dead_code)]
-pub mod replay;
-
 use std::ops::Range;
 
 use catalog::LatencyModel;
@@ -53,5 +50,13 @@
 
 /// What a request of usual size needs.
 pub fn query(targets: Option<PathTargets<'_>>) -> PathQuery<'_> {
-    PathQuery { layers: LAYERS, tokens: 1000, max_fill: 0.92, may_cross: true, avoid: &[], targets }
+    PathQuery {
+        layers: LAYERS,
+        tokens: 1000,
+        max_fill: 0.92,
+        may_cross: true,
+        crossing_factor: 1.0,
+        avoid: &[],
+        targets,
+    }
 }
--- a/crates/pipelines/tests/targets.rs
+++ b/crates/pipelines/tests/paths/targets.rs
@@ -1,11 +1,9 @@
 //! Paths that meet the latency targets of a route.
 
-mod support;
-
+use crate::support::{LAYERS, engine, model, query, targets};
 use pipelines::{EngineTimes, EngineWork, Path, PathCandidate, PathTimes, choose_path};
 use proptest::prelude::*;
 use rand::{SeedableRng, rngs::StdRng};
-use support::{LAYERS, engine, model, query, targets};
 use types::check_coverage;
 
 fn choose(candidates: &[PathCandidate], seed: u64) -> Option<Path> {
