--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -65,6 +65,7 @@
             load: RefCell::new(load),
             pressure: Pressure::default(),
             unread: RefCell::default(),
+            crossing_gaps: RefCell::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod builder;
 mod crashes;
 mod entries;
+mod event_gaps;
 mod flow;
 mod leaving;
 mod lifecycle;
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod beacon_plan;
 mod budget;
+mod crossing;
 mod demand;
 mod fair_share;
 mod growth;
@@ -30,6 +31,7 @@
 
 pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes};
 pub use budget::SharedRetryBudget;
+pub use crossing::CrossingGaps;
 pub use demand::{Demand, DemandKey, DemandTable, MAX_REPORTED_ORGANISATIONS, ServiceDemand};
 pub use fair_share::fair_level;
 pub use health::HealthTable;
