Exchange reports of demand between nodes under pressure

A node counts its requests that run, wait or were refused for lack of capacity, and reports them once a second to all nodes while it is under pressure, at most 200 datagrams per second and node. Gateway::over_share says whether an organisation uses more than its fair share by these reports, and Gateway::coverage which share of the registered nodes has been heard recently. For the latter, a node without load keeps sending beacons with the settings for decisions under overload: silence would otherwise mean both idle and cut off. Metrics show the age of the load, the coverage and the requests of the fleet.

Reports in each beacon were ruled out, since they double its datagrams in a busy fleet.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -57,6 +57,7 @@
         let priority = if query.is_resumed { RESUME_PRIORITY } else { self.priority + 1 };
         let entry = gateway.wait_queue.enqueue(priority);
         gateway.metrics.waiting.inc();
+        let _waiting = self.count_waiting();
         let outcome = self.wait_for_capacity(&entry, query, end).await;
         gateway.metrics.waiting.dec();
         outcome
--- a/crates/gateway/src/beacons.rs
+++ b/crates/gateway/src/beacons.rs
@@ -166,7 +166,8 @@
             && beacon.failing.is_empty()
             && beacon.slow.is_empty()
             && beacon.loaded.is_empty();
-        if is_idle && was_idle {
+        // Under overload, a node that is silent counts as unknown and not as idle.
+        if is_idle && was_idle && gateway.settings.overload.is_none() {
             continue;
         }
         was_idle = is_idle;
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -174,6 +174,7 @@
     ) -> RoutedFailure {
         match reason {
             NoSelection::Full => {
+                self.count_refused();
                 self.give_up(attempts, FailureKind::Overloaded, "the upstreams have no room")
             }
             NoSelection::Poison => self.refuse_poison(attempts),
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -63,6 +63,7 @@
             catalog: RefCell::new(CatalogState::default()),
             clients: RefCell::default(),
             load: RefCell::new(load),
+            demand: RefCell::default(),
             pressure: Pressure::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,8 @@
 mod buffered;
 mod builder;
 mod crashes;
+mod demand;
+mod fleet_metrics;
 mod leaving;
 mod lifecycle;
 mod metrics;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -32,7 +32,7 @@
 /// Time reserved before the caller's deadline, so that a final response still arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 /// Largest number, and thus lowest priority, that upstreams accept.
-const LOWEST_PRIORITY: u32 = 9;
+pub(crate) const LOWEST_PRIORITY: u32 = 9;
 /// Output tokens assumed for a generation request that states no maximum.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 };
 use transport::{ConnectionObserver, CutCause};
 
-use crate::Gateway;
+use crate::{Gateway, fleet_metrics::FleetMetrics};
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 20.0];
@@ -12,6 +12,7 @@
 /// The metrics of a node.
 pub(crate) struct Metrics {
     registry: Registry,
+    pub(crate) fleet: FleetMetrics,
     /// Requests by organisation and outcome.
     pub(crate) requests: IntCounterVec,
     /// Time to the first byte of the response, by route.
@@ -52,6 +53,7 @@
     pub(crate) fn new() -> Metrics {
         let registry = Registry::new();
         let metrics = Metrics {
+            fleet: FleetMetrics::new(&registry),
             requests: counter_vec(
                 "gypsumrack_requests_total",
                 "Requests by outcome",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable, PauseTable, SharedRetryBudget};
+use pipelines::{DemandTable, HealthTable, LoadTable, PauseTable, SharedRetryBudget};
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
@@ -64,6 +64,7 @@
     pub(crate) catalog: RefCell<CatalogState>,
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
+    pub(crate) demand: RefCell<DemandTable>,
     pub(crate) pressure: Pressure,
     pub(crate) health: RefCell<HealthTable>,
     pub(crate) pauses: RefCell<PauseTable>,
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -6,12 +6,12 @@
 
 use clock::supervise;
 use compio::runtime::spawn;
-use futures_util::future::join3;
+use futures_util::future::join4;
 use keyvalue::{KvError, api::Expected};
 use peers::{Datagram, DatagramSocket};
 use types::Domain;
 
-use crate::{Gateway, beacons::send_beacons, updates::send_updates};
+use crate::{Gateway, beacons::send_beacons, demand::send_demand, updates::send_updates};
 
 /// Prefix of the keys under which nodes register, followed by the node's name.
 pub(crate) const NODE_PREFIX: &str = "gypsumrack/nodes/";
@@ -112,6 +112,11 @@
                 self.apply_load_part(part.clone());
                 return Some(Datagram::LoadPart(part));
             }
+            Datagram::Demand(report) => self.apply_demand(report),
+            Datagram::RelayDemand(report) => {
+                self.apply_demand(report.clone());
+                return Some(Datagram::Demand(report));
+            }
             Datagram::RelayStoreChanges(changes) => {
                 let new = self.apply_store_changes(changes);
                 return (!new.is_empty()).then_some(Datagram::StoreChanges(new));
@@ -184,8 +189,9 @@
 pub async fn exchange_datagrams(gateway: Rc<Gateway>, socket: DatagramSocket) {
     let (clock, socket) = (&*gateway.clock, &Rc::new(socket));
     let beacons = supervise(clock, "beacons", || send_beacons(gateway.clone(), socket.clone()));
+    let demand = supervise(clock, "demand", || send_demand(gateway.clone(), socket.clone()));
     let updates = supervise(clock, "updates", || send_updates(gateway.clone(), socket.clone()));
     let datagrams =
         supervise(clock, "datagrams", || receive_datagrams(gateway.clone(), socket.clone()));
-    join3(beacons, updates, datagrams).await;
+    join4(beacons, demand, updates, datagrams).await;
 }
--- a/crates/gateway/src/pressure.rs
+++ b/crates/gateway/src/pressure.rs
@@ -18,6 +18,8 @@
 #[derive(Default)]
 pub(crate) struct Pressure {
     last_sign: Cell<Option<Timestamp>>,
+    /// Whether the log says that there is pressure.
+    is_logged: Cell<bool>,
 }
 
 impl Gateway {
@@ -36,6 +38,11 @@
         if !self.wait_queue.is_empty() || self.has_filled_upstream() {
             self.pressure.last_sign.set(Some(self.clock.now()));
         }
+        let is_under_pressure = self.is_under_pressure();
+        if self.pressure.is_logged.replace(is_under_pressure) != is_under_pressure {
+            let coverage = self.coverage();
+            tracing::info!(is_under_pressure, coverage, "pressure has changed");
+        }
     }
 
     /// When this node sends its next beacons, if a round takes `datagrams`.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,7 +7,7 @@
 use pipelines::UpstreamLoad;
 use types::{Stage, UpstreamName};
 
-use crate::{Gateway, lifecycle::ActiveRequest, runs::RunGuard};
+use crate::{Gateway, demand::DemandGuard, lifecycle::ActiveRequest, runs::RunGuard};
 
 /// The constraints on the selection of the upstreams for an attempt.
 #[derive(Clone, Copy, Default)]
@@ -44,6 +44,7 @@
 pub(crate) struct Reservation {
     gateway: Rc<Gateway>,
     loads: Vec<UpstreamLoad>,
+    _demand: Option<DemandGuard>,
 }
 
 impl Drop for Reservation {
@@ -78,7 +79,7 @@
         gateway.load.borrow_mut().add(&loads);
         let client = gateway.client(&upstream);
         let run = self.start_run(&upstream, &stages);
-        let _reservation = Reservation { gateway, loads };
+        let _reservation = Reservation { gateway, loads, _demand: self.count_running() };
         Selection {
             upstream,
             client,
--- a/crates/pipelines/src/beacon_plan.rs
+++ b/crates/pipelines/src/beacon_plan.rs
@@ -14,6 +14,14 @@
 /// as many as it sends.
 const MAX_DATAGRAM_RATE: f64 = 600.0;
 
+/// Time between two reports of demand in a fleet of up to [`MAX_REPORT_RATE`] nodes. Demand changes
+/// more slowly than the load on one upstream.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
+/// Most datagrams per second that a node sends for reports of demand.
+const MAX_REPORT_RATE: f64 = 200.0;
+/// Consecutive reports of a node that may be lost before its demand is no longer counted.
+const MAX_LOST_REPORTS: u32 = 2;
+
 /// When a node sends beacons: one to its failure domain in each round, and one to the other domains
 /// every few rounds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,3 +73,13 @@
         MIN_LOAD_LIFETIME.max(self.interval * self.remote_rounds * MAX_LOST_BEACONS)
     }
 }
+
+/// Time between two reports of demand in a fleet of `nodes`.
+pub fn demand_interval(nodes: usize) -> Duration {
+    DEMAND_INTERVAL.mul_f64((nodes as f64 / MAX_REPORT_RATE).max(1.0))
+}
+
+/// Time for which a report of demand counts, if reports are sent at `interval`.
+pub fn demand_lifetime(interval: Duration) -> Duration {
+    interval * (MAX_LOST_REPORTS + 1)
+}
--- a/crates/pipelines/src/demand.rs
+++ b/crates/pipelines/src/demand.rs
@@ -118,16 +118,21 @@
         self.priorities.is_empty()
     }
 
-    /// Whether an organisation uses more than its fair share of what the organisations use together.
-    /// A share that others do not demand is lent, so this needs requests that wait. What has no
-    /// organisation here is neither limited nor divided.
+    /// Whether an organisation uses more than its fair share.
     fn is_over_share(&self, organisation: &str) -> bool {
-        let Some(own) = self.organisations.get(organisation) else { return false };
+        let own = self.organisations.get(organisation);
+        own.is_some_and(|own| own.running as f64 > self.fair_level())
+    }
+
+    /// Most requests that an organisation may run by max-min fairness, out of those that the
+    /// organisations run together. A share that others do not demand is lent, so the level is
+    /// infinite if no request waits. What has no organisation here is neither limited nor divided.
+    fn fair_level(&self) -> f64 {
         let capacity = self.organisations.values().map(|demand| demand.running);
         let capacity = capacity.fold(0, u64::saturating_add);
         let mut demands: Vec<u64> =
             self.organisations.values().map(|demand| demand.total()).collect();
-        own.running as f64 > fair_level(&mut demands, capacity)
+        fair_level(&mut demands, capacity)
     }
 }
 
@@ -248,6 +253,17 @@
             .map(|(organisation, demand)| (organisation, *demand))
     }
 
+    /// The organisations that use more than their fair share of a service.
+    pub fn organisations_over_share(&self, service: &str) -> impl Iterator<Item = &Organisation> {
+        let demand = self.all.get(service).into_iter();
+        demand.flat_map(|demand| {
+            let level = demand.fair_level();
+            let over =
+                demand.organisations.iter().filter(move |(_, own)| own.running as f64 > level);
+            over.map(|(organisation, _)| organisation)
+        })
+    }
+
     /// Whether an organisation uses more than its fair share of a service.
     pub fn is_over_share(&self, service: &str, organisation: &str) -> bool {
         self.all.get(service).is_some_and(|demand| demand.is_over_share(organisation))
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -25,7 +25,7 @@
 mod pause;
 mod placement;
 
-pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes};
+pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes, demand_interval, demand_lifetime};
 pub use budget::SharedRetryBudget;
 pub use demand::{Demand, DemandKey, DemandTable, MAX_REPORTED_ORGANISATIONS, ServiceDemand};
 pub use fair_share::fair_level;
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -155,6 +155,17 @@
         peers.retain(|_, parts| !parts.is_empty());
     }
 
+    /// Whether a message of this node has arrived and still counts.
+    pub fn knows_peer(&self, node: &str) -> bool {
+        self.peers.contains_key(node)
+    }
+
+    /// Age of the oldest message that counts.
+    pub fn oldest_age(&self, now: Timestamp) -> Option<Duration> {
+        let parts = self.peers.values().flat_map(BTreeMap::values);
+        parts.map(|part| now.since(part.received)).max()
+    }
+
     /// Load of the requests of all nodes on an upstream.
     pub fn total(&self, upstream: &str) -> Load {
         let mut total = self.own.get(upstream).copied().unwrap_or_default();
