Count each decrease in the estimate of growth, and bound it to a half

An empty report ended the growth of a node, so a request that began counted and one that ended did not. Since nodes without load send beacons with the settings for decisions under overload, the exception is not needed. The estimate is at most half of the known load, so that an engine which is less than half full by the reports is never taken for full. Resumed requests use the reported load.

--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -73,7 +73,12 @@
                     continue;
                 }
                 let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
-                let reserved = load.total_estimate(&upstream.name, now);
+                // Resumed requests are few, so other nodes hardly admit the same ones meanwhile.
+                let reserved = if query.is_resumed {
+                    load.total(&upstream.name)
+                } else {
+                    load.total_estimate(&upstream.name, now)
+                };
                 candidates.push(PathCandidate {
                     name: upstream.name.clone(),
                     addr: upstream.addr,
--- a/crates/pipelines/src/growth.rs
+++ b/crates/pipelines/src/growth.rs
@@ -10,8 +10,9 @@
 /// Least time between two messages of a node over which growth is measured. Over a shorter time, as
 /// after a delayed datagram, a single request would count as fast growth.
 const MIN_SPAN: Duration = Duration::from_millis(100);
-/// Largest estimate, as a share of the load that the other nodes have reported.
-const MAX_SHARE: f64 = 1.0;
+/// Largest estimate, as a share of the load that the other nodes have reported. With it, an engine
+/// that is less than half full by their reports is never taken for full.
+const MAX_SHARE: f64 = 0.5;
 
 /// The growth of the load on each upstream, summed over the messages of all nodes. It is kept as a
 /// line over time, so that an estimate takes the same time for any number of nodes and counts each
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -129,10 +129,8 @@
         if let Some(previous) = &previous {
             previous.remove_from(peer_totals, sums);
         }
-        // A node without load sends nothing more, so its decrease would be extrapolated for as long
-        // as its last message counts.
         let mut growth = None;
-        if let (Some(previous), Some(sums), false) = (previous, sums, load.is_empty()) {
+        if let (Some(previous), Some(sums)) = (previous, sums) {
             let change = Growth::new(previous.load, previous.received, now);
             sums.add(&change, &load);
             growth = Some(change);
