See pressure when a request waits or is refused

Pressure was sampled once in a round of beacons, and requests that waited for less than that left no sign. The slots for entering requests of an engine count as well as its memory. The tests cover refused requests, reports that exceed a datagram, and parts that are dropped under any interleaving.

--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -62,12 +62,16 @@
     pub(crate) fn count_refused(&self) {
         if self.gateway.settings.overload.is_some() {
             let now = self.gateway.clock.now();
+            self.gateway.record_pressure();
             self.gateway.demand.borrow_mut().refuse(self.demand_key(), now);
         }
     }
 
     fn count_demand(&self, is_running: bool) -> Option<DemandGuard> {
         self.gateway.settings.overload.as_ref()?;
+        if !is_running {
+            self.gateway.record_pressure();
+        }
         Some(DemandGuard::new(self.gateway.clone(), self.demand_key(), is_running))
     }
 
--- a/crates/gateway/src/pressure.rs
+++ b/crates/gateway/src/pressure.rs
@@ -36,7 +36,7 @@
             return;
         }
         if !self.wait_queue.is_empty() || self.has_filled_upstream() {
-            self.pressure.last_sign.set(Some(self.clock.now()));
+            self.record_pressure();
         }
         let is_under_pressure = self.is_under_pressure();
         if self.pressure.is_logged.replace(is_under_pressure) != is_under_pressure {
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Records a sign of pressure.
+    pub(crate) fn record_pressure(&self) {
+        self.pressure.last_sign.set(Some(self.clock.now()));
+    }
+
     /// When this node sends its next beacons, if a round takes `datagrams`.
     pub(crate) fn beacon_plan(&self, datagrams: usize) -> BeaconPlan {
         let usual = BeaconPlan::usual(self.fleet_scale());
@@ -65,17 +70,19 @@
         })
     }
 
-    /// Share of an upstream's capacity that `load` uses: the KV cache of an engine, or the slots of
-    /// a replica. `None` if the capacity is unknown.
+    /// Share of an upstream's capacity that `load` uses: the slots of a replica, and the KV cache or
+    /// the slots for entering requests of an engine. `None` if the capacity is unknown.
     fn fill(&self, name: &str, load: Load) -> Option<f64> {
         let catalog = self.catalog.borrow();
         let upstream = catalog.upstream(name)?;
+        let slots = f64::from(upstream.capacity.max(1));
         let Some(kind) = &upstream.accelerator_kind else {
-            return Some(f64::from(load.requests) / f64::from(upstream.capacity.max(1)));
+            return Some(f64::from(load.requests) / slots);
         };
         let service = catalog.table()?.service(&upstream.service)?;
         let held = catalog.layers(upstream)?.len();
         let capacity = service.model_profile.as_ref()?.kv_capacity(kind, held);
-        (capacity > 0.0).then(|| load.token_layers / capacity)
+        let entered = f64::from(load.entered) / slots;
+        (capacity > 0.0).then(|| entered.max(load.token_layers / capacity))
     }
 }
--- a/crates/gateway/tests/gateway/fleet_load.rs
+++ b/crates/gateway/tests/gateway/fleet_load.rs
@@ -211,6 +211,30 @@
     assert!(!running.is_empty() && running.iter().all(|count| (1..=24).contains(count)));
 }
 
+/// Guards against pressure that is seen only if requests happen to wait when a beacon is sent, and
+/// against refused requests that no node counts.
+#[compio::test]
+async fn refused_requests_are_pressure_and_count_as_waiting() {
+    let fixture = Fixture::ready_with_overload().await;
+    let peer = register_peer(&fixture, "a").await;
+    exchange(&fixture).await;
+    // Two engines accept 8 streams each, the other requests wait for 100 ms.
+    fixture.push_steps(vec![Step::Silent; 16]);
+    for _ in 0..24 {
+        let gateway = fixture.gateway.clone();
+        compio::runtime::spawn(async move {
+            let _ = callers::Router::route(gateway, request("/single/1")).await;
+        })
+        .detach();
+    }
+    let received = received_within(&peer, REPORT_TIME).await;
+    let waiting = received.iter().filter_map(|datagram| match datagram {
+        Datagram::Demand(report) => Some(report.services[0].priorities[0].1.waiting),
+        _ => None,
+    });
+    assert_eq!(waiting.max(), Some(8));
+}
+
 /// Guards against requests that remain counted after they have ended or were refused.
 #[compio::test]
 async fn ended_requests_leave_no_demand() {
--- a/crates/peers/tests/datagrams.rs
+++ b/crates/peers/tests/datagrams.rs
@@ -6,7 +6,10 @@
     rc::Rc,
 };
 
-use peers::{Beacon, BeaconLoad, Datagram, DatagramSocket, MAX_BEACON_ENTRIES};
+use peers::{
+    Beacon, BeaconLoad, Datagram, DatagramSocket, DemandReport, MAX_BEACON_ENTRIES, RequestCount,
+    ServiceReport,
+};
 use proptest::prelude::*;
 
 fn beacon() -> Datagram {
@@ -120,10 +123,39 @@
     RelayLeaving,
 }
 
-/// Guards against a node of the previous release that takes a part of a beacon for something else.
+/// A report about `count` services, each with ten priorities and eight organisations.
+fn demand_report(count: usize) -> DemandReport {
+    let requests = RequestCount { running: 100_000, waiting: 100_000 };
+    let service = |number| ServiceReport {
+        service: format!("service-{number:08}").as_str().into(),
+        priorities: (0..10).map(|priority| (priority, requests)).collect(),
+        organisations: (0..8)
+            .map(|number| (format!("organisation-{number:03}").as_str().into(), requests))
+            .collect(),
+        others: requests,
+    };
+    DemandReport { node: "node".into(), services: (0..count).map(service).collect() }
+}
+
+/// Guards against a report that is never sent because it exceeds a datagram.
+#[test]
+fn a_report_keeps_the_services_that_fit_into_a_datagram() {
+    let datagram = Datagram::of_demand(demand_report(20));
+    let Datagram::Demand(report) = &datagram else { panic!("{datagram:?} is no report") };
+    assert!((2..20).contains(&report.services.len()));
+    let bytes = bincode::serde::encode_to_vec(&datagram, bincode::config::standard());
+    let bytes = bytes.expect("the report can be encoded");
+    assert!(bytes.len() <= 1400);
+    assert_eq!(receive_all(&[bytes]), [Some(datagram)]);
+}
+
+/// Guards against a node of the previous release that takes a part of a beacon or a report for
+/// something else.
 #[test]
 fn the_previous_release_ignores_new_kinds() {
-    for datagram in Datagram::of_beacon(beacon_with_loads(90)).into_iter().skip(1) {
+    let mut datagrams = Datagram::of_beacon(beacon_with_loads(90)).split_off(1);
+    datagrams.push(Datagram::of_demand(demand_report(1)));
+    for datagram in datagrams {
         for datagram in [datagram.clone(), datagram.for_relay()] {
             let config = bincode::config::standard();
             let bytes = bincode::serde::encode_to_vec(&datagram, config).expect("it is encoded");
--- a/crates/pipelines/tests/load_parts.rs
+++ b/crates/pipelines/tests/load_parts.rs
@@ -62,6 +62,13 @@
     assert_eq!(known(&table), 0);
 }
 
+/// A part that the table should count.
+struct Part {
+    received: u64,
+    missed: u32,
+    upstreams: std::ops::Range<u32>,
+}
+
 proptest! {
     /// Guards against sums that drift from the parts they are made of.
     #[test]
@@ -69,19 +76,29 @@
         messages in prop::collection::vec((0..3_u8, 0..3_u8, 0..5_u32, 0..5_u32, 0..900_u64), 1..80),
     ) {
         let mut table = LoadTable::default();
-        let mut parts: BTreeMap<(u8, u8), (u64, std::ops::Range<u32>)> = BTreeMap::new();
+        let mut parts: BTreeMap<(u8, u8), Part> = BTreeMap::new();
         let mut now = 0;
         for (node, number, first, count, pause) in messages {
             now += pause;
             table.expire(at(now), LIFETIME);
-            parts.retain(|_, (received, _)| now - *received < 2000);
+            parts.retain(|_, part| now - part.received < 2000);
             let name = format!("node-{node}").as_str().into();
-            // Only further parts here: a first part may also drop others.
-            table.set_part(name, number + 1, loads(first..first + count), at(now));
-            parts.insert((node, number), (now, first..first + count));
+            let upstreams = first..first + count;
+            if number == 0 {
+                for (_, part) in parts.iter_mut().filter(|((other, _), _)| *other == node) {
+                    part.missed += 1;
+                }
+                parts.retain(|(other, number), part| {
+                    *other != node || *number == 0 || (count > 0 && part.missed < 2)
+                });
+                table.set_peer(name, loads(upstreams.clone()), at(now));
+            } else {
+                table.set_part(name, number, loads(upstreams.clone()), at(now));
+            }
+            parts.insert((node, number), Part { received: now, missed: 0, upstreams });
             for upstream in 0..10_u32 {
                 let expected =
-                    parts.values().filter(|(_, states)| states.contains(&upstream)).count();
+                    parts.values().filter(|part| part.upstreams.contains(&upstream)).count();
                 let total = table.total(&format!("upstream-{upstream}"));
                 prop_assert_eq!(total.requests as usize, expected);
                 prop_assert!((total.token_layers - 10.0 * expected as f64).abs() < 1e-6);
