--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -67,7 +67,10 @@
         let waiting = self.waiting(query, end);
         let wait = self.expected_wait(&wait_queue, &waiting);
         let outcome = match wait_queue.enqueue(waiting, wait) {
-            Ok(entry) => self.wait_for_capacity(&entry, query, end).await,
+            Ok(entry) => {
+                let _waiting = self.count_waiting();
+                self.wait_for_capacity(&entry, query, end).await
+            }
             Err(reason) => Err(reason),
         };
         let label = wait_label(outcome.as_ref().err());
@@ -123,9 +126,9 @@
     }
 
     /// Whether the organisation of the request uses more than its fair share while capacity is
-    /// scarce. Nodes do not report their load by organisation yet.
+    /// scarce.
     fn is_over_share(&self) -> bool {
-        false
+        self.organisation.as_ref().is_some_and(|name| self.gateway.over_share(name))
     }
 
     /// Until when a request that arrives now may wait for capacity.
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -173,6 +173,7 @@
     ) -> RoutedFailure {
         match reason {
             NoSelection::Full => {
+                self.count_refused();
                 self.give_up(attempts, FailureKind::Overloaded, "the upstreams have no room")
             }
             NoSelection::QueueFull => {
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -63,6 +63,7 @@
             catalog: RefCell::new(CatalogState::default()),
             clients: RefCell::default(),
             load: RefCell::new(load),
+            demand: RefCell::default(),
             pressure: Pressure::default(),
             unread: RefCell::default(),
             crossing_gaps: RefCell::default(),
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -10,16 +10,19 @@
     Gateway, admission::CAPACITY_RETRY_AFTER, lifecycle::ActiveRequest, selection::Selection,
 };
 
+/// Share of the other nodes from whose load this node decides for the whole fleet. A node that has
+/// heard fewer, after its start or because it is cut off, uses its own part of the capacity.
+const MIN_COVERAGE: f64 = 0.5;
+
 impl Gateway {
     /// This node's observations of a service.
     pub(crate) fn flow(&self, service: &ServiceName) -> RefMut<'_, Flow> {
         RefMut::map(self.flows.borrow_mut(), |flows| flows.entry(service.clone()).or_default())
     }
 
-    /// Whether this node has heard the load of enough other nodes. It does not count yet which nodes
-    /// it has heard.
+    /// Whether this node has heard the load of enough other nodes recently.
     pub(crate) fn knows_fleet_load(&self) -> bool {
-        true
+        self.coverage() >= MIN_COVERAGE
     }
 
     /// The load of all nodes on a service.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,7 +10,9 @@
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
-use pipelines::{CrossingGaps, HealthTable, LoadTable, PauseTable, SharedRetryBudget, UnreadTable};
+use pipelines::{
+    CrossingGaps, DemandTable, HealthTable, LoadTable, PauseTable, SharedRetryBudget, UnreadTable,
+};
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
@@ -65,6 +67,7 @@
     pub(crate) catalog: RefCell<CatalogState>,
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
+    pub(crate) demand: RefCell<DemandTable>,
     pub(crate) pressure: Pressure,
     /// Prompt tokens that engines have not prefilled yet.
     pub(crate) unread: RefCell<UnreadTable>,
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -4,7 +4,7 @@
 use catalog::ModelProfile;
 use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path, unread_share};
 use rand::Rng;
-use types::{Stage, UpstreamName};
+use types::UpstreamName;
 
 use crate::{
     event_gaps::GapWatch,
@@ -79,7 +79,12 @@
                     continue;
                 }
                 let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
-                let reserved = load.total_estimate(&upstream.name, now);
+                // Resumed requests are few, so other nodes hardly admit the same ones meanwhile.
+                let reserved = if query.is_resumed {
+                    load.total(&upstream.name)
+                } else {
+                    load.total_estimate(&upstream.name, now)
+                };
                 let read_factor = profile.read_factor(accelerator_kind);
                 let waiting = targets.map_or(0.0, |targets| {
                     let share = unread_share(targets.model, kind.step_factor, read_factor);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -8,7 +8,8 @@
 use types::{Stage, UpstreamName};
 
 use crate::{
-    Gateway, event_gaps::GapWatch, lifecycle::ActiveRequest, runs::RunGuard, unread::UnreadGuard,
+    Gateway, demand::DemandGuard, event_gaps::GapWatch, lifecycle::ActiveRequest, runs::RunGuard,
+    unread::UnreadGuard,
 };
 
 /// The constraints on the selection of the upstreams for an attempt.
@@ -52,6 +53,7 @@
 pub(crate) struct Reservation {
     gateway: Rc<Gateway>,
     loads: Vec<UpstreamLoad>,
+    _demand: Option<DemandGuard>,
 }
 
 impl Drop for Reservation {
@@ -92,7 +94,7 @@
         let selected = gateway.clock.now();
         let run = self.start_run(&upstream, &stages);
         let unread = self.start_reading(&stages);
-        let _reservation = Reservation { gateway, loads };
+        let _reservation = Reservation { gateway, loads, _demand: self.count_running() };
         Selection {
             upstream,
             client,
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -29,7 +29,7 @@
 mod targets;
 mod unread;
 
-pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes};
+pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes, demand_interval, demand_lifetime};
 pub use budget::SharedRetryBudget;
 pub use crossing::CrossingGaps;
 pub use demand::{Demand, DemandKey, DemandTable, MAX_REPORTED_ORGANISATIONS, ServiceDemand};
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -129,10 +129,8 @@
         if let Some(previous) = &previous {
             previous.remove_from(peer_totals, sums);
         }
-        // A node without load sends nothing more, so its decrease would be extrapolated for as long
-        // as its last message counts.
         let mut growth = None;
-        if let (Some(previous), Some(sums), false) = (previous, sums, load.is_empty()) {
+        if let (Some(previous), Some(sums)) = (previous, sums) {
             let change = Growth::new(previous.load, previous.received, now);
             sums.add(&change, &load);
             growth = Some(change);
@@ -155,6 +153,17 @@
         peers.retain(|_, parts| !parts.is_empty());
     }
 
+    /// Whether a message of this node has arrived and still counts.
+    pub fn knows_peer(&self, node: &str) -> bool {
+        self.peers.contains_key(node)
+    }
+
+    /// Age of the oldest message that counts.
+    pub fn oldest_age(&self, now: Timestamp) -> Option<Duration> {
+        let parts = self.peers.values().flat_map(BTreeMap::values);
+        parts.map(|part| now.since(part.received)).max()
+    }
+
     /// Load of the requests of all nodes on an upstream.
     pub fn total(&self, upstream: &str) -> Load {
         let mut total = self.own.get(upstream).copied().unwrap_or_default();
