Describe and count paths that meet the latency targets

Operators could not see whether paths are predicted to be in time, how many prompts wait, or that links have become slow. Metrics count each; one line at level debug gives the predicted times of a chosen path.

Tests of the gateway guard against prompts that stay counted after their stream has begun or was abandoned, and against a configuration without times that is reported never or with each request.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) orders: IntCounterVec,
     /// Paths that were chosen, by whether they are predicted to meet the latency targets.
     pub(crate) paths: IntCounterVec,
+    /// Streams of this node that wait for their first event.
+    pub(crate) unread_prompts: IntGauge,
     /// Times that the links between failure domains were found to be slow.
     pub(crate) slow_crossings: IntCounter,
     /// Version of the routing table in force.
@@ -113,6 +115,11 @@
                 "Paths chosen by whether they should meet the latency targets",
                 &["prediction"],
             ),
+            unread_prompts: IntGauge::new(
+                "gypsumrack_unread_prompts",
+                "Streams that wait for their first event",
+            )
+            .expect("gauge is valid"),
             slow_crossings: IntCounter::new(
                 "gypsumrack_slow_crossings_total",
                 "Times that links between failure domains were found to be slow",
@@ -166,6 +173,7 @@
             Box::new(self.invalid_notices.clone()),
             Box::new(self.orders.clone()),
             Box::new(self.paths.clone()),
+            Box::new(self.unread_prompts.clone()),
             Box::new(self.slow_crossings.clone()),
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -150,6 +150,11 @@
         if self.gateway.settings.overload.is_some() {
             let prediction = if path.times.is_some() { "in-time" } else { "late-or-unknown" };
             self.gateway.metrics.paths.with_label_values(&[prediction]).inc();
+            let (event_ms, first_ms) = path
+                .times
+                .map_or((None, None), |times| (Some(times.event_ms), Some(times.first_event_ms())));
+            tracing::debug!(request = %self.id, prediction, event_ms, first_ms,
+                stages = path.stages.len(), crossings = path.crossings, "path is chosen");
         }
         let gap_watch = GapWatch::start(self.gateway.clone(), &path);
         Ok(Selection { gap_watch, ..self.reserve(upstream, path.stages, loads) })
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -18,7 +18,8 @@
 impl UnreadGuard {
     /// Records that the first event has arrived. Further events have no effect.
     pub(crate) fn record_event(&self) {
-        if !self.is_read.replace(true) {
+        if !self.stages.is_empty() && !self.is_read.replace(true) {
+            self.gateway.metrics.unread_prompts.dec();
             self.gateway.unread.borrow_mut().record_first_event(&self.stages, self.size);
         }
     }
@@ -40,6 +41,9 @@
         let size = RequestSize { prompt: self.prompt, tokens: self.tokens };
         self.gateway.unread.borrow_mut().add(&stages, size);
         let gateway = self.gateway.clone();
+        if !stages.is_empty() {
+            gateway.metrics.unread_prompts.inc();
+        }
         UnreadGuard { gateway, stages, size, is_read: Cell::new(false) }
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod lifecycle;
 mod log;
+mod path_targets;
 mod pauses;
 mod planner;
 mod silence;
--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use catalog::{
-    AcceleratorKind, CatalogCodec, ModelProfile, Phase, RetryPolicy, Route, RoutingTable,
-    RoutingTableBuilder, Service, Upstream, WeightedService,
+    AcceleratorKind, CatalogCodec, LatencyModel, ModelProfile, Phase, RetryPolicy, Route,
+    RoutingTable, RoutingTableBuilder, Service, Upstream, WeightedService,
 };
 use types::{LayerRange, Organisation};
 
@@ -13,7 +13,8 @@
 /// Decodes a routing table from `VERSION [CHANGE]`, and an upstream from `SERVICE ADDR DOMAIN PHASE
 /// START-END [INCARNATION]`, whose incarnation else is 1. A change is `empty`, which takes all
 /// routes, services and keys away, `moved`, which sends all routes to a service without upstreams,
-/// or `short`, which lets requests take 10 ms. An upstream in the domain `panic` makes the decoder
+/// `short`, which lets requests take 10 ms, or `timed`,
+/// which states how long engines take. An upstream in the domain `panic` makes the decoder
 /// panic.
 pub struct TextCodec;
 
@@ -59,6 +60,23 @@
     }
 }
 
+/// Times of engines that meet all targets.
+fn latency() -> LatencyModel {
+    LatencyModel {
+        step_ms: 0.1,
+        sequence_ms: 0.01,
+        context_ms: 0.01,
+        read_rate: 100_000.0,
+        pairs_ms: 0.0,
+        chunk: 512.0,
+        event_steps: 5.0,
+        usual_prompt: 10.0,
+        usual_answer: 10.0,
+        crossing_ms: 0.5,
+        read_factors: BTreeMap::from([("gpu".into(), 1.0)]),
+    }
+}
+
 fn table(version: u64, change: &str) -> RoutingTable {
     if change == "empty" {
         let other = Organisation::from("other");
@@ -87,7 +105,7 @@
         kv_bytes: 10_000.0,
         // A single request of 20 tokens uses up what may cross between failure domains.
         crossing_rate: Some(8.0),
-        latency: None,
+        latency: (change == "timed").then(latency),
         accelerators: BTreeMap::from([("gpu".into(), kind)]),
     };
     let drafts = Service { model_profile: Some(std::sync::Arc::new(engine)) };
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -60,11 +60,21 @@
     /// Creates a gateway that reads `store`, has to apply changes within `limit_ms`, and may retry
     /// `retry_extra` requests more than a share of them.
     fn with_limits(store: Rc<MemoryStore>, limit_ms: u64, retry_extra: u32) -> Fixture {
+        Fixture::with_settings(store, limit_ms, retry_extra, "")
+    }
+
+    /// Like [`with_limits`](Fixture::with_limits), with further lines of settings.
+    fn with_settings(
+        store: Rc<MemoryStore>,
+        limit_ms: u64,
+        retry_extra: u32,
+        lines: &str,
+    ) -> Fixture {
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
         let settings = EdgeSettings::parse(&format!(
             "name = \"n\"\ndomain = \"a\"\ncallers = \"127.0.0.1:1\"\nhealth = \"127.0.0.1:2\"\n\
              peers = \"127.0.0.1:3\"\nstore = \"127.0.0.1:4\"\ngrace_s = 8\nretry_ratio = 0.2\n\
-             retry_extra = {retry_extra}\nretry_window_s = 10\nchange_limits_ms = [{limit_ms}]\n",
+             retry_extra = {retry_extra}\nretry_window_s = 10\nchange_limits_ms = [{limit_ms}]\n{lines}",
         ))
         .expect("settings are valid");
         let upstreams = Rc::new(ScriptedUpstreams {
@@ -112,6 +122,12 @@
         fixture.with_upstreams().await
     }
 
+    /// Like [`ready`](Fixture::ready), with the decisions under overload.
+    pub async fn ready_with_overload() -> Fixture {
+        let (store, lines) = (Rc::default(), "[overload]\n");
+        Fixture::with_settings(store, CHANGE_LIMIT_MS, RETRY_EXTRA, lines).with_upstreams().await
+    }
+
     /// Registers the routing table and the upstreams, and waits until the gateway knows them.
     async fn with_upstreams(self) -> Fixture {
         self.store.write("table", Some("1"));
