--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 mod log;
 mod overload;
+mod path_targets;
 mod pauses;
 mod planner;
 mod silence;
