--- a/crates/gateway/tests/gateway/fleet_load.rs
+++ b/crates/gateway/tests/gateway/fleet_load.rs
@@ -218,6 +218,8 @@
     let fixture = Fixture::ready_with_overload().await;
     let peer = register_peer(&fixture, "a").await;
     exchange(&fixture).await;
+    // The next report is due 800 ms after the requests arrive.
+    compio::time::sleep(Duration::from_millis(300)).await;
     // Two engines accept 8 streams each, the other requests wait for 100 ms.
     fixture.push_steps(vec![Step::Silent; 16]);
     for _ in 0..24 {
