Use reports of demand in the estimate of waits, and mend what a reader stumbled on

Found by review: requests refused as late or by a full queue counted neither as pressure nor as demand; the estimate ignored the requests that wait at other nodes, so a second waiting request at a small node was refused at once; an organisation above its share of one service was lowered for all; the share of unread prompts took the largest output.

--- a/crates/admission/src/fill.rs
+++ b/crates/admission/src/fill.rs
@@ -3,8 +3,8 @@
 /// Fill limit of a resumed request. Its caller already has a part of the answer, which is lost if
 /// the request is not admitted.
 const RESUMED_LIMIT: f64 = 1.0;
-/// Lowest fill limit. The reservation of a request covers its longest answer, so at this fill less
-/// than half of the memory may be in use, and no request is to be refused then.
+/// Lowest fill limit. Below it, requests could be refused while less than half of an engine's memory
+/// is in use.
 const LOWEST_LIMIT: f64 = 0.55;
 
 /// The range of fill limits.
--- a/crates/admission/src/flow.rs
+++ b/crates/admission/src/flow.rs
@@ -15,7 +15,7 @@
 const MAX_WAIT: Duration = Duration::from_secs(600);
 /// Shortest time after which a caller may retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
-/// A caller may retry after at most the remaining time of its request divided by this.
+/// A caller is told to wait for at most a third of its request's remaining time.
 const RETRY_DIVISOR: u32 = 3;
 /// Share of the time until a retry that is random, to both sides of the estimate. Callers that are
 /// refused together would otherwise return together.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -128,7 +128,8 @@
     /// Whether the organisation of the request uses more than its fair share while capacity is
     /// scarce.
     fn is_over_share(&self) -> bool {
-        self.organisation.as_ref().is_some_and(|name| self.gateway.over_share(name))
+        let gateway = &self.gateway;
+        self.organisation.as_ref().is_some_and(|name| gateway.over_share(&self.service, name))
     }
 
     /// Until when a request that arrives now may wait for capacity.
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -177,9 +177,11 @@
                 self.give_up(attempts, FailureKind::Overloaded, "the upstreams have no room")
             }
             NoSelection::QueueFull => {
+                self.count_refused();
                 self.give_up(attempts, FailureKind::Overloaded, "too many requests wait for room")
             }
             NoSelection::Late => {
+                self.count_refused();
                 let message = "the request cannot be served in time";
                 self.give_up(attempts, FailureKind::Overloaded, message)
             }
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -87,12 +87,18 @@
 impl Gateway {
     /// Whether an organisation uses more than its fair share of a service while this node is under
     /// pressure. Without pressure, shares are lent.
-    pub fn over_share(&self, organisation: &Organisation) -> bool {
+    pub fn over_share(&self, service: &ServiceName, organisation: &Organisation) -> bool {
+        self.is_under_pressure() && self.demand.borrow().is_over_share(service, organisation)
+    }
+
+    /// Requests of the other nodes to a service that wait for capacity or were refused recently,
+    /// according to their reports; `None` without pressure, when nodes send none.
+    pub(crate) fn waiting_elsewhere(&self, service: &ServiceName) -> Option<u32> {
         if !self.is_under_pressure() {
-            return false;
+            return None;
         }
         let demand = self.demand.borrow();
-        demand.services().any(|service| demand.is_over_share(service, organisation))
+        u32::try_from(demand.waiting_elsewhere(service)).ok()
     }
 
     /// Share of the other registered nodes that this node has heard from recently. It is low after a
@@ -157,7 +163,7 @@
             tracing::info!(
                 count = over.len(),
                 organisations = logged.join(","),
-                "organisations above their fair share have changed"
+                "organisations are above their fair share of a service"
             );
             known_over = over;
         }
--- a/crates/gateway/src/event_gaps.rs
+++ b/crates/gateway/src/event_gaps.rs
@@ -6,7 +6,7 @@
 
 use crate::Gateway;
 
-/// Least wait that is reported. An event that has already arrived says nothing about its path.
+/// Least wait that is reported. After a shorter one, the event was already in the receive buffer.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
 /// Reports the gaps of the stream of one attempt until it is dropped.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefMut, time::Duration};
 
 use admission::{FleetLoad, Flow, retry_after};
+use pipelines::demand_interval;
 use rand::Rng;
 use types::ServiceName;
 
@@ -37,8 +38,8 @@
             in_flight,
             hold: self.flow(service).hold(),
             nodes: self.node_count(),
-            waiting_elsewhere: None,
-            age: Duration::ZERO,
+            waiting_elsewhere: self.waiting_elsewhere(service),
+            age: demand_interval(self.node_count()),
         }
     }
 }
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -56,7 +56,7 @@
     pub(crate) target: Arc<str>,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// Most tokens that the request may occupy in the KV caches of engines.
+    /// Tokens of KV cache that are reserved for the request on each engine.
     pub(crate) tokens: u32,
     /// Number of prompt tokens.
     pub(crate) prompt: u32,
--- a/crates/gateway/src/pressure.rs
+++ b/crates/gateway/src/pressure.rs
@@ -40,8 +40,12 @@
         }
         let is_under_pressure = self.is_under_pressure();
         if self.pressure.is_logged.replace(is_under_pressure) != is_under_pressure {
-            let coverage = self.coverage();
-            tracing::info!(is_under_pressure, coverage, "pressure has changed");
+            let (coverage, waiting) = (self.coverage(), self.has_waiting());
+            if is_under_pressure {
+                tracing::info!(coverage, waiting, "node is under pressure");
+            } else {
+                tracing::info!(coverage, "node is no longer under pressure");
+            }
         }
     }
 
--- a/crates/gateway/tests/gateway/fleet_load.rs
+++ b/crates/gateway/tests/gateway/fleet_load.rs
@@ -140,7 +140,7 @@
         let Datagram::Beacon(beacon) = datagram else { panic!("{datagram:?} is no beacon") };
         assert!(beacon.loads.len() <= MAX_BEACON_ENTRIES);
     }
-    assert!(!fixture.gateway.over_share(&"family".into()));
+    assert!(!fixture.gateway.over_share(&"registry".into(), &"family".into()));
 }
 
 /// Guards against a node that takes the silence of the others for free capacity, after its start,
@@ -185,21 +185,21 @@
     let fixture = Fixture::ready_with_overload("").await;
     let peer = register_peer(&fixture, "a").await;
     let addr = exchange(&fixture).await;
-    let family = "family".into();
+    let (service, family) = ("registry".into(), "family".into());
     let starved = Datagram::Demand(demand(&[("family", 20, 0), ("small", 1, 9)]));
     start_requests(&fixture, 2);
     let calm = received_within(&peer, REPORT_TIME).await;
     assert!(!calm.iter().any(|datagram| matches!(datagram, Datagram::Demand(_))));
     peer.send(&starved, &[addr]).await;
     compio::time::sleep(DATAGRAM_TIME).await;
-    assert!(!fixture.gateway.over_share(&family), "its share is lent without pressure");
+    assert!(!fixture.gateway.over_share(&service, &family), "its share is lent without pressure");
     // Two replicas with 8 slots each.
     start_requests(&fixture, 12);
     compio::time::sleep(BEACON_TIME).await;
     peer.send(&starved, &[addr]).await;
     compio::time::sleep(DATAGRAM_TIME).await;
-    assert!(fixture.gateway.over_share(&family));
-    assert!(!fixture.gateway.over_share(&"small".into()));
+    assert!(fixture.gateway.over_share(&service, &family));
+    assert!(!fixture.gateway.over_share(&service, &"small".into()));
     // The first requests may have ended before the next report.
     start_requests(&fixture, 12);
     let busy = received_within(&peer, REPORT_TIME).await;
--- a/crates/pipelines/src/demand.rs
+++ b/crates/pipelines/src/demand.rs
@@ -14,7 +14,7 @@
 /// Most organisations that a report names. The others are one sum.
 pub const MAX_REPORTED_ORGANISATIONS: usize = 8;
 /// Time for which a request that was refused for lack of capacity counts as waiting. Callers that
-/// honour their `Retry-After` come back at about this time.
+/// honour a short `Retry-After` come back within this time.
 const REFUSED_LIFETIME: Duration = Duration::from_secs(1);
 /// Most refused requests that are remembered.
 const MAX_REFUSED: usize = 256;
@@ -66,9 +66,9 @@
 pub struct ServiceDemand {
     /// By priority.
     pub priorities: BTreeMap<u32, Demand>,
-    /// By organisation, those that have a name here.
+    /// By organisation, as far as reports name them.
     pub organisations: BTreeMap<Organisation, Demand>,
-    /// Of callers without an organisation and of organisations that have no name here.
+    /// Of callers without an organisation and of organisations that the report does not name.
     pub others: Demand,
 }
 
@@ -236,13 +236,13 @@
         priorities.map(|(priority, demand)| (*priority, *demand))
     }
 
-    /// Requests of all nodes to a service that are at least as urgent as `priority`.
-    pub fn at_least(&self, service: &str, priority: u32) -> Demand {
-        let mut sum = Demand::default();
-        self.by_priority(service)
-            .take_while(|(other, _)| *other <= priority)
-            .for_each(|(_, demand)| sum.add(demand));
-        sum
+    /// Requests of the other nodes to a service that wait for capacity.
+    pub fn waiting_elsewhere(&self, service: &str) -> u64 {
+        let waiting = |table: &BTreeMap<ServiceName, ServiceDemand>| {
+            let priorities = table.get(service).into_iter().flat_map(|demand| &demand.priorities);
+            priorities.map(|(_, demand)| demand.waiting).sum::<u64>()
+        };
+        waiting(&self.all).saturating_sub(waiting(&self.own))
     }
 
     /// Requests of all nodes to a service by organisation, except those that no report names.
--- a/crates/pipelines/src/latency.rs
+++ b/crates/pipelines/src/latency.rs
@@ -8,8 +8,8 @@
 //!
 //! The formulas leave out that engines may batch unevenly, that prompts are prefilled by several
 //! stages at once, that a cached prefix of a prompt need not be prefilled, and the network apart
-//! from the delay between failure domains. Contexts are counted with what the requests may grow to,
-//! so the prediction tends to be too long rather than too short.
+//! from the delay between failure domains. Contexts count with the KV cache that is reserved for the
+//! requests, which is the mean of what they are expected to hold.
 
 use catalog::LatencyModel;
 
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -1,8 +1,10 @@
 //! Decisions for models whose layers are spread over engines: which engine holds which layers,
-//! which engines a request passes through, how loaded the engines are, and which upstreams to
-//! avoid. The crate `gateway` makes its decisions with this one; the crate `node`, whose engines
+//! which engines a request passes through and how long they are predicted to take, how loaded the
+//! engines are, how much of the fleet's capacity each organisation uses, when nodes tell each other,
+//! and which upstreams to avoid. The crate `gateway` makes its decisions with this one; the crate `node`, whose engines
 //! report their load, uses `routing` instead. Each of the two has its own retry budget and record
-//! of upstreams to avoid. The queue of waiting requests is in `gateway`.
+//! of upstreams to avoid. The order of waiting requests is in
+//! `admission`.
 //!
 //! Terms: a *path* is a chain of engines that together run the whole model. The crate `routing`
 //! calls that a route.
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -13,7 +13,7 @@
     pub requests: u32,
     /// Number of requests that enter the pipeline through it.
     pub entered: u32,
-    /// KV cache that the requests may grow to, in tokens times layers. `gateway` also counts the
+    /// KV cache that is reserved for the requests, in tokens times layers. `gateway` also counts the
     /// requests that cross from one failure domain to another, under a name that is not an
     /// upstream's; there this is tokens times crossings.
     pub token_layers: f64,
--- a/crates/pipelines/src/path.rs
+++ b/crates/pipelines/src/path.rs
@@ -36,7 +36,7 @@
     pub step_factor: f64,
     /// KV cache that fits into its memory, in tokens times layers.
     pub kv_capacity: f64,
-    /// KV cache that is reserved for the requests in flight: what they may grow to, in tokens times
+    /// KV cache that is reserved for the requests in flight, in tokens times
     /// layers.
     pub kv_reserved: f64,
     /// Whether the path may begin with it.
@@ -65,7 +65,7 @@
 pub struct PathQuery<'a> {
     /// Number of layers of the model.
     pub layers: u32,
-    /// Largest number of tokens that the request may hold in the KV caches.
+    /// Tokens of KV cache that are reserved for the request on each engine.
     pub tokens: u32,
     /// Largest share of an engine's KV cache capacity that may be reserved.
     pub max_fill: f64,
--- a/crates/pipelines/src/unread.rs
+++ b/crates/pipelines/src/unread.rs
@@ -40,7 +40,7 @@
 pub struct RequestSize {
     /// Prompt tokens.
     pub prompt: u32,
-    /// Tokens that it may hold in the KV caches.
+    /// Tokens of KV cache that are reserved for it.
     pub tokens: u32,
 }
 
@@ -116,6 +116,7 @@
 /// Share of the KV cache reserved on an engine that is prompts which are not prefilled yet, on
 /// average over the time in flight of usual requests.
 pub fn unread_share(model: &LatencyModel, step_factor: f64, read_factor: f64) -> f64 {
-    let prompt_share = model.usual_prompt / (model.usual_prompt + model.usual_answer);
+    // A request reserves its prompt and half of its expected output.
+    let prompt_share = model.usual_prompt / (model.usual_prompt + model.usual_answer / 2.0);
     prompt_share * reading_share(model, step_factor, read_factor)
 }
--- a/crates/pipelines/tests/demand.rs
+++ b/crates/pipelines/tests/demand.rs
@@ -27,6 +27,15 @@
     table
 }
 
+/// Requests of all nodes that are at least as urgent as `priority`.
+fn at_least(table: &DemandTable, priority: u32) -> Demand {
+    let urgent = table.by_priority(SERVICE).filter(|(other, _)| *other <= priority);
+    urgent.fold(Demand::default(), |sum, (_, demand)| Demand {
+        running: sum.running + demand.running,
+        waiting: sum.waiting + demand.waiting,
+    })
+}
+
 /// Guards against one organisation that keeps the whole capacity because each node sees only its own
 /// part of the organisation's requests.
 #[test]
@@ -53,9 +62,9 @@
         table.refuse(key(0, "small"), at(0));
     }
     assert!(table.is_over_share(SERVICE, "large"));
-    assert!(table.at_least(SERVICE, 0).waiting < 1000, "their number is bounded");
+    assert!(at_least(&table, 0).waiting < 1000, "their number is bounded");
     table.expire(at(1000), LIFETIME);
-    assert_eq!(table.at_least(SERVICE, 1), Demand { running: 7, waiting: 0 });
+    assert_eq!(at_least(&table, 1), Demand { running: 7, waiting: 0 });
 }
 
 /// Guards against a report that grows with the number of organisations.
--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -52,7 +52,8 @@
     /// Width of the range below `max_fill` in which the admission of the most urgent requests tapers
     /// off.
     pub fill_taper: f64,
-    /// Additional width of that range for the least urgent requests.
+    /// Additional width of that range for the least urgent requests that are late or whose
+    /// organisation uses more than its fair share. More urgent requests have a part of it.
     pub fill_spread: f64,
     /// Most requests of a service that wait for capacity at the node.
     pub queue_length: usize,
@@ -74,7 +75,7 @@
 
 /// Allowed range of `max_fill`. With a lower value, requests are refused while less than half of the
 /// memory is in use.
-const MAX_FILL: std::ops::RangeInclusive<f64> = 0.6..=1.0;
+const MAX_FILL_RANGE: std::ops::RangeInclusive<f64> = 0.6..=1.0;
 /// Allowed range of `fill_taper` and `fill_spread`.
 const FILL_WIDTH: std::ops::RangeInclusive<f64> = 0.0..=0.4;
 /// Allowed range of `queue_length`. The order of the queue is computed anew for each check.
@@ -85,7 +86,7 @@
 impl OverloadSettings {
     fn check(&self) -> Result<(), String> {
         let shares = [
-            ("max_fill", self.max_fill, MAX_FILL),
+            ("max_fill", self.max_fill, MAX_FILL_RANGE),
             ("fill_taper", self.fill_taper, FILL_WIDTH),
             ("fill_spread", self.fill_spread, FILL_WIDTH),
             ("wait_share", self.wait_share, WAIT_SHARE),
