Split the search for paths and the list of candidates by step

The functions that search for a path and that list its candidates had grown with each new fact. The steps of the search are methods of their own, and the candidates are listed apart from the choice.

--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -1,7 +1,11 @@
 //! Chooses the path of an attempt: the engines that together run the whole model.
 
-use catalog::ModelProfile;
-use pipelines::{Load, Path, PathCandidate, PathQuery, UpstreamLoad, choose_path, unread_share};
+use std::sync::Arc;
+
+use catalog::{ModelProfile, Upstream};
+use pipelines::{
+    Load, Path, PathCandidate, PathQuery, PathTargets, UpstreamLoad, choose_path, unread_share,
+};
 use rand::Rng;
 
 use crate::{
@@ -51,61 +55,15 @@
     ) -> Result<Path, NoSelection> {
         let gateway = &self.gateway;
         let targets = self.path_targets(profile, query);
-        let mut candidates = Vec::new();
-        let may_cross;
-        let crossing_factor;
-        {
-            let catalog = gateway.catalog.borrow();
-            let load = gateway.load.borrow();
-            let health = gateway.health.borrow();
-            let unread = gateway.unread.borrow();
-            let now = gateway.clock.now();
-            crossing_factor = gateway.crossing_gaps.borrow().cost_factor(now);
-            may_cross = may_cross_domains(profile, load.total(CROSS_DOMAIN).token_layers);
-            for upstream in catalog.upstreams().filter(|upstream| upstream.service == self.service)
-            {
-                let (Some(accelerator_kind), Some(layers)) =
-                    (&upstream.accelerator_kind, catalog.layers(upstream))
-                else {
-                    continue;
-                };
-                let Some(kind) = profile.accelerators.get(accelerator_kind) else { continue };
-                let is_usable = gateway.is_usable(upstream)
-                    || (query.with_leaving && gateway.is_in_last_use(upstream));
-                if !is_usable {
-                    continue;
-                }
-                let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
-                let reserved = load.total(&upstream.name);
-                let read_factor = profile.read_factor(accelerator_kind);
-                let waiting = targets.map_or(0.0, |targets| {
-                    let share = unread_share(targets.model, kind.step_factor, read_factor);
-                    unread.unread(&upstream.name, reserved.token_layers, share)
-                });
-                candidates.push(PathCandidate {
-                    name: upstream.name.clone(),
-                    addr: upstream.addr,
-                    domain: upstream.domain.clone(),
-                    layers,
-                    step_factor: kind.step_factor * slowdown,
-                    kv_capacity: profile.kv_capacity(accelerator_kind, layers.len()),
-                    kv_reserved: reserved.token_layers,
-                    requests: reserved.requests,
-                    unread: waiting,
-                    read_factor: read_factor * slowdown,
-                    can_be_entry: reserved.entered < upstream.capacity
-                        && (query.allowed_entries.is_empty()
-                            || query.allowed_entries.contains(&upstream.name)),
-                });
-            }
-        }
-        let max_fill = if query.is_resumed { MAX_RESUME_FILL } else { MAX_FILL };
+        let candidates = self.path_candidates(profile, query, targets.as_ref());
+        let crossing_load = gateway.load.borrow().total(CROSS_DOMAIN);
+        let now = gateway.clock.now();
         let path_query = PathQuery {
             layers: profile.layers,
             tokens: self.tokens,
-            max_fill,
-            may_cross,
-            crossing_factor,
+            max_fill: if query.is_resumed { MAX_RESUME_FILL } else { MAX_FILL },
+            may_cross: may_cross_domains(profile, crossing_load.token_layers),
+            crossing_factor: gateway.crossing_gaps.borrow().cost_factor(now),
             avoid: query.avoid,
             targets,
         };
@@ -116,6 +74,55 @@
         })
     }
 
+    /// The engines that may be used now. Their unread prompts are counted only for `targets`.
+    fn path_candidates(
+        &self,
+        profile: &ModelProfile,
+        query: SelectionQuery<'_>,
+        targets: Option<&PathTargets<'_>>,
+    ) -> Vec<PathCandidate> {
+        let gateway = &self.gateway;
+        let catalog = gateway.catalog.borrow();
+        let load = gateway.load.borrow();
+        let health = gateway.health.borrow();
+        let unread = gateway.unread.borrow();
+        let now = gateway.clock.now();
+        let candidate = |upstream: &Arc<Upstream>| {
+            let accelerator_kind = upstream.accelerator_kind.as_ref()?;
+            let layers = catalog.layers(upstream)?;
+            let kind = profile.accelerators.get(accelerator_kind)?;
+            let is_usable = gateway.is_usable(upstream)
+                || (query.with_leaving && gateway.is_in_last_use(upstream));
+            if !is_usable {
+                return None;
+            }
+            let slowdown = health.slowdown(&upstream.name, upstream.incarnation, now);
+            let reserved = load.total(&upstream.name);
+            let read_factor = profile.read_factor(accelerator_kind);
+            let waiting = targets.map_or(0.0, |targets| {
+                let share = unread_share(targets.model, kind.step_factor, read_factor);
+                unread.unread(&upstream.name, reserved.token_layers, share)
+            });
+            Some(PathCandidate {
+                name: upstream.name.clone(),
+                addr: upstream.addr,
+                domain: upstream.domain.clone(),
+                layers,
+                step_factor: kind.step_factor * slowdown,
+                kv_capacity: profile.kv_capacity(accelerator_kind, layers.len()),
+                kv_reserved: reserved.token_layers,
+                can_be_entry: reserved.entered < upstream.capacity
+                    && (query.allowed_entries.is_empty()
+                        || query.allowed_entries.contains(&upstream.name)),
+                requests: reserved.requests,
+                unread: waiting,
+                read_factor: read_factor * slowdown,
+            })
+        };
+        let upstreams = catalog.upstreams().filter(|upstream| upstream.service == self.service);
+        upstreams.filter_map(candidate).collect()
+    }
+
     pub(crate) fn choose_engines(
         &self,
         profile: &ModelProfile,
@@ -147,18 +154,23 @@
         let first = path.stages.first().ok_or(NoSelection::NoUpstream)?;
         let upstream = self.gateway.catalog.borrow().upstream(&first.engine).cloned();
         let upstream = upstream.ok_or(NoSelection::NoUpstream)?;
-        if self.gateway.settings.overload.is_some() {
-            let prediction = if path.times.is_some() { "in-time" } else { "late-or-unknown" };
-            self.gateway.metrics.paths.with_label_values(&[prediction]).inc();
-            let (event_ms, first_ms) = path
-                .times
-                .map_or((None, None), |times| (Some(times.event_ms), Some(times.first_event_ms())));
-            tracing::debug!(request = %self.id, prediction, event_ms, first_ms,
-                stages = path.stages.len(), crossings = path.crossings, "path is chosen");
-        }
+        self.record_path(&path);
         let gap_watch = GapWatch::start(self.gateway.clone(), &path);
         Ok(Selection { gap_watch, ..self.reserve(upstream, path.stages, loads) })
     }
+
+    /// Counts a chosen path, and logs its predicted times.
+    fn record_path(&self, path: &Path) {
+        if self.gateway.settings.overload.is_none() {
+            return;
+        }
+        let prediction = if path.times.is_some() { "in-time" } else { "late-or-unknown" };
+        self.gateway.metrics.paths.with_label_values(&[prediction]).inc();
+        let event_ms = path.times.map(|times| times.event_ms);
+        let first_ms = path.times.map(|times| times.first_event_ms());
+        tracing::debug!(request = %self.id, prediction, event_ms, first_ms,
+            stages = path.stages.len(), crossings = path.crossings, "path is chosen");
+    }
 }
 
 /// Whether a request may cross from one failure domain to another while requests in flight carry
--- a/crates/pipelines/src/path.rs
+++ b/crates/pipelines/src/path.rs
@@ -114,59 +114,30 @@
     price: Option<&TimePrice<'_>>,
     rng: &mut impl Rng,
 ) -> Option<Path> {
-    let mut sorted: Vec<usize> = (0..candidates.len())
-        .filter(|index| {
-            let candidate = &candidates[*index];
-            !candidate.layers.is_empty()
-                && candidate.layers.end <= query.layers
-                && !query.avoid.contains(&candidate.name)
-                && price.is_none_or(|price| price.admits_engine(*index))
-        })
-        .collect();
-    sorted.sort_by_key(|index| candidates[*index].layers.end);
+    let search = Search { candidates, query, price, domains: number_domains(candidates) };
+    let sorted = search.usable();
     let ends: Vec<u32> = sorted.iter().map(|index| candidates[*index].layers.end).collect();
-    let domains = number_domains(candidates);
     let mut best: Vec<Option<BestPath>> = vec![None; candidates.len()];
     for &index in &sorted {
         let candidate = &candidates[index];
         if candidate.layers.start == 0 && candidate.can_be_entry {
             let factor = 1.0 + JITTER * rng.random::<f64>();
-            let start = (PathTimes::default(), 0.0);
-            best[index] = stage_cost(candidate, 0, query).and_then(|cost| {
-                let share = share_from(candidate, 0, query);
-                let (times, time_cost) = match price {
-                    Some(price) => price.extend(start.0, index, share, false)?,
-                    None => start,
-                };
-                let cost = (cost + time_cost) * factor;
-                Some(BestPath { cost, factor, predecessor: None, stages: 1, times })
-            });
+            best[index] = search.begin(index, factor);
         }
         // The engines whose paths the candidate can extend, in groups that end at the same layer.
         let first = ends.partition_point(|end| *end < candidate.layers.start);
         let last = ends.partition_point(|end| *end < candidate.layers.end);
         let mut stage = (candidate.layers.end, None);
-        for &predecessor in &sorted[first..last] {
-            let previous = &candidates[predecessor];
-            let Some(shorter) = best[predecessor] else { continue };
-            let crosses = domains[predecessor] != domains[index];
-            if shorter.stages == MAX_STAGES || (crosses && !query.may_cross) {
-                continue;
-            }
-            if stage.0 != previous.layers.end {
-                let start = previous.layers.end;
+        for (&predecessor, &start) in sorted[first..last].iter().zip(&ends[first..last]) {
+            let Some(shorter) = &best[predecessor] else { continue };
+            if stage.0 != start {
                 stage = (start, stage_cost(candidate, start, query));
             }
-            let Some(mut added) = stage.1 else { continue };
-            let mut times = shorter.times;
-            if let Some(price) = price {
-                let share = share_from(candidate, previous.layers.end, query);
-                let Some(extended) = price.extend(times, index, share, crosses) else { continue };
-                times = extended.0;
-                added += extended.1;
-            }
-            let crossing = if crosses { CROSSING_COST * query.crossing_factor } else { 0.0 };
-            let cost = shorter.cost + added * shorter.factor + crossing;
+            let Some(added) = stage.1 else { continue };
+            let Some((cost, times)) = search.extend(shorter, predecessor, index, start, added)
+            else {
+                continue;
+            };
             if best[index].is_none_or(|other| cost < other.cost) {
                 let (factor, stages) = (shorter.factor, shorter.stages + 1);
                 let predecessor = Some(predecessor);
@@ -188,6 +159,76 @@
     Some(path)
 }
 
+/// A search for the cheapest path.
+struct Search<'a> {
+    candidates: &'a [PathCandidate],
+    query: &'a PathQuery<'a>,
+    price: Option<&'a TimePrice<'a>>,
+    /// Numbers of the candidates' failure domains.
+    domains: Vec<usize>,
+}
+
+impl Search<'_> {
+    /// Indices of the candidates that may be used, in the order of their last layers.
+    fn usable(&self) -> Vec<usize> {
+        let mut sorted: Vec<usize> = (0..self.candidates.len())
+            .filter(|index| {
+                let candidate = &self.candidates[*index];
+                !candidate.layers.is_empty()
+                    && candidate.layers.end <= self.query.layers
+                    && !self.query.avoid.contains(&candidate.name)
+                    && self.price.is_none_or(|price| price.admits_engine(*index))
+            })
+            .collect();
+        sorted.sort_by_key(|index| self.candidates[*index].layers.end);
+        sorted
+    }
+
+    /// The path that consists of the candidate `index` only.
+    fn begin(&self, index: usize, factor: f64) -> Option<BestPath> {
+        let cost = stage_cost(&self.candidates[index], 0, self.query)?;
+        let (times, time_cost) = self.predict(PathTimes::default(), index, 0, false)?;
+        let cost = (cost + time_cost) * factor;
+        Some(BestPath { cost, factor, predecessor: None, stages: 1, times })
+    }
+
+    /// Cost and predicted times of the path `shorter`, which ends with the candidate `predecessor`,
+    /// after a further stage that costs `added`, on the candidate `index` from layer `start` on.
+    #[inline]
+    fn extend(
+        &self,
+        shorter: &BestPath,
+        predecessor: usize,
+        index: usize,
+        start: u32,
+        added: f64,
+    ) -> Option<(f64, PathTimes)> {
+        let crosses = self.domains[predecessor] != self.domains[index];
+        if shorter.stages == MAX_STAGES || (crosses && !self.query.may_cross) {
+            return None;
+        }
+        let (times, time_cost) = self.predict(shorter.times, index, start, crosses)?;
+        let crossing = if crosses { CROSSING_COST * self.query.crossing_factor } else { 0.0 };
+        Some((shorter.cost + (added + time_cost) * shorter.factor + crossing, times))
+    }
+
+    /// Predicted times of a path with `times` after a further stage on the candidate `index` from
+    /// layer `start` on, and what they cost. `None` if the path is not admitted.
+    #[inline]
+    fn predict(
+        &self,
+        times: PathTimes,
+        index: usize,
+        start: u32,
+        crosses: bool,
+    ) -> Option<(PathTimes, f64)> {
+        let Some(price) = self.price else { return Some((times, 0.0)) };
+        let layers = self.candidates[index].layers.end - start;
+        let share = f64::from(layers) / f64::from(self.query.layers);
+        price.extend(times, index, share, crosses)
+    }
+}
+
 /// Cost of running the layers from `start` to the end of the candidate's range, or `None` if the
 /// candidate has no room for the request.
 fn stage_cost(candidate: &PathCandidate, start: u32, query: &PathQuery<'_>) -> Option<f64> {
@@ -215,11 +256,6 @@
     numbers
 }
 
-/// Share of the model's layers that the candidate runs from layer `start` on.
-fn share_from(candidate: &PathCandidate, start: u32, query: &PathQuery<'_>) -> f64 {
-    f64::from(candidate.layers.end - start) / f64::from(query.layers)
-}
-
 /// Follows the links of `best` back from the candidate `last` to the first one.
 fn collect_path(candidates: &[PathCandidate], best: &[Option<BestPath>], last: usize) -> Path {
     let mut stages = Vec::new();
--- a/crates/pipelines/src/targets.rs
+++ b/crates/pipelines/src/targets.rs
@@ -57,6 +57,7 @@
     /// Predicts the times of a path with `times` after a further stage, on a candidate that runs
     /// `share` of the layers. Returns them and the cost that they add; `None` if the path is not
     /// admitted.
+    #[inline]
     pub(crate) fn extend(
         &self,
         times: PathTimes,
