Wait for the result of the crash check, and make its tests independent of speed

A request whose call broke was sent again 30 ms later, by which time the probe of its upstream should have run. On a loaded machine the probe may run later, and the request then crashed a further upstream ("6 engines crashed"). The request now waits for the result and the decision, for the same time in calm. The wait begins again if it was cancelled. This cause was found by reading; a test that blocked the thread periodically did not show it on the old code.

Tests let time pass in short steps, of which each counts for a few milliseconds at most. A restart of an engine that was called before kept its incarnation, so that no restart was seen: the test did not depend on load there. A stream may leave the slow engine before its caller does, which needs more scripted steps.

Ruled out: the restarting test still failed with more steps alone. The test that counts 30 stored refusals still fails at times with 29.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use callers::RoutedFailure;
 use catalog::{Phase, Upstream};
+use clock::Timestamp;
 use crashes::{
     Applied, CrashNote, EngineProcess, Refusal, RefusalSource, RefusedPart, RequestParts, Suspect,
 };
-use transport::CallError;
+use futures_util::future::{Either, select};
+use transport::{CallError, StopSignal};
 use types::{Digest, Failure, FailureKind, Organisation, UpstreamName, Verdict};
 
 use crate::{
@@ -24,8 +26,11 @@
 
 /// Delay between a broken connection and the probe that tells whether its upstream has crashed.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
-/// Time from a broken connection until the result of that probe is known.
+/// Least time from a broken connection until the request is sent again.
 const CRASH_CHECK_TIME: Duration = Duration::from_millis(30);
+/// Time from the probe on for which the request waits for its result. An upstream out of reach answers
+/// no probe.
+const PROBE_WAIT: Duration = CRASH_CHECK_TIME.saturating_sub(CRASH_CHECK_DELAY);
 /// Time for which reports of crashes are collected in a small fleet before the cause is looked for. A
 /// lost failure domain gives many at the same time.
 const DECISION_DELAY: Duration = Duration::from_millis(5);
@@ -107,9 +112,10 @@
 
     /// Waits until it is known whether the last attempt has crashed its upstream.
     pub(crate) async fn wait_for_crash_check(&self) {
-        if let Some(until) = self.crash_check.take() {
-            let clock = &self.gateway.clock;
-            clock.sleep(until.since(clock.now())).await;
+        // The wait may be cancelled and begun again.
+        let checked = self.crash_check.borrow().clone();
+        if let Some(checked) = checked {
+            checked.raised().await;
         }
     }
 
@@ -117,40 +123,74 @@
     /// is no crash: links break too, and distinct requests may have equal content and thus one
     /// fingerprint.
     pub(crate) fn check_crash(&self, selection: &Selection) {
-        let gateway = self.gateway.clone();
+        let checked = StopSignal::new();
         if !self.has_begun.get() {
-            self.crash_check.set(Some(gateway.clock.now() + CRASH_CHECK_TIME));
+            self.crash_check.replace(Some(checked.clone()));
         }
-        let check = confirm_crash(
-            gateway,
-            selection.upstream.clone(),
-            selection.client.clone(),
-            self.parts.clone(),
-        );
-        compio::runtime::spawn(check).detach();
+        let check = CrashCheck {
+            gateway: self.gateway.clone(),
+            upstream: selection.upstream.clone(),
+            client: selection.client.clone(),
+            parts: self.parts.clone(),
+            checked,
+        };
+        compio::runtime::spawn(check.run()).detach();
     }
 }
 
-/// Records a crash of an upstream that can no longer be reached after a call to it broke.
-async fn confirm_crash(
+/// A check whether the upstream of a broken call has crashed.
+struct CrashCheck {
     gateway: Rc<Gateway>,
     upstream: Arc<Upstream>,
     client: Rc<dyn upstreams::UpstreamClient>,
     parts: RequestParts,
-) {
-    let broken_at = gateway.clock.now();
-    gateway.clock.sleep(CRASH_CHECK_DELAY).await;
-    let Err(error) = client.probe().await else { return };
-    gateway.mark_failed(&upstream.name, FailureEvidence::of_error(&error), &error.to_string());
-    // An upstream that does not answer may only be out of reach.
-    if !matches!(error, CallError::Refused) {
-        return;
+    /// Raised when the request need not wait any longer, also if the check is given up.
+    checked: StopSignal,
+}
+
+impl CrashCheck {
+    /// Probes the upstream, and records a crash if it can no longer be reached.
+    ///
+    /// The request waits for the result itself and not for a time after which it should be known: on
+    /// a node that is short of processor time, that time passes before the probe has run, and the
+    /// request would crash a further upstream.
+    async fn run(self) {
+        let clock = &self.gateway.clock;
+        let broken_at = clock.now();
+        clock.sleep(CRASH_CHECK_DELAY).await;
+        let result = match select(self.client.probe(), clock.sleep(PROBE_WAIT)).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((), probe)) => {
+                self.checked.raise();
+                probe.await
+            }
+        };
+        if let Err(error) = result {
+            self.record(&error, broken_at);
+            self.gateway.wait_for_decision().await;
+        }
+        clock.sleep((broken_at + CRASH_CHECK_TIME).since(clock.now())).await;
+    }
+
+    fn record(&self, error: &CallError, broken_at: Timestamp) {
+        let CrashCheck { gateway, upstream, parts, .. } = self;
+        gateway.mark_failed(&upstream.name, FailureEvidence::of_error(error), &error.to_string());
+        // An upstream that does not answer may only be out of reach.
+        if !matches!(error, CallError::Refused) {
+            return;
+        }
+        gateway.observe_crash(upstream);
+        // Counted for the request itself also if its answer had begun.
+        let parts = RequestParts { shared: Arc::default(), ..parts.clone() };
+        let process = (upstream.name.clone(), upstream.incarnation);
+        gateway.record_crash(process, vec![Suspect::silent(&parts, broken_at)]);
+    }
+}
+
+impl Drop for CrashCheck {
+    fn drop(&mut self) {
+        self.checked.raise();
     }
-    gateway.observe_crash(&upstream);
-    // Counted for the request itself also if its answer had begun.
-    let parts = RequestParts { shared: Arc::default(), ..parts };
-    let process = (upstream.name.clone(), upstream.incarnation);
-    gateway.record_crash(process, vec![Suspect::silent(&parts, broken_at)]);
 }
 
 impl Gateway {
@@ -200,13 +240,16 @@
     /// Refuses the parts that explain the crashes known after a short delay.
     fn schedule_decision(&self) {
         let Some(gateway) = self.own.upgrade() else { return };
-        if self.runs.decision_pending.replace(true) {
+        if self.runs.decision.borrow().is_some() {
             return;
         }
+        self.runs.decision.replace(Some(StopSignal::new()));
         compio::runtime::spawn(async move {
-            let scale = gateway.fleet_scale();
-            gateway.clock.sleep(DECISION_DELAY.mul_f64(scale * scale)).await;
-            gateway.runs.decision_pending.set(false);
+            gateway.clock.sleep(gateway.decision_delay()).await;
+            if let Some(decided) = gateway.runs.decision.take() {
+                // Those who wait run after this task, which decides without a pause.
+                decided.raise();
+            }
             let now = gateway.clock.now();
             let decisions = gateway.crashes.borrow_mut().decide(now);
             gateway.tell_crash_notes(decisions);
@@ -214,6 +257,21 @@
         .detach();
     }
 
+    /// Time for which reports of crashes are collected before the cause is looked for.
+    fn decision_delay(&self) -> Duration {
+        let scale = self.fleet_scale();
+        DECISION_DELAY.mul_f64(scale * scale)
+    }
+
+    /// Waits until the parts that explain the crashes known are refused, unless that takes longer in
+    /// a large fleet than a request waits for a probe.
+    async fn wait_for_decision(&self) {
+        let decision = self.runs.decision.borrow().clone();
+        if let Some(decided) = decision.filter(|_| self.decision_delay() <= PROBE_WAIT) {
+            decided.raised().await;
+        }
+    }
+
     /// Logs what this node has found out, and tells the other nodes.
     fn tell_crash_notes(&self, notes: Vec<CrashNote>) {
         for note in &notes {
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -1,6 +1,11 @@
 //! Processes a request from its arrival to its verdict.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use admission::SizeHints;
 use bytes::Bytes;
@@ -11,7 +16,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderMap, Method, StatusCode, header};
 use rand::Rng;
-use transport::BodyError;
+use transport::{BodyError, StopSignal};
 use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
 use upstreams::Call;
 
@@ -69,8 +74,8 @@
     pub(crate) parts: RequestParts,
     /// Whether the answer has begun.
     pub(crate) has_begun: Cell<bool>,
-    /// When it is known whether the last attempt has crashed its upstream.
-    pub(crate) crash_check: Cell<Option<Timestamp>>,
+    /// Raised when it is known whether the last attempt has crashed its upstream.
+    pub(crate) crash_check: RefCell<Option<StopSignal>>,
     pub(crate) log: OutcomeLog,
 }
 
@@ -243,7 +248,7 @@
             start_by,
             parts,
             has_begun: Cell::new(false),
-            crash_check: Cell::new(None),
+            crash_check: RefCell::default(),
         })
     }
 }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -10,6 +10,7 @@
 use catalog::Upstream;
 use clock::Timestamp;
 use crashes::{EngineProcess, RequestParts, Suspect};
+use transport::StopSignal;
 use types::{Stage, UpstreamName};
 
 use crate::{Gateway, lifecycle::ActiveRequest};
@@ -24,8 +25,8 @@
 pub(crate) struct RunTable {
     runs: RefCell<HashMap<u64, Run>>,
     next_id: Cell<u64>,
-    /// Whether the cause of crashes will be looked for shortly.
-    pub(crate) decision_pending: Cell<bool>,
+    /// Raised when the cause of crashes has been looked for; `None` if that is not about to happen.
+    pub(crate) decision: RefCell<Option<StopSignal>>,
 }
 
 struct Run {
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -11,7 +11,7 @@
 use transport::RequestBody;
 use types::{Digest, FailureKind, Verdict};
 
-use crate::support::{Fixture, MemoryStore, Step, body, event, request};
+use crate::support::{Fixture, MemoryStore, Step, body, event, request, run_for};
 
 /// Start of the bodies of the requests that crash engines.
 const CRASHING_BODY: &str = "crash";
@@ -23,6 +23,8 @@
 const SOUND_PART: Digest = Digest(0x12);
 /// Crashes after which the part must be refused.
 const MAX_CRASHES: usize = 5;
+/// Most attempts at a stream.
+const MAX_ATTEMPTS: usize = 6;
 /// Time within which a node learns of a crash from another one.
 const DATAGRAM_TIME: Duration = Duration::from_millis(60);
 
@@ -69,7 +71,7 @@
         node.store.write(&format!("gypsumrack/nodes/node-{number}"), Some(&format!("{addr} a")));
         compio::runtime::spawn(gateway::exchange_datagrams(node.gateway.clone(), socket)).detach();
     }
-    compio::time::sleep(Duration::from_millis(750)).await;
+    run_for(Duration::from_millis(750)).await;
 }
 
 /// Sends crashing requests, no two alike, to the nodes in turn. Returns how many calls reached
@@ -88,7 +90,7 @@
             }
             Err(failure) => Some(failure),
         };
-        compio::time::sleep(DATAGRAM_TIME).await;
+        run_for(DATAGRAM_TIME).await;
     }
     (calls() - before, last)
 }
@@ -183,20 +185,23 @@
     let node = &nodes[0];
     node.upstreams.crashing_body.set(None);
     for number in 0..3 {
-        node.push_steps([Step::Silent]);
+        // The request may leave several silent paths before its deadline.
+        node.push_steps(vec![Step::Silent; MAX_ATTEMPTS]);
         let crashing = prompt(CRASHING_PART, format!("{CRASHING_BODY} {number}"));
         let running = compio::runtime::spawn(node.gateway.clone().route(crashing));
-        compio::time::sleep(DATAGRAM_TIME).await;
+        run_for(DATAGRAM_TIME).await;
         let called = node.called_upstreams().pop().expect("an engine was called");
         let value = node.store.items.borrow()[&format!("upstreams/{called}")].value.clone();
         let value = String::from_utf8(value.expect("the entry exists")).expect("it is text");
-        node.store.write(&format!("upstreams/{called}"), Some(&format!("{value} {}", number + 2)));
-        // The request may leave several silent paths before its deadline.
-        node.push_steps(vec![Step::Silent; 5]);
+        // An engine that was called before has an incarnation in its entry already.
+        let fields: Vec<&str> = value.split(' ').take(5).collect();
+        let restarted = format!("{} {}", fields.join(" "), number + 2);
+        node.store.write(&format!("upstreams/{called}"), Some(&restarted));
         compio::time::sleep(Duration::from_millis(1100)).await;
         running.cancel().await;
         node.upstreams.steps.borrow_mut().clear();
     }
+    node.push_steps(vec![Step::Silent; MAX_ATTEMPTS]);
     let crashing = prompt(CRASHING_PART, format!("{CRASHING_BODY} again"));
     let failure = node.gateway.clone().route(crashing).await.err().expect("it is refused");
     assert_eq!(failure.failure.kind, FailureKind::Poison);
--- a/crates/gateway/tests/gateway/crashing_requests.rs
+++ b/crates/gateway/tests/gateway/crashing_requests.rs
@@ -9,7 +9,7 @@
 use transport::RequestBody;
 use types::FailureKind;
 
-use crate::support::{Fixture, MemoryStore, request};
+use crate::support::{Fixture, MemoryStore, request, run_for};
 
 /// Start of the bodies of the requests that crash upstreams.
 const CRASHING_BODY: &str = "crash";
@@ -62,7 +62,7 @@
     compio::time::sleep(SETTLE_TIME).await;
     let failure = send(&node, 0).await.expect("the request is refused");
     assert_eq!(failure.failure.kind, FailureKind::Poison);
-    compio::time::sleep(STORE_TIME).await;
+    run_for(STORE_TIME).await;
     let store = node.store.clone();
     drop(node);
     let restarted = start_node(&store).await;
@@ -91,6 +91,6 @@
     compio::time::sleep(STORE_TIME).await;
     let soon = stored_refusals(&node.store);
     assert!(soon > 0 && soon < REQUESTS / 2, "{soon} refusals are stored at once");
-    compio::time::sleep(Duration::from_millis(60 * REQUESTS as u64)).await;
+    run_for(Duration::from_millis(60 * REQUESTS as u64)).await;
     assert_eq!(stored_refusals(&node.store), REQUESTS);
 }
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -1,11 +1,12 @@
 //! The lifecycle of a request, against upstreams that fail in various ways.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use callers::Router;
+use futures_util::future::{Either, select};
 use types::{FailureKind, Verdict};
 
-use crate::support::{Fixture, Step, body, event, request};
+use crate::support::{Fixture, Step, body, event, request, run_for};
 
 /// Guards against running a non-idempotent call twice: a failure after bytes were sent is reported
 /// as "may have run" and is not retried.
@@ -217,11 +218,21 @@
 /// Sends a request whose stream falls silent, and disconnects after a while. Returns the entry
 /// engine.
 async fn abandon_silent_stream(fixture: &Fixture) -> String {
+    let before = fixture.called_upstreams().len();
     fixture.push_steps([Step::EventsThenSilence(vec![0])]);
+    // The stream may leave a slow engine before the caller disconnects.
+    fixture.push_steps(vec![Step::Silent; 5]);
     let response = fixture.send("/drafts/x").await.expect("the stream begins");
-    let waiting = compio::time::timeout(Duration::from_millis(150), body(response)).await;
-    assert!(waiting.is_err());
-    fixture.called_upstreams().pop().expect("the request was sent")
+    let entry = fixture.called_upstreams().swap_remove(before);
+    let second = if entry == "e1" { "e2" } else { "e4" };
+    let mut answer = pin!(body(response));
+    let waiting = pin!(run_for(Duration::from_millis(150)));
+    let is_silent = matches!(select(answer.as_mut(), waiting).await, Either::Right(_));
+    assert!(is_silent, "the stream has ended");
+    let reports = fixture.upstreams.reports.borrow();
+    assert!(reports.iter().any(|name| name == second), "{second} is asked for its pace");
+    fixture.upstreams.steps.borrow_mut().clear();
+    entry
 }
 
 /// Guards against requests that are still sent to a slow engine while another replica of the model
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -30,6 +30,10 @@
 
 /// Time within which changes have to be applied, in milliseconds.
 const CHANGE_LIMIT_MS: u64 = 900;
+/// Length of a sleep of [`run_for`].
+const RUN_STEP: Duration = Duration::from_millis(2);
+/// Most time that counts for one of these sleeps.
+const MAX_RUN_STEP: Duration = Duration::from_millis(4);
 /// Retries that the budget allows beyond a share of the requests.
 const RETRY_EXTRA: u32 = 400;
 
@@ -204,6 +208,18 @@
     Some(String::from_utf8_lossy(&whole.to_bytes()).into_owned())
 }
 
+/// Lets the tasks of this thread run for `time`. Time for which a loaded machine does not run the
+/// thread hardly counts: after it, all timers are due at once, while the tasks still have steps to take.
+pub async fn run_for(time: Duration) {
+    let clock = RuntimeClock::new();
+    let mut left = time;
+    while !left.is_zero() {
+        let started = clock.now();
+        clock.sleep(RUN_STEP).await;
+        left = left.saturating_sub(clock.now().since(started).min(MAX_RUN_STEP));
+    }
+}
+
 /// A future that is ready with `value`.
 fn ready<T: 'static>(value: T) -> LocalBoxFuture<'static, T> {
     std::future::ready(value).boxed_local()
