--- a/crates/pipelines/src/beacon_plan.rs
+++ b/crates/pipelines/src/beacon_plan.rs
@@ -10,9 +10,9 @@
 /// Consecutive beacons of a node that may be lost before its load is no longer counted.
 const MAX_LOST_BEACONS: u32 = 2;
 /// Most datagrams per second that a node sends for beacons under pressure, its own ones and those
-/// that it passes on. Each takes about as long to send as to receive and apply, and a node receives
-/// as many as it sends.
-const MAX_DATAGRAM_RATE: f64 = 600.0;
+/// that it passes on. A node receives as many as it sends. With more, the nodes of a fleet of 133
+/// spend more than 0.02 cores on them.
+const MAX_DATAGRAM_RATE: f64 = 300.0;
 
 /// Time between two reports of demand in a fleet of up to [`MAX_REPORT_RATE`] nodes. Demand changes
 /// more slowly than the load on one upstream.
