Limit a node's requests at each replica of a plain service

Cause: a node chose the least used replica even while all slots of all replicas were taken, and tried replicas that had just refused. Requests then waited in the replicas' queues, where the router no longer orders them, and refused sends used up the retry budget.

Change: with the settings table `overload`, a node has at most as many requests in flight at a replica as its adaptive limit allows. The limit is at most the replica's slots, falls after refusals and slow answers and rises after answers in time. A request that finds all replicas full or refusing waits in the queue until its deadline less the usual time of an answer, and is refused at once if it cannot be in time.

Ruled out: a limit on the load of all nodes from beacons, which are 0.5 to 1.5 s old while a request takes 15 to 60 ms; the slots divided by the number of nodes, which is below one.

With the three checks replaced by `false`, the tests on waiting, on refusal at once and on refusing replicas fail: 19 calls instead of 16, and calls that were not expected.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -41,9 +41,9 @@
 
     async fn select(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         let gateway = &self.gateway;
-        let end = self.wait_end(query);
+        let end = self.replica_wait_end().unwrap_or_else(|| self.wait_end(query));
         self.check_pauses(query, end)?;
-        if query.is_resumed || gateway.wait_queue.is_empty() {
+        if query.is_resumed || gateway.wait_queue.is_empty() || self.is_first_for_replica() {
             match self.choose(query) {
                 Ok(selection) => return Ok(selection),
                 Err(NoSelection::NoUpstream)
@@ -54,6 +54,10 @@
                 Err(_) => {}
             }
         }
+        if self.is_too_late_for_replica(end) {
+            return Err(NoSelection::Full);
+        }
+        let _waiting = self.wait_for_replica();
         let priority = if query.is_resumed { RESUME_PRIORITY } else { self.priority + 1 };
         let entry = gateway.wait_queue.enqueue(priority);
         gateway.metrics.waiting.inc();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -211,6 +211,9 @@
         if gateway.is_paused(upstream) {
             return;
         }
+        if selection.stages.is_empty() {
+            self.record_replica_refusal(upstream);
+        }
         let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
         let pause = if is_misdirected { AVOID_AFTER_MISDIRECTED } else { AVOID_AFTER_OVERLOAD };
         let now = gateway.clock.now();
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -90,8 +90,12 @@
         attempts: &Attempts,
         selection: &Selection,
     ) -> Result<BufferedResponse, AttemptFailure> {
+        let started = self.gateway.clock.now();
         let response = self.send_call(attempts, selection).await.map_err(|error| {
             self.avoid_after_error(selection, &error);
+            if matches!(error, CallError::Timeout) {
+                self.record_replica_answer(selection, started);
+            }
             let verdict = error.verdict();
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
         })?;
@@ -120,6 +124,7 @@
             let verdict = Verdict::MayHaveRun;
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
         })?;
+        self.record_replica_answer(selection, started);
         Ok(BufferedResponse { status, headers, body })
     }
 
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -65,6 +65,8 @@
             pauses: RefCell::new(PauseTable::default()),
             retry_budgets: RefCell::default(),
             wait_queue: WaitQueue::default(),
+            replica_limits: RefCell::default(),
+            replica_waits: RefCell::default(),
             crashes: RefCell::new(CrashTable::default()),
             runs: RunTable::default(),
             members: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod planner;
 mod refused_parts;
 mod replica_choice;
+mod replica_limits;
 mod run;
 mod runs;
 mod selection;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,10 @@
     pub(crate) in_flight: IntGauge,
     /// Requests that wait for capacity.
     pub(crate) waiting: IntGauge,
+    /// Times that the limit on requests at a replica was reduced, by cause.
+    pub(crate) replica_reductions: IntCounterVec,
+    /// Requests refused because no replica was expected to be free before their deadline.
+    pub(crate) replica_refusals: IntCounter,
     /// Requests whose connection ended before their response was complete, by cause.
     pub(crate) cut_requests: IntCounterVec,
     /// Responses sent before the request's body was read.
@@ -113,6 +117,16 @@
                 .expect("gauge is valid"),
             waiting: IntGauge::new("gypsumrack_waiting", "Requests that wait for room")
                 .expect("gauge is valid"),
+            replica_reductions: counter_vec(
+                "gypsumrack_replica_limit_reductions_total",
+                "Times that the limit on requests at a replica was reduced",
+                &["cause"],
+            ),
+            replica_refusals: IntCounter::new(
+                "gypsumrack_replica_refusals_total",
+                "Requests refused since no replica was expected to be free in time",
+            )
+            .expect("counter is valid"),
             cut_requests: counter_vec(
                 "gypsumrack_cut_requests_total",
                 "Requests whose connection ended before their response was complete",
@@ -154,6 +168,8 @@
             Box::new(self.table_version.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.waiting.clone()),
+            Box::new(self.replica_reductions.clone()),
+            Box::new(self.replica_refusals.clone()),
             Box::new(self.cut_requests.clone()),
             Box::new(self.early_responses.clone()),
         ];
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 use catalog::{CatalogCodec, CatalogState, Phase, Upstream};
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
-use pipelines::{HealthTable, LoadTable, PauseTable, SharedRetryBudget};
+use pipelines::{HealthTable, LoadTable, PauseTable, ReplicaLimits, SharedRetryBudget};
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
 use types::{LayerRange, NodeName, ServiceName, UpstreamName};
@@ -68,6 +68,10 @@
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     pub(crate) wait_queue: WaitQueue,
+    /// Requests that may be in flight at each replica of a plain service.
+    pub(crate) replica_limits: RefCell<ReplicaLimits>,
+    /// Requests that wait for a replica, by service.
+    pub(crate) replica_waits: RefCell<HashMap<ServiceName, u32>>,
     /// Crashes of engines, and the parts of prompts that are refused for them.
     pub(crate) crashes: RefCell<CrashTable>,
     /// The attempts that take part in a crash if an engine of theirs ends now.
--- /dev/null
+++ b/crates/gateway/src/replica_limits.rs
@@ -0,0 +1,168 @@
+//! Holds requests to plain services back while all replicas have as many requests of this node as
+//! they bear. The limit is that of [`pipelines::ReplicaLimits`]; it applies only with the settings
+//! table `overload`.
+
+use std::{rc::Rc, time::Duration};
+
+use catalog::Upstream;
+use clock::Timestamp;
+use pipelines::{Replica, expected_wait};
+use types::ServiceName;
+
+use crate::{Gateway, lifecycle::ActiveRequest, selection::Selection};
+
+/// Counts a request that waits for a replica until it is dropped.
+pub(crate) struct ReplicaWait {
+    gateway: Rc<Gateway>,
+    service: ServiceName,
+}
+
+impl Drop for ReplicaWait {
+    fn drop(&mut self) {
+        let mut waits = self.gateway.replica_waits.borrow_mut();
+        let Some(count) = waits.get_mut(&self.service) else { return };
+        *count -= 1;
+        if *count == 0 {
+            waits.remove(&self.service);
+        }
+    }
+}
+
+impl ActiveRequest {
+    /// Counts this request among those that wait for a replica; `None` if its service is a model.
+    pub(crate) fn wait_for_replica(&self) -> Option<ReplicaWait> {
+        if !self.has_replica_limits() {
+            return None;
+        }
+        let (gateway, service) = (self.gateway.clone(), self.service.clone());
+        *gateway.replica_waits.borrow_mut().entry(service.clone()).or_default() += 1;
+        Some(ReplicaWait { gateway, service })
+    }
+
+    /// Whether no request waits for a replica of this plain service. Those that wait for the engines
+    /// of a model need not be served first.
+    pub(crate) fn is_first_for_replica(&self) -> bool {
+        let waits = self.gateway.replica_waits.borrow();
+        self.has_replica_limits() && !waits.contains_key(&self.service)
+    }
+
+    /// Until when a request to a plain service may wait for a replica, so that it is answered
+    /// before its deadline; `None` without limits on replicas.
+    pub(crate) fn replica_wait_end(&self) -> Option<Timestamp> {
+        let hold = self.gateway.replica_hold(&self.service);
+        self.has_replica_limits().then(|| self.deadline - hold.unwrap_or_default())
+    }
+
+    /// Whether no replica is expected to be free before `end`, the requests that wait already
+    /// coming first.
+    pub(crate) fn is_too_late_for_replica(&self, end: Timestamp) -> bool {
+        let gateway = &self.gateway;
+        if !self.has_replica_limits() {
+            return false;
+        }
+        let wait = gateway.replica_wait(&self.service);
+        let is_late = wait.is_some_and(|wait| gateway.clock.now() + wait > end);
+        if is_late {
+            gateway.metrics.replica_refusals.inc();
+            tracing::debug!(request = %self.id, service = %self.service,
+                wait_ms = wait.unwrap_or_default().as_millis() as u64,
+                "no replica is free before the deadline");
+        }
+        is_late
+    }
+
+    fn has_replica_limits(&self) -> bool {
+        self.gateway.settings.overload.is_some() && self.model_profile().is_none()
+    }
+
+    /// Records that a replica answered a request that was sent at `started`, or was given up.
+    pub(crate) fn record_replica_answer(&self, selection: &Selection, started: Timestamp) {
+        let gateway = &self.gateway;
+        if !self.has_replica_limits() {
+            return;
+        }
+        let now = gateway.clock.now();
+        let upstream = &selection.upstream;
+        let in_flight = gateway.own_requests(upstream);
+        let taken = now.since(started);
+        let mut limits = gateway.replica_limits.borrow_mut();
+        let was_reduced = limits.record_answer(replica(upstream), in_flight, taken, now);
+        drop(limits);
+        if was_reduced {
+            gateway.report_reduced_limit(upstream, "slow");
+        }
+    }
+
+    /// Records that a replica refused a request for lack of capacity.
+    pub(crate) fn record_replica_refusal(&self, upstream: &Upstream) {
+        let gateway = &self.gateway;
+        if !self.has_replica_limits() {
+            return;
+        }
+        let now = gateway.clock.now();
+        if gateway.replica_limits.borrow_mut().record_refusal(replica(upstream), now) {
+            gateway.report_reduced_limit(upstream, "refusal");
+        }
+    }
+}
+
+impl Gateway {
+    /// Whether a replica has as many requests of this node as its limit allows.
+    pub(crate) fn is_replica_full(&self, upstream: &Upstream) -> bool {
+        self.settings.overload.is_some()
+            && self.own_requests(upstream) >= self.replica_limit(upstream)
+    }
+
+    /// Whether a replica is avoided for its refusals alone. It has no capacity then, so that trying
+    /// it would only use up the retry budget.
+    pub(crate) fn is_replica_refusing(&self, upstream: &Upstream) -> bool {
+        let (name, incarnation) = (&upstream.name, upstream.incarnation);
+        let health = self.health.borrow();
+        self.settings.overload.is_some() && health.is_refusing(name, incarnation, self.clock.now())
+    }
+
+    /// Requests of this node that may be in flight at a replica.
+    pub(crate) fn replica_limit(&self, upstream: &Upstream) -> u32 {
+        self.replica_limits.borrow().limit(replica(upstream))
+    }
+
+    /// Requests of this node in flight at an upstream.
+    pub(crate) fn own_requests(&self, upstream: &Upstream) -> u32 {
+        let load = self.load.borrow();
+        load.own().find(|(name, _)| **name == upstream.name).map_or(0, |(_, load)| load.requests)
+    }
+
+    /// Expected time until a request that joins those that wait for a replica of a plain service
+    /// gets one; `None` if no replica has answered yet.
+    pub(crate) fn replica_wait(&self, service: &ServiceName) -> Option<Duration> {
+        let hold = self.replica_hold(service)?;
+        let catalog = self.catalog.borrow();
+        let replicas = catalog.upstreams().filter(|upstream| upstream.service == *service);
+        let serving = replicas.filter(|upstream| self.is_usable(upstream));
+        let places = serving.map(|upstream| self.replica_limit(upstream)).sum();
+        let ahead = self.replica_waits.borrow().get(service).copied().unwrap_or_default();
+        Some(expected_wait(ahead, places, hold))
+    }
+
+    /// What an answer of the replicas of a plain service usually takes: the mean over the replicas
+    /// that have answered.
+    fn replica_hold(&self, service: &ServiceName) -> Option<Duration> {
+        let catalog = self.catalog.borrow();
+        let limits = self.replica_limits.borrow();
+        let replicas = catalog.upstreams().filter(|upstream| upstream.service == *service);
+        let times: Vec<Duration> =
+            replicas.filter_map(|upstream| limits.usual_time(replica(upstream))).collect();
+        let count = u32::try_from(times.len()).ok().filter(|count| *count > 0)?;
+        Some(times.iter().sum::<Duration>() / count)
+    }
+
+    fn report_reduced_limit(&self, upstream: &Upstream, cause: &str) {
+        self.metrics.replica_reductions.with_label_values(&[cause]).inc();
+        tracing::info!(upstream = %upstream.name, cause, limit = self.replica_limit(upstream),
+            slots = upstream.capacity, "limit on requests at a replica is reduced");
+    }
+}
+
+fn replica(upstream: &Upstream) -> Replica<'_> {
+    Replica { name: &upstream.name, incarnation: upstream.incarnation, slots: upstream.capacity }
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod log;
 mod pauses;
 mod planner;
+mod replicas;
 mod silence;
 mod silent_store;
 mod stopping;
--- /dev/null
+++ b/crates/gateway/tests/gateway/replicas.rs
@@ -0,0 +1,123 @@
+//! Limits on the requests at the replicas of a plain service.
+
+use std::time::{Duration, Instant};
+
+use callers::Router;
+use types::{FailureKind, Verdict};
+
+use crate::support::{Fixture, Step, request};
+
+/// Slots of both replicas together.
+const SLOTS: usize = 16;
+/// Time for requests to be sent.
+const SEND_TIME: Duration = Duration::from_millis(60);
+
+impl Fixture {
+    /// Sends `count` requests that are answered after `pause`, without waiting for their answers.
+    async fn occupy(&self, count: usize, pause: Duration) {
+        self.push_steps(vec![Step::AnswerAfter { pause, body: "done" }; count]);
+        for _ in 0..count {
+            compio::runtime::spawn(self.gateway.clone().route(request("/once/x"))).detach();
+        }
+        compio::time::sleep(SEND_TIME).await;
+    }
+
+    fn metrics_text(&self) -> String {
+        String::from_utf8(self.gateway.metrics().to_vec()).expect("metrics are text")
+    }
+}
+
+/// Guards against a burst of requests that are sent although all slots of all replicas are taken, and
+/// then wait in the replicas' queues, where the router can no longer choose among them.
+#[compio::test]
+async fn requests_beyond_the_slots_of_all_replicas_wait_in_the_router() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.occupy(SLOTS + 3, Duration::from_millis(300)).await;
+    assert_eq!(fixture.called_upstreams().len(), SLOTS);
+    assert!(fixture.metrics_text().contains("gypsumrack_waiting 3"));
+    compio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(fixture.called_upstreams().len(), SLOTS + 3, "they are sent once slots are free");
+}
+
+/// Guards against limits on a node whose settings do not ask for them.
+#[compio::test]
+async fn without_the_settings_replicas_have_no_limit() {
+    let fixture = Fixture::ready().await;
+    fixture.occupy(SLOTS + 3, Duration::from_millis(300)).await;
+    assert_eq!(fixture.called_upstreams().len(), SLOTS + 3);
+}
+
+/// Guards against a request that waits for a replica until its deadline although it could not be
+/// answered in time.
+#[compio::test]
+async fn a_request_that_cannot_be_answered_in_time_is_refused_at_once() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.occupy(1, Duration::from_millis(400)).await;
+    compio::time::sleep(Duration::from_millis(450)).await;
+    fixture.occupy(SLOTS, Duration::from_millis(400)).await;
+    let mut urgent = request("/once/x");
+    urgent.deadline = Some(Duration::from_millis(350));
+    let started = Instant::now();
+    let failure = fixture.gateway.clone().route(urgent).await.err().expect("it is refused");
+    assert!(started.elapsed() < Duration::from_millis(200), "refused before its deadline");
+    assert_eq!(failure.failure.verdict, Verdict::NotRun);
+    assert_eq!(failure.failure.kind, FailureKind::Overloaded);
+    assert!(failure.retry_after.is_some());
+    assert_eq!(fixture.called_upstreams().len(), 1 + SLOTS);
+    assert!(fixture.metrics_text().contains("gypsumrack_replica_refusals_total 1"));
+}
+
+/// Guards against a request that is refused although a slot is free again before its deadline.
+#[compio::test]
+async fn a_request_with_time_left_waits_for_a_replica() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.occupy(SLOTS, Duration::from_millis(250)).await;
+    fixture.push_steps([Step::Answer(200, "done")]);
+    fixture.send("/once/x").await.expect("a slot becomes free");
+}
+
+/// Guards against sends to replicas that all refuse requests: each of them uses up the retry budget.
+#[compio::test]
+async fn a_request_waits_while_all_replicas_refuse() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.push_steps([Step::Refuse(503), Step::Refuse(503)]);
+    assert!(fixture.send("/any/x").await.is_err());
+    assert!(
+        fixture
+            .metrics_text()
+            .contains("gypsumrack_replica_limit_reductions_total{cause=\"refusal\"} 2")
+    );
+    fixture.push_steps([Step::Answer(200, "done")]);
+    let waiting = compio::runtime::spawn(fixture.gateway.clone().route(request("/any/x")));
+    compio::time::sleep(SEND_TIME).await;
+    assert_eq!(fixture.called_upstreams().len(), 2);
+    let answered = waiting.await.expect("it does not panic");
+    assert!(answered.is_ok());
+}
+
+/// Guards against a place that stays taken after its caller has disconnected.
+#[compio::test]
+async fn a_caller_that_disconnects_frees_its_place() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.occupy(SLOTS - 1, Duration::from_millis(600)).await;
+    fixture.push_steps([Step::Silent, Step::Answer(200, "done")]);
+    let gone = compio::time::timeout(SEND_TIME, fixture.send("/once/x")).await;
+    assert!(gone.is_err());
+    fixture.send("/once/x").await.expect("the place is free");
+}
+
+/// Guards against limits that depend on the key-value service, and against places that a lost replica
+/// keeps: the requests go to the other one.
+#[compio::test]
+async fn limits_hold_while_the_store_is_away_and_a_replica_is_lost() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.store.is_down.set(true);
+    fixture.push_steps([Step::ConnectRefused, Step::Answer(200, "done")]);
+    fixture.send("/any/x").await.expect("the other replica answers");
+    let lost = fixture.called_upstreams()[0].clone();
+    fixture.upstreams.calls.borrow_mut().clear();
+    fixture.occupy(SLOTS, Duration::from_millis(300)).await;
+    let called = fixture.called_upstreams();
+    assert_eq!(called.len(), SLOTS / 2);
+    assert!(!called.contains(&lost));
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -60,11 +60,21 @@
     /// Creates a gateway that reads `store`, has to apply changes within `limit_ms`, and may retry
     /// `retry_extra` requests more than a share of them.
     fn with_limits(store: Rc<MemoryStore>, limit_ms: u64, retry_extra: u32) -> Fixture {
+        Fixture::with_settings(store, limit_ms, retry_extra, "")
+    }
+
+    /// Like [`with_limits`](Fixture::with_limits), with `tables` at the end of the settings.
+    fn with_settings(
+        store: Rc<MemoryStore>,
+        limit_ms: u64,
+        retry_extra: u32,
+        tables: &str,
+    ) -> Fixture {
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
         let settings = EdgeSettings::parse(&format!(
             "name = \"n\"\ndomain = \"a\"\ncallers = \"127.0.0.1:1\"\nhealth = \"127.0.0.1:2\"\n\
              peers = \"127.0.0.1:3\"\nstore = \"127.0.0.1:4\"\ngrace_s = 8\nretry_ratio = 0.2\n\
-             retry_extra = {retry_extra}\nretry_window_s = 10\nchange_limits_ms = [{limit_ms}]\n",
+             retry_extra = {retry_extra}\nretry_window_s = 10\nchange_limits_ms = [{limit_ms}]\n{tables}",
         ))
         .expect("settings are valid");
         let upstreams = Rc::new(ScriptedUpstreams {
@@ -112,6 +122,12 @@
         fixture.with_upstreams().await
     }
 
+    /// Like [`ready`](Fixture::ready), with the settings for decisions under overload.
+    pub async fn ready_for_overload() -> Fixture {
+        let (limit, extra) = (CHANGE_LIMIT_MS, RETRY_EXTRA);
+        Fixture::with_settings(Rc::default(), limit, extra, "[overload]\n").with_upstreams().await
+    }
+
     /// Registers the routing table and the upstreams, and waits until the gateway knows them.
     pub async fn with_upstreams(self) -> Fixture {
         self.store.write("table", Some("1"));
--- a/crates/pipelines/src/health.rs
+++ b/crates/pipelines/src/health.rs
@@ -217,6 +217,14 @@
             .is_some_and(|record| record.incarnation == incarnation && now < record.until)
     }
 
+    /// Whether `incarnation` of an upstream is avoided now only because it has refused calls.
+    pub fn is_refusing(&self, name: &str, incarnation: u64, now: Timestamp) -> bool {
+        self.records.get(name).is_some_and(|record| {
+            let only_refused = record.refusals > 0 && record.failures == 0;
+            record.incarnation == incarnation && only_refused && now < record.until
+        })
+    }
+
     /// How long `incarnation` of an upstream has been failing: the time since its record was
     /// created, by a failure, a refusal or [`avoid`](Self::avoid). A success removes the record.
     /// `None` if it has not failed or is no longer avoided.
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -20,6 +20,7 @@
 mod path;
 mod pause;
 mod placement;
+mod replica_limit;
 
 pub use budget::SharedRetryBudget;
 pub use health::HealthTable;
@@ -27,3 +28,4 @@
 pub use path::{Path, PathCandidate, PathQuery, choose_path};
 pub use pause::PauseTable;
 pub use placement::{EngineView, Placement, covers_model, plan};
+pub use replica_limit::{Replica, ReplicaLimits, expected_wait};
