Add `gypsumrack-edge explain`

Cause: an operator could only find out where a request goes, and why, by sending it and searching the logs of all nodes.

Change: the command asks a running node at its health address. The node answers by the functions that a request uses: route, access, pauses, paths with their costs by term, replicas with their limits, and refusals with Retry-After. It reserves, counts, logs and sends nothing. `prepare` is split so that both use the same functions, and `find_path` so that its candidates can be listed.

Ruled out: a copy of the decisions in the command, which becomes wrong with each change of them; a header on a real request, which would let callers ask for the topology.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -9,6 +9,7 @@
 //! part of a request is limited. This crate must not know how requests are routed.
 
 mod completions;
+mod explain;
 mod front;
 mod headers;
 mod request;
@@ -20,6 +21,9 @@
 use futures_util::future::LocalBoxFuture;
 use types::Failure;
 
+pub use explain::{
+    Candidate, Configuration, Excluded, ExplainQuery, Explanation, LoadAge, Outcome, ServiceOutcome,
+};
 pub use front::FrontEnd;
 pub use request::{
     CallerResponse, CompletionRequest, CompletionSummary, RequestContext, ServiceRequest, TokenSink,
--- a/crates/callers/src/routed.rs
+++ b/crates/callers/src/routed.rs
@@ -4,7 +4,9 @@
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Method};
 use transport::{Body, RequestBody};
-use types::{Digest, Failure, RequestId};
+use types::{Digest, Failure, FailureKind, RequestId};
+
+use crate::{ExplainQuery, Explanation};
 
 /// A request that is routed by its host and path.
 pub struct RoutedRequest {
@@ -97,4 +99,12 @@
 
     /// The metrics of the node in text form.
     fn metrics(&self) -> Bytes;
+
+    /// What the node would do with a request now. It is not sent, and nothing changes. Fails as the
+    /// request would if it has no route or no valid API key. A node that does not support it has no
+    /// route for any request here.
+    fn explain(self: Rc<Self>, query: &ExplainQuery) -> Result<Explanation, RoutedFailure> {
+        let message = format!("requests for {} cannot be explained here", query.host);
+        Err(Failure::not_run(FailureKind::NotFound, message).into())
+    }
 }
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -1,5 +1,7 @@
 //! The daemon of a node that routes requests by the routing table which operators publish.
 
+mod explain;
+
 use std::{path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
 
 use clap::{Args, Parser, Subcommand};
@@ -30,7 +32,7 @@
 #[command(
     name = "gypsumrack-edge",
     version,
-    after_help = "Exit codes: 0 success, 1 failure, 2 wrong usage."
+    after_help = "Exit codes: 0 success, 1 failure, 2 wrong usage, 3 (explain) the request would be refused."
 )]
 struct Cli {
     #[command(subcommand)]
@@ -43,6 +45,8 @@
     Serve(SettingsArgs),
     /// Checks a settings file.
     Check(SettingsArgs),
+    /// Prints where a request would go now and why, without sending it.
+    Explain(explain::ExplainArgs),
 }
 
 #[derive(Args)]
@@ -54,13 +58,17 @@
 
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
-        Command::Serve(args) => serve(&args),
+        Command::Serve(args) => serve(&args).map(|()| ExitCode::SUCCESS),
         Command::Check(args) => EdgeSettings::load(&args.settings)
-            .map(|settings| println!("{}: settings are valid", settings.name))
+            .map(|settings| {
+                println!("{}: settings are valid", settings.name);
+                ExitCode::SUCCESS
+            })
             .map_err(|error| format!("{error:?}")),
+        Command::Explain(args) => explain::explain(&args),
     };
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(message) => {
             eprintln!("{message}");
             ExitCode::FAILURE
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -55,7 +55,7 @@
             }
         }
         if self.is_too_late_for_replica(end) {
-            return Err(NoSelection::Full);
+            return Err(self.refuse_for_replicas());
         }
         let _waiting = self.wait_for_replica();
         let priority = if query.is_resumed { RESUME_PRIORITY } else { self.priority + 1 };
@@ -67,7 +67,7 @@
     }
 
     /// Until when a request that arrives now may wait for capacity.
-    fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
+    pub(crate) fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
         let limit = if query.is_resumed {
             RESUME_WAIT
         } else {
@@ -77,7 +77,11 @@
     }
 
     /// Fails if pauses of upstreams keep the request from being served until after `end`.
-    fn check_pauses(&self, query: SelectionQuery<'_>, end: Timestamp) -> Result<(), NoSelection> {
+    pub(crate) fn check_pauses(
+        &self,
+        query: SelectionQuery<'_>,
+        end: Timestamp,
+    ) -> Result<(), NoSelection> {
         match self.paused_until(query) {
             Some(until) if until > end => Err(NoSelection::Paused(until)),
             _ => Ok(()),
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -58,6 +58,7 @@
             codec: self.codec,
             stop: self.stop,
             stopped_at: Cell::new(None),
+            table_since: Cell::new(None),
             catalog: RefCell::new(CatalogState::default()),
             clients: RefCell::default(),
             load: RefCell::new(LoadTable::default()),
--- /dev/null
+++ b/crates/gateway/src/explain.rs
@@ -0,0 +1,301 @@
+//! Explains what this node would do with a request, by the decision functions that a request uses.
+//! Nothing is reserved, sent, counted or logged.
+
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use callers::{
+    Candidate, Configuration, Excluded, ExplainQuery, Explanation, GenerationSize, LoadAge,
+    Outcome, RoutedFailure, ServiceOutcome,
+};
+use catalog::{Access, ModelProfile, Phase, Route, RoutingTable, Upstream};
+use http::{HeaderMap, Method};
+use pipelines::{costed_paths, reason_against};
+use types::{RequestId, ServiceName};
+
+use crate::{
+    Gateway,
+    attempt::Attempts,
+    crashes::request_parts,
+    lifecycle::{ActiveRequest, check_key, reserved_tokens, time_limits},
+    outcome::OutcomeLog,
+    selection::{NoSelection, SelectionQuery},
+};
+
+/// Identifier of a request that is only explained.
+const EXPLAINED_ID: &str = "explain";
+
+impl Gateway {
+    /// What this node would do with a request now. Its body is not known, so that a refusal of what
+    /// it contains is not considered.
+    pub(crate) fn explain_request(
+        self: Rc<Self>,
+        query: &ExplainQuery,
+    ) -> Result<Explanation, RoutedFailure> {
+        let (table, route) = self.find_route(&query.host.to_ascii_lowercase(), &query.path)?;
+        let access = check_key(&table, &route, query.key.as_deref())?;
+        let (_, usable) = time_limits(&route, query.deadline_ms.map(Duration::from_millis));
+        let weights = route.weighted_services.iter().map(|weighted| f64::from(weighted.weight));
+        let sum: f64 = weights.sum();
+        let weighted = route.weighted_services.iter().filter(|weighted| weighted.weight > 0);
+        let services = weighted.map(|weighted| {
+            let request =
+                self.hypothetical(&table, &route, &weighted.service, access.as_ref(), query);
+            request.explain_service(f64::from(weighted.weight) / sum)
+        });
+        let services = services.collect();
+        let age = self.table_since.get().map(|since| self.clock.now().since(since));
+        Ok(Explanation {
+            node: self.settings.name.to_string(),
+            stopping: self.stop.is_raised(),
+            configuration: Configuration {
+                version: table.version(),
+                age_ms: millis(age.unwrap_or_default()),
+            },
+            route: route.name.to_string(),
+            organisation: access.as_ref().map(|access| access.organisation.to_string()),
+            priority: priority(query, access.as_ref(), &route),
+            time_ms: millis(usable),
+            load: self.load_age(),
+            services,
+        })
+    }
+
+    /// A request that is neither counted nor logged.
+    fn hypothetical(
+        self: &Rc<Self>,
+        table: &Arc<RoutingTable>,
+        route: &Arc<Route>,
+        service: &ServiceName,
+        access: Option<&Access>,
+        query: &ExplainQuery,
+    ) -> ActiveRequest {
+        let id = RequestId::from(EXPLAINED_ID);
+        let organisation = access.map(|access| access.organisation.clone());
+        let (_, usable) = time_limits(route, query.deadline_ms.map(Duration::from_millis));
+        let (output, output_hint) = (query.output, None);
+        let size = query.prompt.map(|prompt| GenerationSize { prompt, output, output_hint });
+        let body = Bytes::new();
+        ActiveRequest {
+            log: OutcomeLog::new(self.clone(), &id, route, organisation.as_ref()),
+            gateway: self.clone(),
+            id,
+            priority: priority(query, access, route),
+            route: route.clone(),
+            table: table.clone(),
+            service: service.clone(),
+            parts: request_parts(organisation.as_ref(), Arc::default(), &query.path, &body),
+            organisation,
+            method: Method::POST,
+            target: query.path.as_str().into(),
+            headers: HeaderMap::new(),
+            body,
+            tokens: size.map_or(0, reserved_tokens),
+            resume_after: None,
+            deadline: self.clock.now() + usable,
+            has_begun: Cell::new(false),
+            crash_check: Cell::new(None),
+        }
+    }
+
+    fn load_age(&self) -> LoadAge {
+        let load = self.load.borrow();
+        let ages: Vec<Duration> = load.peer_ages(self.clock.now()).collect();
+        LoadAge {
+            nodes: self.members.borrow().len(),
+            heard: ages.len(),
+            newest_ms: ages.iter().min().copied().map(millis),
+            oldest_ms: ages.iter().max().copied().map(millis),
+        }
+    }
+
+    /// The first reason for which an upstream gets no request now; `None` if it may get one.
+    fn reason_against(
+        &self,
+        upstream: &Upstream,
+        query: SelectionQuery<'_>,
+    ) -> Option<&'static str> {
+        let may_be_used =
+            self.is_usable(upstream) || (query.with_leaving && self.is_in_last_use(upstream));
+        if may_be_used {
+            return None;
+        }
+        if upstream.phase == Phase::Leaving {
+            return Some("it is leaving");
+        }
+        if self.is_paused(upstream) {
+            return Some("it has asked for a pause");
+        }
+        let (health, now) = (self.health.borrow(), self.clock.now());
+        let (name, incarnation) = (&upstream.name, upstream.incarnation);
+        if health.has_ended(name, incarnation, now) {
+            return Some("its process has ended");
+        }
+        if health.failing_for(name, incarnation, now).is_some() {
+            return Some("it has failed");
+        }
+        if health.is_refusing(name, incarnation, now) {
+            return Some("it has refused requests");
+        }
+        Some("it is avoided after a bad answer")
+    }
+}
+
+impl ActiveRequest {
+    fn explain_service(&self, share: f64) -> ServiceOutcome {
+        let mut query = SelectionQuery::default();
+        if self.check_capacity(query) == Err(NoSelection::NoUpstream)
+            && self.gateway.has_last_uses(&self.service)
+        {
+            query.with_leaving = true;
+        }
+        let outcome = self.explain_admission(query);
+        let (candidates, excluded) = match self.model_profile() {
+            Some(profile) => self.explain_paths(&profile, query),
+            None => self.explain_replicas(query),
+        };
+        ServiceOutcome { service: self.service.to_string(), share, outcome, candidates, excluded }
+    }
+
+    /// Whether upstreams have capacity for the request now.
+    fn check_capacity(&self, query: SelectionQuery<'_>) -> Result<(), NoSelection> {
+        match self.model_profile() {
+            Some(profile) => self.find_path(&profile, query).map(|_| ()),
+            None => match self.gateway.replica_candidates(&self.service, query)?.is_empty() {
+                true => Err(NoSelection::NoUpstream),
+                false => Ok(()),
+            },
+        }
+    }
+
+    /// What [`admit`](Self::admit) would do, in the same order.
+    fn explain_admission(&self, query: SelectionQuery<'_>) -> Outcome {
+        let gateway = &self.gateway;
+        let end = self.replica_wait_end().unwrap_or_else(|| self.wait_end(query));
+        if let Err(reason) = self.check_pauses(query, end) {
+            return self.explain_refusal(reason);
+        }
+        if gateway.wait_queue.is_empty() || self.is_first_for_replica() {
+            match self.check_capacity(query) {
+                Ok(()) => return Outcome::Send,
+                Err(NoSelection::NoUpstream)
+                    if self.model_profile().is_none() && self.paused_until(query).is_none() =>
+                {
+                    return self.explain_refusal(NoSelection::NoUpstream);
+                }
+                Err(_) => {}
+            }
+        }
+        if self.is_too_late_for_replica(end) {
+            return self.explain_refusal(NoSelection::Full);
+        }
+        Outcome::Wait {
+            expected_ms: self.replica_wait().map(millis),
+            limit_ms: millis(end.since(gateway.clock.now())),
+        }
+    }
+
+    fn explain_refusal(&self, reason: NoSelection) -> Outcome {
+        let refusal = self.no_selection_failure(&Attempts::default(), reason);
+        Outcome::Refuse {
+            reason: refusal.failure.message,
+            retry_ms: refusal.retry_after.map(millis),
+        }
+    }
+
+    fn explain_paths(
+        &self,
+        profile: &ModelProfile,
+        query: SelectionQuery<'_>,
+    ) -> (Vec<Candidate>, Vec<Excluded>) {
+        let (engines, path_query) = self.path_problem(profile, query);
+        let paths = costed_paths(&engines, &path_query);
+        let candidates = paths.iter().map(|path| Candidate {
+            upstreams: path.path.stages.iter().map(|stage| stage.engine.to_string()).collect(),
+            eligible: path.is_eligible(&paths),
+            cost: path.cost(),
+            terms: vec![
+                ("decoding".into(), path.decoding),
+                ("load".into(), path.load),
+                ("crossing".into(), path.crossing),
+            ],
+        });
+        let mut excluded = self.unusable_upstreams(query, |upstream| {
+            let has_kind = |kind: &Arc<str>| profile.accelerators.contains_key(kind);
+            if !upstream.accelerator_kind.as_ref().is_some_and(has_kind) {
+                return Some("the model does not run on its accelerator");
+            }
+            let catalog = self.gateway.catalog.borrow();
+            catalog.layers(upstream).is_none().then_some("it holds no layers")
+        });
+        let is_used = |name: &str| {
+            paths.iter().any(|path| path.path.stages.iter().any(|stage| &*stage.engine == name))
+        };
+        let unused = engines.iter().filter(|engine| !is_used(&engine.name));
+        excluded.extend(unused.map(|engine| Excluded {
+            upstream: engine.name.to_string(),
+            reason: reason_against(engine, &path_query).into(),
+        }));
+        (candidates.collect(), excluded)
+    }
+
+    fn explain_replicas(&self, query: SelectionQuery<'_>) -> (Vec<Candidate>, Vec<Excluded>) {
+        let gateway = &self.gateway;
+        let replicas = gateway.replica_candidates(&self.service, query).unwrap_or_default();
+        let lowest = replicas.iter().map(|replica| gateway.utilization(replica));
+        let lowest = lowest.fold(f64::INFINITY, f64::min);
+        let mut candidates: Vec<Candidate> = replicas
+            .iter()
+            .map(|replica| {
+                let cost = gateway.utilization(replica);
+                Candidate {
+                    upstreams: vec![replica.name.to_string()],
+                    eligible: cost <= lowest,
+                    cost,
+                    terms: vec![("utilization".into(), cost)],
+                }
+            })
+            .collect();
+        candidates.sort_by(|one, other| one.cost.total_cmp(&other.cost));
+        let is_candidate =
+            |upstream: &Upstream| replicas.iter().any(|replica| replica.name == upstream.name);
+        let excluded = self.unusable_upstreams(query, |upstream| {
+            if is_candidate(upstream) {
+                return None;
+            }
+            let is_full = gateway.is_replica_full(upstream);
+            is_full.then_some("this node's limit on requests at it is reached")
+        });
+        // If all replicas are avoided, one of them is tried nevertheless.
+        let is_tried = |excluded: &Excluded| {
+            replicas.iter().any(|replica| *replica.name == *excluded.upstream)
+        };
+        let excluded = excluded.into_iter().filter(|excluded| !is_tried(excluded)).collect();
+        (candidates, excluded)
+    }
+
+    /// The upstreams of the service that get no request now, or that `reason` speaks against.
+    fn unusable_upstreams(
+        &self,
+        query: SelectionQuery<'_>,
+        reason: impl Fn(&Upstream) -> Option<&'static str>,
+    ) -> Vec<Excluded> {
+        let catalog = self.gateway.catalog.borrow();
+        let upstreams = catalog.upstreams().filter(|upstream| upstream.service == self.service);
+        let excluded = upstreams.filter_map(|upstream| {
+            let first =
+                self.gateway.reason_against(upstream, query).or_else(|| reason(upstream))?;
+            Some(Excluded { upstream: upstream.name.to_string(), reason: first.into() })
+        });
+        excluded.collect()
+    }
+}
+
+fn priority(query: &ExplainQuery, access: Option<&Access>, route: &Route) -> u32 {
+    let of_key = access.and_then(|access| access.priority);
+    query.priority.or(of_key).unwrap_or(route.priority)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod builder;
 mod crashes;
 mod entries;
+mod explain;
 mod leaving;
 mod lifecycle;
 mod metrics;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -3,7 +3,9 @@
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use callers::{RoutedFailure, RoutedRequest, RoutedResponse, Router};
+use callers::{
+    ExplainQuery, Explanation, GenerationSize, RoutedFailure, RoutedRequest, RoutedResponse, Router,
+};
 use catalog::{Access, ModelProfile, RetryPolicy, Route, RoutingTable};
 use clock::Timestamp;
 use crashes::RequestParts;
@@ -118,6 +120,26 @@
         now.since(stopped_at) < limit
     }
 
+    /// The configuration in force, and the route of a request in it.
+    pub(crate) fn find_route(
+        &self,
+        host: &str,
+        target: &str,
+    ) -> Result<(Arc<RoutingTable>, Arc<Route>), RoutedFailure> {
+        let Some(table) = self.catalog.borrow().table().cloned() else {
+            let failure =
+                Failure::not_run(FailureKind::Unavailable, "the node has no configuration yet");
+            return Err(RoutedFailure::retry_after(failure, UNCONFIGURED_RETRY_AFTER));
+        };
+        let url_path = target.split('?').next().unwrap_or_default();
+        let Some(route) = table.route(host, url_path).cloned() else {
+            let failure =
+                Failure::not_run(FailureKind::NotFound, "no route for this host and path");
+            return Err(failure.into());
+        };
+        Ok((table, route))
+    }
+
     async fn serve_request(
         self: Rc<Self>,
         request: RoutedRequest,
@@ -146,17 +168,7 @@
         let id = request.id.clone();
         let arrived = self.clock.now();
         let reject = |failure: RoutedFailure| (id.clone(), failure);
-        let Some(table) = self.catalog.borrow().table().cloned() else {
-            let failure =
-                Failure::not_run(FailureKind::Unavailable, "the node has no configuration yet");
-            return Err(reject(RoutedFailure::retry_after(failure, UNCONFIGURED_RETRY_AFTER)));
-        };
-        let url_path = request.target.split('?').next().unwrap_or_default();
-        let Some(route) = table.route(&request.host, url_path).cloned() else {
-            let failure =
-                Failure::not_run(FailureKind::NotFound, "no route for this host and path");
-            return Err(reject(failure.into()));
-        };
+        let (table, route) = self.find_route(&request.host, &request.target).map_err(reject)?;
         if !self.has_time_for(&route) {
             let failure = Failure::not_run(FailureKind::Draining, "the node is shutting down");
             return Err(reject(RoutedFailure::retry_after(failure, SHUTDOWN_RETRY_AFTER)));
@@ -168,11 +180,8 @@
                 "the head of the request is too large",
             )));
         }
-        // The request states a duration, from which the point in time is computed.
-        let time_limit = request.deadline.unwrap_or(DEFAULT_DEADLINE);
-        let limit = route.timeout.min(time_limit);
-        let margin = RESPONSE_MARGIN.min(limit / 10);
-        let deadline = arrived + (limit - margin);
+        let (limit, usable) = time_limits(&route, request.deadline);
+        let deadline = arrived + usable;
         let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
         let body = body.map_err(reject)?;
         let roll = rand::rng().random::<f64>();
@@ -187,13 +196,6 @@
             return Err(reject(self.poison_failure(&refusal)));
         }
         self.retry_budget(&service).count_request(arrived);
-        let tokens = request.generation.map_or(0, |generation| {
-            generation.prompt.saturating_add(if generation.output == 0 {
-                DEFAULT_OUTPUT_TOKENS
-            } else {
-                generation.output
-            })
-        });
         Ok(ActiveRequest {
             log: OutcomeLog::new(self.clone(), &request.id, &route, organisation.as_ref()),
             gateway: self,
@@ -207,7 +209,7 @@
             target: request.target,
             headers: request.headers,
             body,
-            tokens,
+            tokens: request.generation.map_or(0, reserved_tokens),
             resume_after: request.resume_after,
             deadline,
             parts,
@@ -217,8 +219,21 @@
     }
 }
 
+/// Time until the caller's deadline, and the part of it before the time that the response needs. The
+/// request states a duration, from which the points in time are computed.
+pub(crate) fn time_limits(route: &Route, stated: Option<Duration>) -> (Duration, Duration) {
+    let limit = route.timeout.min(stated.unwrap_or(DEFAULT_DEADLINE));
+    (limit, limit - RESPONSE_MARGIN.min(limit / 10))
+}
+
+/// Most tokens that a request may occupy in the KV caches of engines.
+pub(crate) fn reserved_tokens(size: GenerationSize) -> u32 {
+    let output = if size.output == 0 { DEFAULT_OUTPUT_TOKENS } else { size.output };
+    size.prompt.saturating_add(output)
+}
+
 /// The organisation and priority that the caller's API key stands for. A public route needs no key.
-fn check_key(
+pub(crate) fn check_key(
     table: &RoutingTable,
     route: &Route,
     key: Option<&str>,
@@ -278,6 +293,10 @@
     fn metrics(&self) -> Bytes {
         Bytes::from(self.metrics.encode())
     }
+
+    fn explain(self: Rc<Self>, query: &ExplainQuery) -> Result<Explanation, RoutedFailure> {
+        self.explain_request(query)
+    }
 }
 
 /// Whether a request whose last attempt ended with `verdict` may be sent again.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -61,6 +61,8 @@
     /// not recorded, at the first request afterwards.
     pub(crate) stopped_at: Cell<Option<Timestamp>>,
     pub(crate) catalog: RefCell<CatalogState>,
+    /// Since when the routing table is in force.
+    pub(crate) table_since: Cell<Option<Timestamp>>,
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
     pub(crate) health: RefCell<HealthTable>,
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -44,11 +44,25 @@
     }
 
     /// Chooses a path over engines that have capacity now.
-    fn find_path(
+    pub(crate) fn find_path(
         &self,
         profile: &ModelProfile,
         query: SelectionQuery<'_>,
     ) -> Result<Path, NoSelection> {
+        let (candidates, path_query) = self.path_problem(profile, query);
+        choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
+            let held = candidates.iter().map(|candidate| candidate.layers);
+            let covered = pipelines::covers_model(profile, held);
+            if covered { NoSelection::Full } else { NoSelection::NoUpstream }
+        })
+    }
+
+    /// The engines that may be on a path now, and what is required of the path.
+    pub(crate) fn path_problem<'a>(
+        &self,
+        profile: &ModelProfile,
+        query: SelectionQuery<'a>,
+    ) -> (Vec<PathCandidate>, PathQuery<'a>) {
         let gateway = &self.gateway;
         let mut candidates = Vec::new();
         let may_cross;
@@ -91,11 +105,7 @@
         let avoid = query.avoid;
         let path_query =
             PathQuery { layers: profile.layers, tokens: self.tokens, max_fill, may_cross, avoid };
-        choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
-            let held = candidates.iter().map(|candidate| candidate.layers);
-            let covered = pipelines::covers_model(profile, held);
-            if covered { NoSelection::Full } else { NoSelection::NoUpstream }
-        })
+        (candidates, path_query)
     }
 
     pub(crate) fn choose_engines(
--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -9,7 +9,11 @@
 use pipelines::{Replica, expected_wait};
 use types::ServiceName;
 
-use crate::{Gateway, lifecycle::ActiveRequest, selection::Selection};
+use crate::{
+    Gateway,
+    lifecycle::ActiveRequest,
+    selection::{NoSelection, Selection},
+};
 
 /// Counts a request that waits for a replica until it is dropped.
 pub(crate) struct ReplicaWait {
@@ -53,22 +57,27 @@
         self.has_replica_limits().then(|| self.deadline - hold.unwrap_or_default())
     }
 
-    /// Whether no replica is expected to be free before `end`, the requests that wait already
-    /// coming first.
-    pub(crate) fn is_too_late_for_replica(&self, end: Timestamp) -> bool {
-        let gateway = &self.gateway;
+    /// Expected wait for a replica, the requests that wait already coming first. `None` for a model,
+    /// and if it is not known.
+    pub(crate) fn replica_wait(&self) -> Option<Duration> {
         if !self.has_replica_limits() {
-            return false;
-        }
-        let wait = gateway.replica_wait(&self.service);
-        let is_late = wait.is_some_and(|wait| gateway.clock.now() + wait > end);
-        if is_late {
-            gateway.metrics.replica_refusals.inc();
-            tracing::debug!(request = %self.id, service = %self.service,
-                wait_ms = wait.unwrap_or_default().as_millis() as u64,
-                "no replica is free before the deadline");
+            return None;
         }
-        is_late
+        self.gateway.replica_wait(&self.service)
+    }
+
+    /// Whether no replica is expected to be free before `end`.
+    pub(crate) fn is_too_late_for_replica(&self, end: Timestamp) -> bool {
+        self.replica_wait().is_some_and(|wait| self.gateway.clock.now() + wait > end)
+    }
+
+    /// The result of a request for which no replica is free in time.
+    pub(crate) fn refuse_for_replicas(&self) -> NoSelection {
+        self.gateway.metrics.replica_refusals.inc();
+        let wait_ms = self.replica_wait().unwrap_or_default().as_millis() as u64;
+        tracing::debug!(request = %self.id, service = %self.service, wait_ms,
+            "no replica is free before the deadline");
+        NoSelection::Full
     }
 
     fn has_replica_limits(&self) -> bool {
@@ -134,7 +143,7 @@
 
     /// Expected time until a request that joins those that wait for a replica of a plain service
     /// gets one; `None` if no replica has answered yet.
-    pub(crate) fn replica_wait(&self, service: &ServiceName) -> Option<Duration> {
+    fn replica_wait(&self, service: &ServiceName) -> Option<Duration> {
         let hold = self.replica_hold(service)?;
         let catalog = self.catalog.borrow();
         let replicas = catalog.upstreams().filter(|upstream| upstream.service == *service);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -178,6 +178,7 @@
     };
     let version = table.version();
     if gateway.catalog.borrow_mut().apply_table(table) == UpdateOutcome::Applied {
+        gateway.table_since.set(Some(gateway.clock.now()));
         gateway.metrics.table_version.set(version.try_into().unwrap_or(i64::MAX));
         tracing::info!(version, revision = item.revision, "configuration is in force");
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashing_requests;
 mod datagrams;
 mod entries;
+mod explain;
 mod leaving;
 mod lifecycle;
 mod log;
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -103,6 +103,11 @@
         total
     }
 
+    /// Ages of the last messages of the other nodes.
+    pub fn peer_ages(&self, now: Timestamp) -> impl Iterator<Item = Duration> {
+        self.peers.values().map(move |peer| now.since(peer.received))
+    }
+
     /// Load of the requests of this node on each upstream.
     pub fn own(&self) -> impl Iterator<Item = (&UpstreamName, &Load)> {
         self.own.iter()
--- a/crates/pipelines/src/path.rs
+++ b/crates/pipelines/src/path.rs
@@ -8,13 +8,13 @@
 /// Cost of a transition between failure domains, in units of the time of a decoding step through
 /// the whole model on the fastest accelerators. All requests share the links between domains, and
 /// prompts pass through them one after another.
-const CROSSING_COST: f64 = 4.0;
+pub(crate) const CROSSING_COST: f64 = 4.0;
 /// Weight of the share of an engine's KV cache capacity that is reserved, in the engine's cost.
 const FILL_WEIGHT: f64 = 3.0;
 /// Largest share by which the cost of a path's engines, but not of its crossings, is increased at
 /// random. Nodes with the same catalog would otherwise all choose the same path until they receive
 /// each other's load, and the requests that arrive within half a second would fill it.
-const JITTER: f64 = 1.0;
+pub(crate) const JITTER: f64 = 1.0;
 
 /// An engine that can run a stage of a path.
 #[derive(Clone, Debug)]
@@ -135,7 +135,11 @@
 
 /// Cost of running the layers from `start` to the end of the candidate's range, or `None` if the
 /// candidate has no room for the request.
-fn stage_cost(candidate: &PathCandidate, start: u32, query: &PathQuery<'_>) -> Option<f64> {
+pub(crate) fn stage_cost(
+    candidate: &PathCandidate,
+    start: u32,
+    query: &PathQuery<'_>,
+) -> Option<f64> {
     let layers = f64::from(candidate.layers.end - start);
     let reserved = candidate.kv_reserved + layers * f64::from(query.tokens);
     if candidate.kv_capacity <= 0.0 || reserved > candidate.kv_capacity * query.max_fill {
