Count retries by one implementation

Cause: `pipelines` and `routing` each counted requests and retries in a sliding window.

Change: both use `retries::RetryCounter`.

Ruled out: one rule for both, since their budgets are stated differently; slices for `pipelines`, which would allow fewer retries than today; merging the records of what to avoid, which share no logic beyond a comparison of times (docs/design/replicas.md).

The tests of both budgets are unchanged and pass.

--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -1,8 +1,8 @@
 //! Decisions for models whose layers are spread over engines: which engine holds which layers,
 //! which engines a request passes through, how loaded the engines are, and which upstreams to
 //! avoid. The crate `gateway` makes its decisions with this one; the crate `node`, whose engines
-//! report their load, uses `routing` instead. Each of the two has its own retry budget and record
-//! of upstreams to avoid. The queue of waiting requests is in `gateway`.
+//! report their load, uses `routing` instead. Both count retries by the crate `retries`; each has its
+//! own record of upstreams to avoid. The queue of waiting requests is in `gateway`.
 //!
 //! Terms: a *path* is a chain of engines that together run the whole model. The crate `routing`
 //! calls that a route.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -1,6 +1,7 @@
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use clock::Timestamp;
+use retries::{RetryCounter, RetryRule};
 
 /// Period over which requests and retries are counted.
 const WINDOW: Duration = Duration::from_secs(10);
@@ -13,62 +14,46 @@
 const MIN_PAUSE: Duration = Duration::from_millis(10);
 
 /// Limits retries to a share of the requests, so that a failing upstream causes little extra load.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryBudget {
-    slices: VecDeque<Slice>,
-    /// Time of the last retry.
-    last_retry: Option<Timestamp>,
+    counter: RetryCounter,
 }
 
-/// Counters of one part of the window.
-#[derive(Debug)]
-struct Slice {
-    start: Timestamp,
-    requests: u64,
-    retries: u64,
+/// At most this percentage of the requests, rounded down.
+struct Percentage(u64);
+
+impl RetryRule for Percentage {
+    fn allowed(&self, requests: u64) -> f64 {
+        (requests * self.0 / 100) as f64
+    }
+
+    fn free_interval(&self) -> Option<Duration> {
+        Some(FREE_RETRY_INTERVAL)
+    }
+}
+
+impl Default for RetryBudget {
+    fn default() -> RetryBudget {
+        RetryBudget { counter: RetryCounter::new(WINDOW, SLICE) }
+    }
 }
 
 impl RetryBudget {
     /// Counts a request.
     pub fn count_request(&mut self, now: Timestamp) {
-        self.current_slice(now).requests += 1;
+        self.counter.count_request(now);
     }
 
     /// Takes one retry from the budget and returns whether it is allowed: if, including it, retries
     /// are at most `percent` of the requests, or if there was no retry for a second.
     pub fn take(&mut self, now: Timestamp, percent: u64) -> bool {
-        self.current_slice(now);
-        let in_window = self.slices.iter().filter(|slice| now.since(slice.start) < WINDOW);
-        let requests: u64 = in_window.map(|slice| slice.requests).sum();
-        let retries: u64 = self.slices.iter().map(|slice| slice.retries).sum();
-        let is_retry_due =
-            self.last_retry.is_none_or(|last| now.since(last) >= FREE_RETRY_INTERVAL);
-        if retries >= requests * percent / 100 && !is_retry_due {
-            return false;
-        }
-        self.last_retry = Some(now);
-        self.current_slice(now).retries += 1;
-        true
+        self.counter.take(now, &Percentage(percent))
     }
 
     /// Time to wait before [`take`](Self::take) may allow a retry again.
     pub fn time_until_retry(&self, now: Timestamp) -> Duration {
-        let oldest = self.slices.front().map_or(now, |slice| slice.start);
-        let expiry = (oldest + WINDOW + SLICE).since(now);
-        let gap =
-            self.last_retry.map_or(Duration::ZERO, |last| (last + FREE_RETRY_INTERVAL).since(now));
-        expiry.min(gap).clamp(MIN_PAUSE, SLICE)
-    }
-
-    /// The slice that `now` belongs to. Removes slices that have left the window.
-    fn current_slice(&mut self, now: Timestamp) -> &mut Slice {
-        // A slice is kept until its end has left the window, since its last retry may be that late.
-        self.slices.retain(|slice| now.since(slice.start) < WINDOW + SLICE);
-        let is_current = self.slices.back().is_some_and(|slice| now.since(slice.start) < SLICE);
-        if !is_current {
-            self.slices.push_back(Slice { start: now, requests: 0, retries: 0 });
-        }
-        let last = self.slices.len() - 1;
-        &mut self.slices[last]
+        let since = self.counter.since_retry(now).unwrap_or(FREE_RETRY_INTERVAL);
+        let gap = FREE_RETRY_INTERVAL.saturating_sub(since);
+        self.counter.time_until_expiry(now).min(gap).clamp(MIN_PAUSE, SLICE)
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,7 +1,7 @@
 //! Routing decisions: which engines run a request, and whether it is admitted, waits or is refused.
 //! The crate `node` makes its decisions with this one; the crate `gateway` uses `pipelines`
-//! instead. Each of the two has its own retry budget and record of engines to avoid. The queue of
-//! waiting requests is here for `node`, and in `gateway` itself for that crate.
+//! instead. Both count retries by the crate `retries`; each has its own record of engines to avoid. The
+//! queue of waiting requests is here for `node`, and in `gateway` itself for that crate.
 //!
 //! Purpose: plain functions over plain structs, so that any front end and any encoding of messages
 //! can use them.
