Skip the time of answers for requests to models

Cause: each request to a model looked up the times of answers of replicas, which only plain services have.

Change: the check of the settings and the service comes first.

--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -53,8 +53,11 @@
     /// Until when a request to a plain service may wait for a replica, so that it is answered
     /// before its deadline; `None` without limits on replicas.
     pub(crate) fn replica_wait_end(&self) -> Option<Timestamp> {
+        if !self.has_replica_limits() {
+            return None;
+        }
         let hold = self.gateway.replica_hold(&self.service);
-        self.has_replica_limits().then(|| self.deadline - hold.unwrap_or_default())
+        Some(self.deadline - hold.unwrap_or_default())
     }
 
     /// Expected wait for a replica, the requests that wait already coming first. `None` for a model,
