--- a/crates/admission/src/flow.rs
+++ b/crates/admission/src/flow.rs
@@ -94,20 +94,31 @@
         self.hold.unwrap_or(TYPICAL_HOLD)
     }
 
-    /// Counts a refused request. Returns the time until the requests that wait at this node and
-    /// those that it refused just before will have been served.
+    /// Counts a refused request. Returns [`wait_if_refused`](Self::wait_if_refused).
     pub fn record_refusal(
         &mut self,
         fleet: &FleetLoad,
         waiting: usize,
         now: Timestamp,
     ) -> Duration {
-        let served = fleet.own_freed_per_s() * now.since(self.updated).as_secs_f64();
-        self.refused = (self.refused - served).max(0.0) + 1.0;
+        let wait = self.wait_if_refused(fleet, waiting, now);
+        self.refused = self.refused_with_next(fleet, now);
         self.updated = now;
-        let refused = seconds(self.refused / fleet.own_freed_per_s());
+        wait
+    }
+
+    /// Time until the requests that wait at this node and those that it refused just before will
+    /// have been served, if one more is refused now. It is not counted.
+    pub fn wait_if_refused(&self, fleet: &FleetLoad, waiting: usize, now: Timestamp) -> Duration {
+        let refused = seconds(self.refused_with_next(fleet, now) / fleet.own_freed_per_s());
         (fleet.expected_wait(waiting) + refused).min(MAX_WAIT)
     }
+
+    /// Refused requests whose callers could not yet have been served, with one more.
+    fn refused_with_next(&self, fleet: &FleetLoad, now: Timestamp) -> f64 {
+        let served = fleet.own_freed_per_s() * now.since(self.updated).as_secs_f64();
+        (self.refused - served).max(0.0) + 1.0
+    }
 }
 
 /// Time after which the caller of a refused request should come back, if capacity for it is expected
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -139,17 +139,29 @@
 
     /// Adds a request that is expected to wait for `wait`.
     pub fn enqueue(&mut self, waiting: Waiting, wait: Duration, now: Timestamp) -> Enqueued {
+        let outcome = self.preview(&waiting, wait, now);
+        match outcome {
+            Enqueued::Late | Enqueued::Full => return outcome,
+            Enqueued::Replaced { shed, .. } => self.remove(shed),
+            Enqueued::Waiting(_) => {}
+        }
+        self.insert(waiting, now + wait);
+        outcome
+    }
+
+    /// What [`enqueue`](Self::enqueue) would return now. The request is not added.
+    pub fn preview(&self, waiting: &Waiting, wait: Duration, now: Timestamp) -> Enqueued {
+        let ticket = self.next_ticket;
         if now + wait > waiting.end {
             return Enqueued::Late;
         }
         if self.len() < self.limits.length {
-            return Enqueued::Waiting(self.insert(waiting, now + wait));
+            return Enqueued::Waiting(ticket);
+        }
+        match self.victim(waiting).filter(|_| self.limits.length > 0) {
+            Some(shed) => Enqueued::Replaced { ticket, shed },
+            None => Enqueued::Full,
         }
-        let Some(shed) = self.victim(&waiting).filter(|_| self.limits.length > 0) else {
-            return Enqueued::Full;
-        };
-        self.remove(shed);
-        Enqueued::Replaced { ticket: self.insert(waiting, now + wait), shed }
     }
 
     /// Whether a request may be tried now: the requests before it are known not to fit.
@@ -205,7 +217,7 @@
         self.forget_idle_flows();
     }
 
-    fn insert(&mut self, waiting: Waiting, expected_start: Timestamp) -> Ticket {
+    fn insert(&mut self, waiting: Waiting, expected_start: Timestamp) {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let tag = self.start_tag(&waiting);
@@ -213,7 +225,6 @@
         self.finish_tags.insert(waiting.organisation.clone(), finish);
         let entry = Entry { waiting, tag, expected_start, blocked_until: Timestamp::default() };
         self.entries.insert(ticket, entry);
-        ticket
     }
 
     /// Start tag of the next request of an organisation.
--- a/crates/admission/tests/flow.rs
+++ b/crates/admission/tests/flow.rs
@@ -77,6 +77,17 @@
     assert_eq!(flow.record_refusal(&fleet(), 0, start + 10 * HOLD), HOLD / 2);
 }
 
+/// Guards against a question for the time until a retry that counts as a refusal.
+#[test]
+fn a_question_is_no_refusal() {
+    let mut flow = Flow::default();
+    let now = Timestamp::from_origin(HOLD);
+    for number in 1..=3 {
+        let asked: Vec<Duration> = (0..5).map(|_| flow.wait_if_refused(&fleet(), 2, now)).collect();
+        assert_eq!(asked, [flow.record_refusal(&fleet(), 2, now); 5], "refusal {number}");
+    }
+}
+
 /// Guards against callers that are refused in one moment and return in one wave, which fills the
 /// engines once more: 260 callers are refused by 130 nodes, which free 130 requests in a second.
 #[test]
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -230,3 +230,18 @@
         }
     }
 }
+
+/// Guards against a question for a place that takes one, or that is answered otherwise than the
+/// request.
+#[test]
+fn a_preview_takes_no_place() {
+    let mut queue = AdmissionQueue::new(QueueLimits { length: 2, ..LIMITS });
+    let wait = Duration::from_millis(100);
+    let late = Waiting { end: at(1050), ..request(0, "c") };
+    for new in [request(1, "a"), late, request(2, "a"), request(0, "b"), request(3, "a")] {
+        let length = queue.len();
+        let previews: Vec<Enqueued> = (0..3).map(|_| queue.preview(&new, wait, start())).collect();
+        assert_eq!(queue.len(), length);
+        assert_eq!(previews, [queue.enqueue(new, wait, start()); 3]);
+    }
+}
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -65,13 +65,16 @@
         }
         let started = gateway.clock.now();
         let waiting = self.waiting(query, end);
-        let wait = self.expected_wait(&wait_queue, &waiting);
+        let wait = self.expected_wait(&wait_queue, &waiting).unwrap_or_default();
         let outcome = match wait_queue.enqueue(waiting, wait) {
             Ok(entry) => {
                 let _waiting = self.count_waiting();
                 self.wait_for_capacity(&entry, query, end).await
             }
-            Err(reason) => Err(reason),
+            Err(reason) => {
+                self.record_queue_refusal(reason, wait);
+                Err(reason)
+            }
         };
         let label = wait_label(outcome.as_ref().err());
         gateway.metrics.waits.with_label_values(&[label]).inc();
@@ -81,14 +84,18 @@
 
     /// Whether waiting cannot help a request to a plain service: no replica is left, and none has
     /// asked for a pause. Engines may be loading their layers.
-    fn is_without_upstream(&self, reason: NoSelection, query: SelectionQuery<'_>) -> bool {
+    pub(crate) fn is_without_upstream(
+        &self,
+        reason: NoSelection,
+        query: SelectionQuery<'_>,
+    ) -> bool {
         reason == NoSelection::NoUpstream
             && self.model_profile().is_none()
             && self.paused_until(query).is_none()
     }
 
     /// The request as one that waits until `end`.
-    fn waiting(&self, query: SelectionQuery<'_>, end: Timestamp) -> Waiting {
+    pub(crate) fn waiting(&self, query: SelectionQuery<'_>, end: Timestamp) -> Waiting {
         let resumed = query.is_resumed;
         if self.gateway.settings.overload.is_none() {
             // All requests are of one group and one organisation.
@@ -107,15 +114,25 @@
     }
 
     /// How long the request is expected to wait behind those that are admitted before it. A resumed
-    /// one can no longer be refused as not run, so it waits whatever is expected. Without an
-    /// observation, no request is refused for the estimate.
-    fn expected_wait(&self, wait_queue: &WaitQueue, waiting: &Waiting) -> Duration {
+    /// one can no longer be refused as not run, so it waits whatever is expected. `None` without an
+    /// observation: no request is refused for the estimate then.
+    pub(crate) fn expected_wait(
+        &self,
+        wait_queue: &WaitQueue,
+        waiting: &Waiting,
+    ) -> Option<Duration> {
         let is_plain = self.gateway.settings.overload.is_none();
         if waiting.resumed || is_plain || !self.gateway.flow(&self.service).has_observed() {
-            return Duration::ZERO;
+            return None;
+        }
+        let (fleet, now) = (self.gateway.fleet_load(&self.service), self.gateway.clock.now());
+        let wait = fleet.expected_wait(wait_queue.order().ahead(waiting, now));
+        if !self.has_replica_limits() {
+            return Some(wait);
         }
-        let ahead = wait_queue.order().ahead(waiting, self.gateway.clock.now());
-        self.gateway.fleet_load(&self.service).expected_wait(ahead)
+        // One that will be late by then no longer comes before those that are late already.
+        let ahead = wait_queue.order().ahead(waiting, now + wait);
+        Some(wait.max(fleet.expected_wait(ahead)))
     }
 
     /// What the fill limit of the request depends on.
@@ -131,18 +148,28 @@
         self.organisation.as_ref().is_some_and(|name| self.gateway.over_share(name))
     }
 
-    /// Until when a request that arrives now may wait for capacity.
-    fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
-        let limit = match &self.gateway.settings.overload {
-            _ if query.is_resumed => RESUME_WAIT,
-            Some(_) if self.model_profile().is_none() => self.route.timeout,
-            _ => self.route.latency_target.mul_f64(self.gateway.wait_share()),
+    /// Until when a request that arrives now may wait for capacity. A resumed one is not refused as
+    /// too late, so it waits for a replica as long as for engines.
+    pub(crate) fn wait_end(&self, query: SelectionQuery<'_>) -> Timestamp {
+        if !query.is_resumed
+            && let Some(end) = self.replica_wait_end()
+        {
+            return end;
+        }
+        let limit = if query.is_resumed {
+            RESUME_WAIT
+        } else {
+            self.route.latency_target.mul_f64(self.gateway.wait_share())
         };
         (self.gateway.clock.now() + limit).min(self.deadline)
     }
 
     /// Fails if pauses of upstreams keep the request from being served until after `end`.
-    fn check_pauses(&self, query: SelectionQuery<'_>, end: Timestamp) -> Result<(), NoSelection> {
+    pub(crate) fn check_pauses(
+        &self,
+        query: SelectionQuery<'_>,
+        end: Timestamp,
+    ) -> Result<(), NoSelection> {
         match self.paused_until(query) {
             Some(until) if until > end => Err(NoSelection::Paused(until)),
             _ => Ok(()),
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -19,7 +19,7 @@
     lifecycle::ActiveRequest,
     node::FailureEvidence,
     refused_parts::{describe, log_refusal, log_withdrawal},
-    selection::Selection,
+    selection::{NoSelection, Selection},
 };
 
 /// Delay between a broken connection and the probe that tells whether its upstream has crashed.
@@ -94,7 +94,8 @@
     /// The failure of a request that is refused because it would crash its upstreams.
     pub(crate) fn refuse_poison(&self, attempts: &Attempts) -> RoutedFailure {
         let Some(refusal) = self.refusal() else {
-            return self.give_up(attempts, FailureKind::Upstream, "upstreams have crashed");
+            let (kind, message) = NoSelection::Poison.failure();
+            return self.give_up(attempts, kind, message);
         };
         let mut routed = self.gateway.poison_failure(&refusal);
         if attempts.verdict() != Verdict::NotRun {
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -4,7 +4,9 @@
 
 use admission::SizeHints;
 use bytes::Bytes;
-use callers::{GenerationSize, RoutedFailure, RoutedRequest, RoutedResponse, Router};
+use callers::{
+    ExplainQuery, Explanation, GenerationSize, RoutedFailure, RoutedRequest, RoutedResponse, Router,
+};
 use catalog::{Access, ModelProfile, RetryPolicy, Route, RoutingTable};
 use clock::Timestamp;
 use crashes::RequestParts;
@@ -128,6 +130,26 @@
         now.since(stopped_at) < limit
     }
 
+    /// The configuration in force, and the route of a request in it.
+    pub(crate) fn find_route(
+        &self,
+        host: &str,
+        target: &str,
+    ) -> Result<(Arc<RoutingTable>, Arc<Route>), RoutedFailure> {
+        let Some(table) = self.catalog.borrow().table().cloned() else {
+            let failure =
+                Failure::not_run(FailureKind::Unavailable, "the node has no configuration yet");
+            return Err(RoutedFailure::retry_after(failure, UNCONFIGURED_RETRY_AFTER));
+        };
+        let url_path = target.split('?').next().unwrap_or_default();
+        let Some(route) = table.route(host, url_path).cloned() else {
+            let failure =
+                Failure::not_run(FailureKind::NotFound, "no route for this host and path");
+            return Err(failure.into());
+        };
+        Ok((table, route))
+    }
+
     async fn serve_request(
         self: Rc<Self>,
         request: RoutedRequest,
@@ -150,7 +172,7 @@
 
     /// Tokens for which a request reserves KV cache: its largest size or, under `[overload]`, the
     /// size that is expected from what the configuration says of the model.
-    fn reserved_tokens(
+    pub(crate) fn reserved_tokens(
         &self,
         table: &RoutingTable,
         service: &ServiceName,
@@ -177,17 +199,7 @@
         let id = request.id.clone();
         let arrived = self.clock.now();
         let reject = |failure: RoutedFailure| (id.clone(), failure);
-        let Some(table) = self.catalog.borrow().table().cloned() else {
-            let failure =
-                Failure::not_run(FailureKind::Unavailable, "the node has no configuration yet");
-            return Err(reject(RoutedFailure::retry_after(failure, UNCONFIGURED_RETRY_AFTER)));
-        };
-        let url_path = request.target.split('?').next().unwrap_or_default();
-        let Some(route) = table.route(&request.host, url_path).cloned() else {
-            let failure =
-                Failure::not_run(FailureKind::NotFound, "no route for this host and path");
-            return Err(reject(failure.into()));
-        };
+        let (table, route) = self.find_route(&request.host, &request.target).map_err(reject)?;
         if !self.has_time_for(&route) {
             let failure = Failure::not_run(FailureKind::Draining, "the node is shutting down");
             return Err(reject(RoutedFailure::retry_after(failure, SHUTDOWN_RETRY_AFTER)));
@@ -199,11 +211,8 @@
                 "the head of the request is too large",
             )));
         }
-        // The request states a duration, from which the point in time is computed.
-        let time_limit = request.deadline.unwrap_or(DEFAULT_DEADLINE);
-        let limit = route.timeout.min(time_limit);
-        let margin = RESPONSE_MARGIN.min(limit / 10);
-        let deadline = arrived + (limit - margin);
+        let (limit, usable) = time_limits(&route, request.deadline);
+        let deadline = arrived + usable;
         let start_by = arrived + route.latency_target.mul_f64(START_SHARE);
         let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
         let body = body.map_err(reject)?;
@@ -248,8 +257,15 @@
     }
 }
 
+/// Time until the caller's deadline, and the part of it before the time that the response needs. The
+/// request states a duration, from which the points in time are computed.
+pub(crate) fn time_limits(route: &Route, stated: Option<Duration>) -> (Duration, Duration) {
+    let limit = route.timeout.min(stated.unwrap_or(DEFAULT_DEADLINE));
+    (limit, limit - RESPONSE_MARGIN.min(limit / 10))
+}
+
 /// The organisation and priority that the caller's API key stands for. A public route needs no key.
-fn check_key(
+pub(crate) fn check_key(
     table: &RoutingTable,
     route: &Route,
     key: Option<&str>,
@@ -309,6 +325,10 @@
     fn metrics(&self) -> Bytes {
         Bytes::from(self.metrics.encode())
     }
+
+    fn explain(self: Rc<Self>, query: &ExplainQuery) -> Result<Explanation, RoutedFailure> {
+        self.explain_request(query)
+    }
 }
 
 /// Whether a request whose last attempt ended with `verdict` may be sent again.
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -119,6 +119,11 @@
         fixture.with_upstreams().await
     }
 
+    /// Like [`ready`](Fixture::ready), with the settings for decisions under overload.
+    pub async fn ready_for_overload() -> Fixture {
+        Fixture::ready_with_overload("").await
+    }
+
     /// Registers the routing table and the upstreams, and waits until the gateway knows them.
     pub async fn with_upstreams(self) -> Fixture {
         self.store.write("table", Some("1"));
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -1,8 +1,8 @@
 //! Decisions for models whose layers are spread over engines: which engine holds which layers,
 //! which engines a request passes through, how loaded the engines are, and which upstreams to
 //! avoid. The crate `gateway` makes its decisions with this one; the crate `node`, whose engines
-//! report their load, uses `routing` instead. Each of the two has its own retry budget and record
-//! of upstreams to avoid. The queue of waiting requests is in `gateway`.
+//! report their load, uses `routing` instead. Both count retries by the crate `retries`; each has its
+//! own record of upstreams to avoid. The queue of waiting requests is in `gateway`.
 //!
 //! Terms: a *path* is a chain of engines that together run the whole model. The crate `routing`
 //! calls that a route.
@@ -24,8 +24,10 @@
 mod latency;
 mod load;
 mod path;
+mod path_terms;
 mod pause;
 mod placement;
+mod replica_limit;
 mod targets;
 mod unread;
 
@@ -38,7 +40,9 @@
 pub use latency::{EngineTimes, EngineWork, PathTimes};
 pub use load::{Load, LoadTable, UpstreamLoad};
 pub use path::{Path, PathCandidate, PathQuery, choose_path};
+pub use path_terms::{CostedPath, costed_paths, reason_against};
 pub use pause::PauseTable;
 pub use placement::{EngineView, Placement, covers_model, plan};
+pub use replica_limit::{Replica, ReplicaLimits};
 pub use targets::PathTargets;
 pub use unread::{RequestSize, UnreadTable, unread_share};
--- a/crates/pipelines/src/targets.rs
+++ b/crates/pipelines/src/targets.rs
@@ -11,6 +11,8 @@
 /// Share of a target that the predicted times of a path should take. The rest is for the network,
 /// and for requests of other nodes that this node does not know of yet.
 const TARGET_SHARE: f64 = 0.7;
+/// Shares of the targets up to which predicted times are admitted, in the order of the searches.
+const TARGET_SHARES: [f64; 2] = [TARGET_SHARE, 1.0];
 /// Cost of a predicted time that is as long as its target, in the unit of the cost of paths. It
 /// makes a wait of a twentieth of the target for the first event about as costly as the difference
 /// between a full engine and an empty one, so that prompts do not wait behind others while another
@@ -36,6 +38,24 @@
         times.event_ms <= self.gap_ms * share
             && times.first_event_ms() <= self.first_event_ms * share
     }
+
+    /// Position of a path with these predicted times in the order of preference: 0 if it meets the
+    /// targets with a margin, 1 if it meets them, 2 if it does not or has no predicted times.
+    pub(crate) fn preference(&self, times: Option<&PathTimes>) -> usize {
+        let is_met = |share: &f64| times.is_some_and(|times| self.are_met(times, *share));
+        TARGET_SHARES.iter().position(is_met).unwrap_or(TARGET_SHARES.len())
+    }
+
+    /// Whether streams through an engine are predicted to miss the target for gaps with one more
+    /// request on it.
+    pub(crate) fn is_too_slow(&self, candidate: &PathCandidate) -> bool {
+        predict_engine(candidate, self).decode_ms > self.gap_ms
+    }
+
+    /// Cost of a part of the predicted time until the first event.
+    pub(crate) fn time_cost(&self, time_ms: f64) -> f64 {
+        TIME_COST * time_ms / self.first_event_ms
+    }
 }
 
 /// The costs of predicted times in a search for paths.
@@ -67,9 +87,7 @@
         let targets = self.targets;
         let next = times.then(targets.model, &self.engines[candidate], share, crosses);
         let added = next.first_event_ms() - times.first_event_ms();
-        targets
-            .are_met(&next, self.share)
-            .then_some((next, TIME_COST * added / targets.first_event_ms))
+        targets.are_met(&next, self.share).then(|| (next, targets.time_cost(added)))
     }
 }
 
@@ -84,7 +102,7 @@
 ) -> Option<Path> {
     let predict = |candidate| predict_engine(candidate, targets);
     let engines: Vec<EngineTimes> = candidates.iter().map(predict).collect();
-    for share in [TARGET_SHARE, 1.0] {
+    for share in TARGET_SHARES {
         let price = TimePrice { targets, engines: &engines, share };
         if let Some(path) = find_cheapest(candidates, query, Some(&price), rng) {
             return Some(path);
