--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -89,8 +89,12 @@
         attempts: &Attempts,
         selection: &Selection,
     ) -> Result<BufferedResponse, AttemptFailure> {
+        let started = self.gateway.clock.now();
         let response = self.send_call(attempts, selection).await.map_err(|error| {
             self.avoid_after_error(selection, &error);
+            if matches!(error, CallError::Timeout) {
+                self.record_replica_answer(selection, started);
+            }
             let verdict = error.verdict();
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
         })?;
@@ -119,6 +123,7 @@
             let verdict = Verdict::MayHaveRun;
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
         })?;
+        self.record_replica_answer(selection, started);
         Ok(BufferedResponse { status, headers, body })
     }
 
@@ -171,30 +176,18 @@
         attempts: &Attempts,
         reason: NoSelection,
     ) -> RoutedFailure {
+        let (kind, message) = reason.failure();
         match reason {
-            NoSelection::Full => {
-                self.count_refused();
-                self.give_up(attempts, FailureKind::Overloaded, "the upstreams have no room")
-            }
-            NoSelection::QueueFull => {
-                self.count_refused();
-                self.give_up(attempts, FailureKind::Overloaded, "too many requests wait for room")
-            }
-            NoSelection::Late => {
-                self.count_refused();
-                let message = "the request cannot be served in time";
-                self.give_up(attempts, FailureKind::Overloaded, message)
-            }
             NoSelection::Poison => self.refuse_poison(attempts),
-            NoSelection::NoUpstream => {
-                let message = "no upstream can serve the request";
-                self.give_up(attempts, FailureKind::Unavailable, message)
-            }
             NoSelection::Paused(until) => {
                 let delay = until.since(self.gateway.clock.now());
-                let message = "the upstreams that can serve the request ask for a pause";
-                self.give_up_for(attempts, FailureKind::Overloaded, message, delay)
+                self.give_up_for(attempts, kind, message, delay)
+            }
+            NoSelection::Full | NoSelection::QueueFull | NoSelection::Late => {
+                self.count_refused();
+                self.give_up(attempts, kind, message)
             }
+            NoSelection::NoUpstream => self.give_up(attempts, kind, message),
         }
     }
 
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -57,12 +57,31 @@
         if gateway.settings.overload.is_none() {
             return CAPACITY_RETRY_AFTER;
         }
-        let fleet = gateway.fleet_load(&self.service);
-        let waiting = gateway.wait_queue(&self.service).order().len();
+        let (fleet, waiting) = self.load_ahead();
         let now = gateway.clock.now();
         let wait = gateway.flow(&self.service).record_refusal(&fleet, waiting, now);
         let after = retry_after(wait, self.time_left(), rand::rng().random());
         gateway.metrics.retry_after.observe(after.as_secs_f64());
         after
     }
+
+    /// What [`capacity_retry_after`](Self::capacity_retry_after) would return with this random
+    /// number. No refusal is counted.
+    pub(crate) fn preview_retry_after(&self, draw: f64) -> Duration {
+        let gateway = &self.gateway;
+        if gateway.settings.overload.is_none() {
+            return CAPACITY_RETRY_AFTER;
+        }
+        let (fleet, waiting) = self.load_ahead();
+        let now = gateway.clock.now();
+        let wait = gateway.flow(&self.service).wait_if_refused(&fleet, waiting, now);
+        retry_after(wait, self.time_left(), draw)
+    }
+
+    /// The load of all nodes on the service, and the number of requests that wait at this node.
+    fn load_ahead(&self) -> (FleetLoad, usize) {
+        let gateway = &self.gateway;
+        let waiting = gateway.wait_queue(&self.service).order().len();
+        (gateway.fleet_load(&self.service), waiting)
+    }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,7 +11,8 @@
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
 use pipelines::{
-    CrossingGaps, DemandTable, HealthTable, LoadTable, PauseTable, SharedRetryBudget, UnreadTable,
+    CrossingGaps, DemandTable, HealthTable, LoadTable, PauseTable, ReplicaLimits,
+    SharedRetryBudget, UnreadTable,
 };
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
@@ -65,6 +66,8 @@
     /// not recorded, at the first request afterwards.
     pub(crate) stopped_at: Cell<Option<Timestamp>>,
     pub(crate) catalog: RefCell<CatalogState>,
+    /// Since when the routing table is in force.
+    pub(crate) table_since: Cell<Option<Timestamp>>,
     pub(crate) clients: RefCell<HashMap<UpstreamName, CachedClient>>,
     pub(crate) load: RefCell<LoadTable>,
     pub(crate) demand: RefCell<DemandTable>,
@@ -81,6 +84,8 @@
     pub(crate) wait_queues: RefCell<HashMap<ServiceName, Rc<WaitQueue>>>,
     /// How fast the upstreams of each service are freed.
     pub(crate) flows: RefCell<HashMap<ServiceName, Flow>>,
+    /// Requests that may be in flight at each replica of a plain service.
+    pub(crate) replica_limits: RefCell<ReplicaLimits>,
     /// Crashes of engines, and the parts of prompts that are refused for them.
     pub(crate) crashes: RefCell<CrashTable>,
     /// The attempts that take part in a crash if an engine of theirs ends now.
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -46,11 +46,28 @@
     }
 
     /// Chooses a path over engines that have capacity now.
-    fn find_path(
+    pub(crate) fn find_path(
         &self,
         profile: &ModelProfile,
         query: SelectionQuery<'_>,
     ) -> Result<Path, NoSelection> {
+        let (candidates, path_query) = self.path_problem(profile, query);
+        if !query.is_resumed && self.exceeds_own_part(profile, &candidates, path_query.max_fill) {
+            return Err(NoSelection::Full);
+        }
+        choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
+            let held = candidates.iter().map(|candidate| candidate.layers);
+            let covered = pipelines::covers_model(profile, held);
+            if covered { NoSelection::Full } else { NoSelection::NoUpstream }
+        })
+    }
+
+    /// The engines that may be on a path now, and what is required of the path.
+    pub(crate) fn path_problem<'a>(
+        &self,
+        profile: &'a ModelProfile,
+        query: SelectionQuery<'a>,
+    ) -> (Vec<PathCandidate>, PathQuery<'a>) {
         let gateway = &self.gateway;
         let targets = self.path_targets(profile, query);
         let mut candidates = Vec::new();
@@ -107,28 +124,25 @@
                 });
             }
         }
-        let max_fill = self.max_fill(query);
-        if !query.is_resumed && self.exceeds_own_part(profile, &candidates, max_fill) {
-            return Err(NoSelection::Full);
-        }
         let path_query = PathQuery {
             layers: profile.layers,
             tokens: self.tokens,
-            max_fill,
+            max_fill: self.max_fill(query),
             may_cross,
             crossing_factor,
             avoid: query.avoid,
             targets,
         };
-        choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
-            let held = candidates.iter().map(|candidate| candidate.layers);
-            let covered = pipelines::covers_model(profile, held);
-            if covered { NoSelection::Full } else { NoSelection::NoUpstream }
-        })
+        (candidates, path_query)
     }
 
     /// Share of an engine's KV cache capacity up to which the request may be admitted.
-    fn max_fill(&self, query: SelectionQuery<'_>) -> f64 {
+    pub(crate) fn max_fill(&self, query: SelectionQuery<'_>) -> f64 {
+        self.fill_limit(query, self.draw)
+    }
+
+    /// The same for another random number.
+    pub(crate) fn fill_limit(&self, query: SelectionQuery<'_>, draw: f64) -> f64 {
         match &self.gateway.settings.overload {
             Some(overload) => {
                 let range = FillRange {
@@ -136,24 +150,35 @@
                     taper: overload.fill_taper,
                     rank_spread: overload.fill_spread,
                 };
-                fill_limit(&range, self.standing(query.is_resumed), self.draw)
+                fill_limit(&range, self.standing(query.is_resumed), draw)
             }
             None if query.is_resumed => MAX_RESUME_FILL,
             None => MAX_FILL,
         }
     }
 
-    /// Whether the request would take more than this node's part of the capacity, while the node
-    /// does not know the load of the others. A single request is always within it.
+    /// Whether the request would take more than this node's part of the capacity.
     fn exceeds_own_part(
         &self,
         profile: &ModelProfile,
         candidates: &[PathCandidate],
         max_fill: f64,
     ) -> bool {
+        self.own_part_use(profile, candidates, max_fill).is_some_and(|in_use| in_use > 1.0)
+    }
+
+    /// Share of this node's part of the capacity that its requests would use with this one. `None`
+    /// if that does not limit the request: the node knows the load of the others, or has no other
+    /// request.
+    pub(crate) fn own_part_use(
+        &self,
+        profile: &ModelProfile,
+        candidates: &[PathCandidate],
+        max_fill: f64,
+    ) -> Option<f64> {
         let gateway = &self.gateway;
         if gateway.settings.overload.is_none() || gateway.knows_fleet_load() {
-            return false;
+            return None;
         }
         let capacity = candidates.iter().map(|candidate| candidate.kv_capacity).sum();
         let is_candidate =
@@ -162,7 +187,8 @@
         let own = load.own().filter(|(name, _)| is_candidate(name));
         let in_use: f64 = own.map(|(_, load)| load.token_layers).sum();
         let added = f64::from(profile.layers) * f64::from(self.tokens);
-        in_use > 0.0 && in_use + added > own_part(capacity, max_fill, gateway.node_count())
+        let part = own_part(capacity, max_fill, gateway.node_count());
+        (in_use > 0.0).then(|| (in_use + added) / part)
     }
 
     pub(crate) fn choose_engines(
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -5,7 +5,7 @@
 use catalog::Upstream;
 use clock::Timestamp;
 use pipelines::UpstreamLoad;
-use types::{Stage, UpstreamName};
+use types::{FailureKind, Stage, UpstreamName};
 
 use crate::{
     Gateway, demand::DemandGuard, event_gaps::GapWatch, lifecycle::ActiveRequest, runs::RunGuard,
@@ -80,6 +80,25 @@
     Paused(Timestamp),
 }
 
+impl NoSelection {
+    /// Kind and message of the failure that the caller gets.
+    pub(crate) fn failure(self) -> (FailureKind, &'static str) {
+        match self {
+            NoSelection::Full => (FailureKind::Overloaded, "the upstreams have no room"),
+            NoSelection::QueueFull => (FailureKind::Overloaded, "too many requests wait for room"),
+            NoSelection::Late => (FailureKind::Overloaded, "the request cannot be served in time"),
+            NoSelection::Poison => (FailureKind::Upstream, "upstreams have crashed"),
+            NoSelection::NoUpstream => {
+                (FailureKind::Unavailable, "no upstream can serve the request")
+            }
+            NoSelection::Paused(_) => (
+                FailureKind::Overloaded,
+                "the upstreams that can serve the request ask for a pause",
+            ),
+        }
+    }
+}
+
 impl ActiveRequest {
     /// Reserves capacity for an attempt on the chosen upstreams.
     pub(crate) fn reserve(
--- a/crates/pipelines/src/load.rs
+++ b/crates/pipelines/src/load.rs
@@ -160,8 +160,14 @@
 
     /// Age of the oldest message that counts.
     pub fn oldest_age(&self, now: Timestamp) -> Option<Duration> {
-        let parts = self.peers.values().flat_map(BTreeMap::values);
-        parts.map(|part| now.since(part.received)).max()
+        self.peer_ages(now).max()
+    }
+
+    /// Age of the oldest message that counts of each of the other nodes.
+    pub fn peer_ages(&self, now: Timestamp) -> impl Iterator<Item = Duration> {
+        self.peers
+            .values()
+            .filter_map(move |parts| parts.values().map(|part| now.since(part.received)).max())
     }
 
     /// Load of the requests of all nodes on an upstream.
--- a/crates/pipelines/tests/paths/main.rs
+++ b/crates/pipelines/tests/paths/main.rs
@@ -1,6 +1,7 @@
 //! Choice of paths by latency targets, unread prompts and slow links.
 
 mod crossing;
+mod explained;
 mod replay;
 mod replays;
 mod support;
