Choose ports of the signal tests on addresses of their own

The test chose a free port on 127.0.0.1 and released it before the process bound it, so an outgoing connection of another test could take it in between.

--- a/crates/edge/tests/signals.rs
+++ b/crates/edge/tests/signals.rs
@@ -1,14 +1,18 @@
 //! Tests of signals, with the daemon as a process.
 
+mod loopback;
+
 use std::{
     fs::{File, OpenOptions},
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
 };
 
+use loopback::free_addrs;
+
 /// Longest wait for something that the process does.
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -102,13 +106,6 @@
     }
 }
 
-/// Loopback addresses whose ports were free when they were chosen.
-fn free_addrs() -> [SocketAddr; 2] {
-    let listeners: [TcpListener; 2] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
-}
-
 /// Guards against a notice of changed settings that ends a process which has just started.
 #[test]
 fn a_reload_during_the_start_does_not_end_the_process() {
