Add tests of callers outside the limits

Each test starts the daemon with 64 MB and 320 descriptors in its settings (and 320 as its resource limit) and a crowd of 200 callers (600 connections in the last form). It checks that the process lives, that its peak resident memory stays within 64 MB and its descriptors within seven eighths of the limit, and that an ordinary request is answered while the crowd is still there.

A resource limit on the address space was ruled out: it would also count memory that is reserved and never used.

--- a/crates/standins/src/platform/worker.rs
+++ b/crates/standins/src/platform/worker.rs
@@ -21,6 +21,10 @@
 
 /// Time to load the layers of an order.
 const LOAD_TIME: Duration = Duration::from_millis(100);
+/// Path whose answer is large.
+const LARGE_PATH: &str = "/look/large";
+/// Size of that answer, in bytes.
+const LARGE_BYTES: usize = 1 << 20;
 /// Time that a call of the plain service takes.
 const WORK_TIME: Duration = Duration::from_millis(10);
 /// Time from a worker's crash to the removal of its entry; also the time between two attempts to
@@ -245,7 +249,8 @@
             }
             return self.draft(&id, &node, &headers);
         }
-        if request.uri().path() == POISON_PATH {
+        let path = request.uri().path().to_owned();
+        if path == POISON_PATH {
             return self.crash(&id, false).await;
         }
         self.count_run(&id);
@@ -256,7 +261,10 @@
         if self.is_garbled() {
             return empty_answer(StatusCode::OK);
         }
-        let mut response = Response::new(Body::from(format!("done {id}")));
+        let mut response = Response::new(Body::from(match path.as_str() {
+            LARGE_PATH => "large ".repeat(LARGE_BYTES / 6),
+            _ => format!("done {id}"),
+        }));
         sign(response.headers_mut(), &id);
         response
     }
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -31,6 +31,22 @@
         args: &["doc", "--workspace", "--no-deps", "--quiet"],
     },
     Check { name: "tests", is_chore: false, args: &["test", "--workspace", "--quiet"] },
+    Check {
+        name: "limits",
+        is_chore: false,
+        args: &[
+            "test",
+            "--quiet",
+            "--package",
+            "edge",
+            "--test",
+            "limits",
+            "--",
+            "--ignored",
+            "--test-threads",
+            "1",
+        ],
+    },
     Check { name: "calm day", is_chore: true, args: &["soak", "--calm", "--seconds", "5"] },
     Check {
         name: "soak",
