Limit what callers of a node may take up

Callers could end a process: each connection could hold a head of 400 KB, bodies and answers were held without a common bound (an unread answer three times), and connections took all descriptors.

- `transport::MemoryAccount` counts the bytes that are held for callers.
Bytes are reserved before they are read, and the reservation lives in the buffer, so it ends with the last copy of the bytes on every path.
One peer address gets three quarters at most.
The first 16 KB of a body or answer are counted with the connection, so small requests are never refused for memory.
- At the limit, the body of a stalled connection ends first, then the least complete one.
The request is refused (503, Retry-After, Connection: close); none of its bytes was forwarded.
An answer waits for memory instead, and its upstream with it.
- Connections are limited by descriptors and memory.
A new one displaces an idle one, a head that is not complete or a stalled one, and is closed if there is none.
- The HTTP library gets a small buffer for heads.
Complete bodies are passed to it in pieces of 16 KB, so that it holds no second copy.
- Idle connections to all upstreams together are limited, since with one per upstream the answers of a crowd left 320 of 320 descriptors open.

Refusals are counted in `gypsumrack_limit_refusals_total` and logged at most once a second for each cause.

Ruled out: a timer for each connection or chunk (cost on the ordinary path), and answers that reserve memory as they grow (80 half-read answers waited for one another and for their deadlines; the ordinary request got no answer).

--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -84,9 +84,10 @@
 ) -> std::io::Result<()> {
     let store =
         Rc::new(StoreClient::new(clock.clone(), settings.store, STORE_TIMEOUTS, WATCH_WAIT));
-    let connector = Rc::new(UpstreamConnector::new(clock.clone(), UPSTREAM_TIMEOUTS));
+    let connector = UpstreamConnector::new(clock.clone(), UPSTREAM_TIMEOUTS)
+        .idle_limit(gateway::idle_limit(&settings.limits));
     let codec = Rc::new(PlatformCodec);
-    let gateway = GatewayBuilder::new(clock, settings, store, connector, codec)
+    let gateway = GatewayBuilder::new(clock, settings, store, Rc::new(connector), codec)
         .stop(StopSignal::new())
         .build();
     let front = Rc::new(RequestFrontEnd::new(gateway.clone()));
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use callers::{RoutedFailure, RoutedResponse};
+use clock::timeout;
 use futures_util::future::{Either, select};
 use http::HeaderMap;
 use transport::{Body, CallError};
@@ -151,19 +152,28 @@
             && self.has_other_replica(&attempts.avoided, &selection.upstream.name)
     }
 
-    /// Reads the body of a response before the deadline.
+    /// Reads the body of a response before the deadline. While there is no memory for it, nothing is
+    /// read, so that the upstream waits too.
     pub(crate) async fn read_response_body(
         &self,
         mut response: UpstreamResponse,
     ) -> Result<Bytes, CallError> {
-        let mut bytes = BytesMut::new();
+        let mut buffer = match response.body.stated_size() {
+            Some(size) if size <= MAX_RESPONSE_BYTES => self.memory.exact_buffer(size),
+            _ => self.memory.buffer(MAX_RESPONSE_BYTES),
+        };
         while let Some(chunk) = response.body.next(self.time_left()).await? {
-            bytes.extend_from_slice(&chunk);
-            if bytes.len() > MAX_RESPONSE_BYTES {
+            if buffer.len() + chunk.len() > MAX_RESPONSE_BYTES {
                 return Err(CallError::Malformed("the response exceeds the size limit".into()));
             }
+            if !buffer.try_extend(&chunk) {
+                let extending = buffer.extend_when_free(&chunk);
+                timeout(&*self.gateway.clock, self.time_left(), extending)
+                    .await
+                    .map_err(|_| CallError::Timeout)?;
+            }
         }
-        Ok(bytes.freeze())
+        Ok(buffer.freeze())
     }
 
     /// The failure of a request for which no upstreams could be selected.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod audience;
 mod buffered;
 mod builder;
+mod caller_limits;
 mod crashes;
 mod leaving;
 mod lifecycle;
@@ -55,6 +56,7 @@
 mod wakeup;
 
 pub use builder::GatewayBuilder;
+pub use caller_limits::idle_limit;
 pub use node::Gateway;
 pub use peering::{exchange_datagrams, register};
 pub use planner::run_planner;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -10,7 +10,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderMap, Method, StatusCode, header};
 use rand::Rng;
-use transport::BodyError;
+use transport::{BodyError, CallerMemory};
 use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
 use upstreams::Call;
 
@@ -22,6 +22,9 @@
 /// service. A node without a routing table waits for the key-value service, whose outages last for
 /// seconds.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(1500);
+/// Time after which a caller may retry when there was no memory for its request. Bodies that make no
+/// progress are ended within that time.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a caller may retry when the node is shutting down. It is short since the retry
 /// goes to another node.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -50,6 +53,8 @@
     pub(crate) target: Arc<str>,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Holds the bytes of the answer.
+    pub(crate) memory: CallerMemory,
     /// Most tokens that the request may occupy in the KV caches of engines.
     pub(crate) tokens: u32,
     /// Number of the last event that the caller already has.
@@ -173,6 +178,7 @@
         let limit = route.timeout.min(time_limit);
         let margin = RESPONSE_MARGIN.min(limit / 10);
         let deadline = arrived + (limit - margin);
+        let memory = request.body.memory();
         let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
         let body = body.map_err(reject)?;
         let roll = rand::rng().random::<f64>();
@@ -207,6 +213,7 @@
             target: request.target,
             headers: request.headers,
             body,
+            memory,
             tokens,
             resume_after: request.resume_after,
             deadline,
@@ -246,6 +253,10 @@
     body.collect_within(max_bytes, limit).await.map_err(|error| match error {
         BodyError::TooLarge(max_bytes) => too_large(max_bytes),
         BodyError::Broken(_) => Failure::not_run(FailureKind::Invalid, error.to_string()).into(),
+        BodyError::NoMemory => {
+            let failure = Failure::not_run(FailureKind::Overloaded, error.to_string());
+            RoutedFailure::retry_after(failure, MEMORY_RETRY_AFTER)
+        }
         BodyError::Timeout => rejection(StatusCode::REQUEST_TIMEOUT, &error.to_string()),
     })
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
-use transport::{ConnectionObserver, CutCause};
+use transport::{ConnectionObserver, CutCause, Refusal};
 
 use crate::Gateway;
 
@@ -46,6 +46,8 @@
     pub(crate) cut_requests: IntCounterVec,
     /// Responses sent before the request's body was read.
     pub(crate) early_responses: IntCounter,
+    /// Requests refused and connections closed because a limit on callers was reached, by cause.
+    pub(crate) limit_refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -123,6 +125,11 @@
                 "Responses sent before the body of the request was read",
             )
             .expect("counter is valid"),
+            limit_refusals: counter_vec(
+                "gypsumrack_limit_refusals_total",
+                "Requests refused and connections closed because a limit on callers was reached",
+                &["cause"],
+            ),
             registry,
         };
         metrics.register();
@@ -156,6 +163,7 @@
             Box::new(self.waiting.clone()),
             Box::new(self.cut_requests.clone()),
             Box::new(self.early_responses.clone()),
+            Box::new(self.limit_refusals.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector).expect("names of the metrics differ");
@@ -171,6 +179,10 @@
     fn record_early_response(&self) {
         self.metrics.early_responses.inc();
     }
+
+    fn record_refusal(&self, cause: Refusal) {
+        self.metrics.limit_refusals.with_label_values(&[<&str>::from(cause)]).inc();
+    }
 }
 
 fn counter_vec(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,12 @@
 use peers::DatagramSocket;
 use transport::{Handler, Server, SignalListener, StopSignal};
 
-use crate::{Gateway, lifecycle::EXIT_MARGIN, peering, planner, refused_parts, store};
+use crate::{
+    Gateway,
+    caller_limits::{caller_limits, health_limits},
+    lifecycle::EXIT_MARGIN,
+    peering, planner, refused_parts, store,
+};
 
 /// Time after the stop signal for which new connections are still accepted. The balancer probes
 /// once a second and takes a node out of service after two failed probes.
@@ -44,9 +49,12 @@
     let callers = Server::bind(clock.clone(), settings.callers, stop.clone())
         .await?
         .observer(gateway.clone())
+        .limits(caller_limits(&settings.limits))
         .lame_duck_time(REFUSE_DELAY.min(grace / 2))
         .drain_limit(grace.saturating_sub(EXIT_MARGIN));
-    let health = Server::bind(clock.clone(), settings.health, drained.clone()).await?;
+    let health = Server::bind(clock.clone(), settings.health, drained.clone())
+        .await?
+        .limits(health_limits(&settings.limits));
     let socket = DatagramSocket::bind(settings.peers).await?;
     tracing::info!(node = %settings.name, domain = %settings.domain, callers = %settings.callers,
         store = %settings.store, "node starts");
--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use types::{Domain, NodeName};
 
-use crate::LogSettings;
+use crate::{LimitSettings, LogSettings};
 
 /// Settings of an edge node: the kind of router node that routes by the routing table that the
 /// operators publish. [`NodeSettings`](crate::NodeSettings) are those of the other kind.
@@ -36,6 +36,9 @@
     /// Decisions under overload. Without this table, a node admits each request by itself and knows
     /// nothing of the demand of the other nodes.
     pub overload: Option<OverloadSettings>,
+    /// Limits on what callers may take up.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -90,7 +93,7 @@
         if self.name.is_empty() || self.domain.is_empty() {
             return Err("name and domain must not be empty".into());
         }
-        Ok(())
+        self.limits.check()
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,7 @@
 mod edge;
 mod fault;
 mod fleet;
+mod limits;
 mod node;
 mod policy;
 pub mod schema;
@@ -21,5 +22,6 @@
 pub use edge::{EdgeSettings, OverloadSettings, SettingsError};
 pub use fault::{SettingFault, SettingFaults};
 pub use fleet::{ChangeRecord, Exception, FleetConfig, ModelConfig, Scope, ServiceConfig};
+pub use limits::LimitSettings;
 pub use node::{ListenAddrs, LogFormat, LogLevel, LogSettings, NodeSettings, PlatformAddrs};
 pub use policy::{BalancingPolicy, Policy, PolicyChange};
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -11,6 +11,10 @@
 use futures_util::{FutureExt, SinkExt, StreamExt, future::LocalBoxFuture};
 use hyper::body::{Frame, SizeHint};
 
+/// Largest piece of a complete body that is passed to the HTTP library, which copies it. The library
+/// takes the next one when the peer has taken most of the last, so that a slow peer holds no second
+/// copy of the body.
+const MAX_PIECE_BYTES: usize = 16 << 10;
 /// Maximum number of chunks buffered between the writer and the reader. It limits the memory that
 /// is taken up by a slow reader.
 const MAX_BUFFERED_CHUNKS: usize = 16;
@@ -74,7 +78,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
-            Body::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Body::Full(bytes) => Poll::Ready(next_piece(bytes).map(|piece| Ok(Frame::data(piece)))),
             Body::Streamed { producer, chunks } => {
                 if let Some(future) = producer
                     && future.poll_unpin(context).is_ready()
@@ -98,6 +102,14 @@
     }
 }
 
+/// Takes the next piece of a complete body.
+fn next_piece(bytes: &mut Option<Bytes>) -> Option<Bytes> {
+    match bytes {
+        Some(rest) if rest.len() > MAX_PIECE_BYTES => Some(rest.split_to(MAX_PIECE_BYTES)),
+        _ => bytes.take(),
+    }
+}
+
 /// Writes the chunks of a streamed body.
 #[derive(Clone)]
 pub struct BodyWriter {
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -1,18 +1,16 @@
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use clock::{Clock, Timestamp, timeout};
+use clock::{Clock, timeout};
 use http::{HeaderMap, Method, Request, header};
 use hyper::client::conn::http1::{self, SendRequest};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    Body, CallError, ResponseStream, connect, connect::http_stream, metered::InputMeter,
-    response::error_text, write_timeout::WriteTimeout,
+    Body, CallError, IdleLimit, ResponseStream, connect, connect::http_stream, idle::Pool,
+    metered::InputMeter, response::error_text, write_timeout::WriteTimeout,
 };
 
-/// Maximum number of idle connections kept open to one peer.
-const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Time after which an idle connection is no longer used, because a device on the way, such as a
 /// NAT or firewall, may have dropped its state.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
@@ -48,32 +46,6 @@
     pool: Rc<Pool>,
 }
 
-/// Idle connections to one peer.
-#[derive(Default)]
-pub(crate) struct Pool {
-    idle: RefCell<Vec<IdleConnection>>,
-}
-
-impl Pool {
-    /// Keeps a connection for reuse, unless there are enough.
-    pub(crate) fn put(&self, connection: Connection, since: Timestamp) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(IdleConnection { connection, since });
-        }
-    }
-
-    /// Closes all connections.
-    pub(crate) fn clear(&self) {
-        self.idle.borrow_mut().clear();
-    }
-}
-
-struct IdleConnection {
-    connection: Connection,
-    since: Timestamp,
-}
-
 /// An open connection to the peer.
 pub(crate) struct Connection {
     sender: SendRequest<Body>,
@@ -86,6 +58,12 @@
         HttpClient { clock, addr, pool: Rc::default() }
     }
 
+    /// Shares a limit on idle connections with other clients.
+    pub fn idle_limit(mut self, limit: Rc<IdleLimit>) -> HttpClient {
+        self.pool = Rc::new(Pool::with_limit(limit));
+        self
+    }
+
     /// Address of the peer.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -260,8 +238,7 @@
 
     fn take_idle(&self) -> Option<Connection> {
         let now = self.clock.now();
-        let mut idle = self.pool.idle.borrow_mut();
-        while let Some(candidate) = idle.pop() {
+        while let Some(candidate) = self.pool.take() {
             let fresh = now.since(candidate.since) < MAX_IDLE_AGE;
             if fresh && candidate.connection.sender.is_ready() {
                 return Some(candidate.connection);
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -4,6 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     io,
+    net::IpAddr,
     pin::Pin,
     rc::Rc,
     sync::{Arc, OnceLock},
@@ -18,7 +19,10 @@
 use strum::IntoStaticStr;
 use types::RequestId;
 
-use crate::{Body, BodyAborted};
+use crate::{
+    Body, BodyAborted, Refusal,
+    activity::{Activity, Phase},
+};
 
 /// Number of the connection over which a request was received. The server stores it in the
 /// request's extensions.
@@ -55,6 +59,8 @@
     LameDuckClose,
     /// The drain limit of the stopping server passed.
     ForcedClose,
+    /// The connection was closed because a limit on callers was reached.
+    LimitReached,
 }
 
 /// Counts what happens on the connections of a server. The server writes the log lines.
@@ -64,11 +70,15 @@
 
     /// A response was sent before the request's body was read to its end.
     fn record_early_response(&self);
+
+    /// A request was refused or a connection closed because a limit on callers was reached.
+    fn record_refusal(&self, _cause: Refusal) {}
 }
 
 /// The state of one connection, as its bytes and the service show it.
 pub(crate) struct ConnectionState {
     id: ConnectionId,
+    pub(crate) activity: Activity,
     observer: Option<Rc<dyn ConnectionObserver>>,
     open_request: RefCell<Option<RequestLabel>>,
     /// Whether bytes may have arrived since the last request was answered.
@@ -83,10 +93,12 @@
 impl ConnectionState {
     pub(crate) fn new(
         id: ConnectionId,
+        peer: IpAddr,
         observer: Option<Rc<dyn ConnectionObserver>>,
     ) -> Rc<ConnectionState> {
         Rc::new(ConnectionState {
             id,
+            activity: Activity::new(peer),
             observer,
             open_request: RefCell::default(),
             head_begun: Cell::default(),
@@ -112,7 +124,26 @@
         self.head_begun.get()
     }
 
+    /// What the connection waits for.
+    pub(crate) fn phase(&self) -> Phase {
+        if self.activity.body_refusal().is_some() {
+            return Phase::Refused;
+        }
+        if self.activity.body().is_some() {
+            return Phase::Body;
+        }
+        if self.activity.is_write_blocked() {
+            return Phase::Blocked;
+        }
+        match (self.open_request.borrow().is_some(), self.head_begun.get()) {
+            (true, _) => Phase::Handler,
+            (false, true) => Phase::Head,
+            (false, false) => Phase::Idle,
+        }
+    }
+
     fn record_read(&self) {
+        self.activity.record_step();
         if self.open_request.borrow().is_none() {
             self.head_begun.set(true);
         }
@@ -261,6 +292,7 @@
     }
 
     fn check_write<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.state.activity.record_write(result.is_pending());
         if matches!(result, Poll::Ready(Err(_))) {
             self.state.write_failed.set(true);
         }
--- /dev/null
+++ b/crates/transport/src/eviction.rs
@@ -0,0 +1,76 @@
+//! Decides which connection or body ends when the limits are reached.
+
+use std::{cmp::Reverse, net::IpAddr};
+
+use crate::{
+    ConnectionId,
+    activity::{BodyProgress, Phase},
+};
+
+/// A connection that may be ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) id: ConnectionId,
+    pub(crate) peer: IpAddr,
+    /// What the peer has taken of that which is short: connections or bytes.
+    pub(crate) peer_use: usize,
+    pub(crate) phase: Phase,
+    /// Sweeps since the connection entered its phase.
+    pub(crate) phase_sweeps: u32,
+    /// Whether no byte was moved for a while.
+    pub(crate) is_stalled: bool,
+    pub(crate) body: Option<BodyProgress>,
+}
+
+/// The connection to close when one more would exceed the limit: an idle one, else one whose body
+/// was refused or whose head is incomplete, else one that is stalled; among these one of the address with the most
+/// connections, and the one that has waited longest. Returns `None` if all of them are in use.
+pub(crate) fn choose_connection(candidates: &[Candidate]) -> Option<ConnectionId> {
+    let rank = |candidate: &Candidate| match candidate.phase {
+        Phase::Idle => Some(0),
+        Phase::Refused | Phase::Head => Some(1),
+        Phase::Body | Phase::Blocked if candidate.is_stalled => Some(2),
+        _ => None,
+    };
+    let ranked = candidates.iter().filter_map(|candidate| Some((rank(candidate)?, candidate)));
+    let first = ranked.min_by_key(|(rank, candidate)| {
+        (*rank, Reverse(candidate.peer_use), Reverse(candidate.phase_sweeps), candidate.id)
+    });
+    first.map(|(_, candidate)| candidate.id)
+}
+
+/// The connection whose bytes are given up when `own` needs memory. A stalled one goes first. Else
+/// an address that has taken more than twice as much as that of `own` gives up its least complete
+/// body, and else the address of `own` does, which may be `own` itself. The bytes of an answer go
+/// before those of a body, whose request can still be refused.
+pub(crate) fn choose_body(own: &Candidate, candidates: &[Candidate]) -> ConnectionId {
+    let stalled = candidates.iter().filter(|candidate| {
+        candidate.is_stalled
+            && candidate.id != own.id
+            && matches!(candidate.phase, Phase::Body | Phase::Blocked)
+    });
+    let stalled = stalled.min_by_key(|candidate| {
+        (Reverse(candidate.peer_use), Reverse(candidate.phase_sweeps), candidate.id)
+    });
+    if let Some(stalled) = stalled {
+        return stalled.id;
+    }
+    let bodies = || {
+        let others = candidates.iter().filter(|candidate| candidate.id != own.id);
+        others.filter(|candidate| candidate.phase == Phase::Body)
+    };
+    let heaviest = bodies().max_by_key(|candidate| candidate.peer_use);
+    let payer = match heaviest {
+        Some(other) if other.peer_use / 2 > own.peer_use => other.peer,
+        _ => own.peer,
+    };
+    let reads_body = (own.phase == Phase::Body).then_some(own);
+    let payers = bodies().chain(reads_body).filter(|candidate| candidate.peer == payer);
+    let last = payers.min_by_key(|candidate| (percent(candidate.body), Reverse(candidate.id)));
+    last.map_or(own.id, |candidate| candidate.id)
+}
+
+/// Share of a body that has arrived, in percent.
+fn percent(body: Option<BodyProgress>) -> usize {
+    body.map_or(0, |body| body.received.saturating_mul(100) / body.expected.max(1))
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,12 +8,19 @@
 //! task and no timer of the thread from running; a connection on which a call timed out is never used
 //! again. This crate must not know what the messages mean.
 
+mod activity;
 mod body;
 mod client;
 mod connect;
 mod connection;
 mod error;
+mod eviction;
+mod held;
+mod idle;
+mod limits;
+mod memory;
 mod metered;
+mod open_connections;
 mod request_body;
 mod response;
 mod server;
@@ -28,6 +35,10 @@
 pub use connect::{connect, tokio_stream};
 pub use connection::{ConnectionId, ConnectionObserver, CutCause, RequestLabel};
 pub use error::CallError;
+pub use held::{CallerMemory, HeldBuffer};
+pub use idle::IdleLimit;
+pub use limits::{Refusal, ServerLimits};
+pub use memory::{MemoryAccount, Reservation};
 pub use metered::MeteredReader;
 pub use request_body::{BodyError, RequestBody};
 pub use response::ResponseStream;
--- /dev/null
+++ b/crates/transport/src/memory.rs
@@ -0,0 +1,131 @@
+//! The memory that a server's callers may take up.
+
+use std::{
+    collections::HashMap,
+    future::poll_fn,
+    net::IpAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Poll, Waker},
+};
+
+/// Share of the account that one peer address may take, as a fraction. The rest is for the others.
+const PEER_SHARE: (usize, usize) = (3, 4);
+
+/// An account of the bytes that are held for callers. Bytes are reserved before they are read. The
+/// reservation is part of the buffer that holds them, so it ends on every path with the buffer.
+pub struct MemoryAccount {
+    limit: usize,
+    peer_limit: usize,
+    book: Mutex<Book>,
+}
+
+#[derive(Default)]
+struct Book {
+    used: usize,
+    /// Bytes by peer address. An address that holds none has no entry.
+    peers: HashMap<IpAddr, usize>,
+    /// Number of releases, by which a waiting task sees that something was released.
+    releases: u64,
+    waiting: Vec<Waker>,
+}
+
+impl MemoryAccount {
+    /// Creates an account of `limit` bytes.
+    pub fn new(limit: usize) -> Arc<MemoryAccount> {
+        let peer_limit = limit / PEER_SHARE.1 * PEER_SHARE.0;
+        Arc::new(MemoryAccount { limit, peer_limit, book: Mutex::default() })
+    }
+
+    /// Reserves `bytes` for the peer, unless the account or the share of the peer is used up.
+    pub fn reserve(self: &Arc<Self>, peer: IpAddr, bytes: usize) -> Option<Reservation> {
+        let mut reservation = Reservation { account: self.clone(), peer, bytes: 0 };
+        reservation.grow(bytes).then_some(reservation)
+    }
+
+    /// Bytes that are reserved.
+    pub fn used(&self) -> usize {
+        self.book().used
+    }
+
+    /// Bytes that are reserved for one peer.
+    pub fn used_by(&self, peer: IpAddr) -> usize {
+        self.book().peers.get(&peer).copied().unwrap_or_default()
+    }
+
+    /// Waits until bytes are released.
+    pub(crate) async fn wait_for_release(&self) {
+        let releases = self.book().releases;
+        poll_fn(|context| {
+            let mut book = self.book();
+            if book.releases != releases {
+                return Poll::Ready(());
+            }
+            if !book.waiting.iter().any(|waker| waker.will_wake(context.waker())) {
+                book.waiting.push(context.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
+    fn book(&self) -> MutexGuard<'_, Book> {
+        // The book is consistent between any two statements that can panic.
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn release(&self, peer: IpAddr, bytes: usize) {
+        let waiting = {
+            let mut book = self.book();
+            book.used -= bytes;
+            if let Some(used) = book.peers.get_mut(&peer) {
+                *used -= bytes;
+                if *used == 0 {
+                    book.peers.remove(&peer);
+                }
+            }
+            book.releases += 1;
+            std::mem::take(&mut book.waiting)
+        };
+        waiting.into_iter().for_each(Waker::wake);
+    }
+}
+
+/// Bytes that are reserved in an account until the value is dropped.
+pub struct Reservation {
+    account: Arc<MemoryAccount>,
+    peer: IpAddr,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// Reserves `bytes` more. Returns `false` and changes nothing if there is no room for them.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        if bytes == 0 {
+            return true;
+        }
+        let account = &self.account;
+        let mut book = account.book();
+        let own = book.peers.get(&self.peer).copied().unwrap_or_default();
+        let fits = |used: usize, limit| used.checked_add(bytes).is_some_and(|sum| sum <= limit);
+        if !fits(book.used, account.limit) || !fits(own, account.peer_limit) {
+            return false;
+        }
+        book.used += bytes;
+        book.peers.insert(self.peer, own + bytes);
+        self.bytes += bytes;
+        true
+    }
+
+    /// Bytes that are reserved.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if self.bytes > 0 {
+            self.account.release(self.peer, self.bytes);
+        }
+    }
+}
--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -1,15 +1,15 @@
 //! The body of a received request.
 
-use std::{cell::Cell, fmt, rc::Rc, time::Duration};
+use std::{cell::Cell, fmt, future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use clock::{Clock, timeout};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming};
 use serde::de::DeserializeOwned;
 use types::MAX_BODY_BYTES;
 
-use crate::metered::InputMeter;
+use crate::{CallerMemory, Refusal, held::FREE_BYTES, metered::InputMeter};
 
 /// Time in which a client must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -34,12 +34,18 @@
 pub(crate) struct UnreadBody {
     incoming: Cell<Option<Incoming>>,
     meter: Rc<InputMeter>,
+    memory: CallerMemory,
 }
 
 impl UnreadBody {
-    /// Creates the body of a request. `meter` counts the bytes of its connection.
-    pub(crate) fn new(incoming: Incoming, meter: Rc<InputMeter>) -> Rc<UnreadBody> {
-        Rc::new(UnreadBody { incoming: Cell::new(Some(incoming)), meter })
+    /// Creates the body of a request. `meter` counts the bytes of its connection, and the body is
+    /// held in `memory`.
+    pub(crate) fn new(
+        incoming: Incoming,
+        meter: Rc<InputMeter>,
+        memory: CallerMemory,
+    ) -> Rc<UnreadBody> {
+        Rc::new(UnreadBody { incoming: Cell::new(Some(incoming)), meter, memory })
     }
 
     /// Takes the body, unless it was read to its end or cannot be read any further.
@@ -49,19 +55,32 @@
 
     /// Reads the body to its end. If it is too large, the rest can be taken afterwards.
     async fn collect(&self, max_bytes: usize) -> Result<Bytes, BodyError> {
-        let mut bytes = BytesMut::new();
         let Some(incoming) = self.take() else { return Ok(Bytes::new()) };
+        let stated = incoming.size_hint().exact().and_then(|size| usize::try_from(size).ok());
+        let expected = stated.map_or(max_bytes, |size| size.min(max_bytes));
         let mut taken = TakenBody { unread: self, incoming: Some(incoming) };
-        while let Some(frame) = taken.next_frame().await {
-            let frame = frame.map_err(|error| BodyError::Broken(error.to_string()))?;
+        let _reading = self.memory.begin_body(expected);
+        let mut buffer = self.memory.buffer(expected);
+        if !buffer.reserve(expected.min(FREE_BYTES)).await {
+            return Err(self.refuse());
+        }
+        while let Some(frame) = taken.next_frame().await? {
             self.meter.record_delivery();
             let Ok(data) = frame.into_data() else { continue };
-            if bytes.len() + data.len() > max_bytes {
+            if buffer.len() + data.len() > max_bytes {
                 return Err(BodyError::TooLarge(max_bytes));
             }
-            bytes.extend_from_slice(&data);
+            if !buffer.reserve(data.len()).await {
+                return Err(self.refuse());
+            }
+            buffer.extend(&data);
         }
-        Ok(bytes.freeze())
+        Ok(buffer.freeze())
+    }
+
+    fn refuse(&self) -> BodyError {
+        self.memory.record_refused_body();
+        BodyError::NoMemory
     }
 }
 
@@ -92,13 +111,24 @@
 }
 
 impl TakenBody<'_> {
-    /// The next frame; `None` at the end of the body. There is no further frame after an error.
-    async fn next_frame(&mut self) -> Option<hyper::Result<Frame<Bytes>>> {
-        let frame = self.incoming.as_mut()?.frame().await;
+    /// The next frame; `None` at the end of the body. There is no further frame after an error of
+    /// the connection.
+    async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, BodyError> {
+        let Some(incoming) = &mut self.incoming else { return Ok(None) };
+        let activity = self.unread.memory.activity();
+        let frame = poll_fn(|context| {
+            match activity.and_then(|activity| activity.body_refusal()) {
+                Some(Refusal::BodyTime) => return Poll::Ready(Err(BodyError::Timeout)),
+                Some(_) => return Poll::Ready(Err(BodyError::NoMemory)),
+                None => {}
+            }
+            Pin::new(&mut *incoming).poll_frame(context).map(Ok)
+        });
+        let frame = frame.await?;
         if !matches!(frame, Some(Ok(_))) {
             self.incoming = None;
         }
-        frame
+        frame.transpose().map_err(|error| BodyError::Broken(error.to_string()))
     }
 }
 
@@ -119,6 +149,14 @@
         RequestBody { source: BodySource::Memory(bytes), clock }
     }
 
+    /// The memory from which the bytes that are held for the caller are taken.
+    pub fn memory(&self) -> CallerMemory {
+        match &self.source {
+            BodySource::Connection(unread) => unread.memory.clone(),
+            BodySource::Memory(_) => CallerMemory::default(),
+        }
+    }
+
     /// Reads the whole body. The error message is returned to the caller.
     pub async fn collect(self) -> Result<Bytes, String> {
         let body = self.collect_within(MAX_BODY_BYTES, BODY_TIMEOUT).await;
@@ -159,6 +197,8 @@
     Broken(String),
     /// It did not arrive in time.
     Timeout,
+    /// There is no memory for it.
+    NoMemory,
 }
 
 impl fmt::Display for BodyError {
@@ -167,6 +207,7 @@
             BodyError::TooLarge(max_bytes) => write!(f, "request body exceeds {max_bytes} bytes"),
             BodyError::Broken(cause) => write!(f, "request body cannot be read: {cause}"),
             BodyError::Timeout => f.write_str("request body did not arrive in time"),
+            BodyError::NoMemory => f.write_str("there is no memory for the request body"),
         }
     }
 }
--- a/crates/transport/src/response.rs
+++ b/crates/transport/src/response.rs
@@ -4,12 +4,9 @@
 use clock::{Clock, Timestamp, timeout};
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
-use crate::{
-    CallError,
-    client::{Connection, Pool},
-};
+use crate::{CallError, client::Connection, idle::Pool};
 
 /// A response whose body is read chunk by chunk.
 pub struct ResponseStream {
@@ -45,6 +42,11 @@
         &self.trailers
     }
 
+    /// Size of the rest of the body in bytes, if the peer states it.
+    pub fn stated_size(&self) -> Option<usize> {
+        self.body.size_hint().exact().and_then(|size| usize::try_from(size).ok())
+    }
+
     /// Waits at most `limit` for the next chunk of the body; `None` is the end of the body.
     pub async fn chunk(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
         loop {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,4 +1,7 @@
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible, future::poll_fn, net::SocketAddr, pin::pin, rc::Rc, task::Poll,
+    time::Duration,
+};
 
 use clock::{Clock, timeout};
 use compio::{
@@ -14,11 +17,12 @@
 use types::MAX_HEADERS;
 
 use crate::{
-    Body, ConnectionId, ConnectionObserver, CutCause, RequestBody, RequestLabel, StopSignal,
-    TurnLimit,
+    Body, CallerMemory, ConnectionId, ConnectionObserver, CutCause, Refusal, RequestBody,
+    RequestLabel, ServerLimits, StopSignal, TurnLimit,
     connect::http_stream,
     connection::{ConnectionState, ObservedBody, ObservedIo},
     metered::InputMeter,
+    open_connections::OpenConnections,
     request_body::{self, DISCARD_TIME, MAX_DISCARDED_BYTES, UnreadBody},
     write_timeout::WriteTimeout,
 };
@@ -61,6 +65,7 @@
     drain_limit: Duration,
     lame_duck_time: Duration,
     observer: Option<Rc<dyn ConnectionObserver>>,
+    limits: ServerLimits,
 }
 
 impl Server {
@@ -78,6 +83,7 @@
             drain_limit: Duration::ZERO,
             lame_duck_time: DEFAULT_LAME_DUCK_TIME,
             observer: None,
+            limits: ServerLimits::default(),
         })
     }
 
@@ -100,6 +106,12 @@
         self
     }
 
+    /// Sets the limits on what callers may take up.
+    pub fn limits(mut self, limits: ServerLimits) -> Server {
+        self.limits = limits;
+        self
+    }
+
     /// The address that the server is bound to.
     pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -111,22 +123,21 @@
     /// closed after its first response, the others after the response that they are sending when
     /// the lame-duck period ends.
     pub async fn run<H: Handler + 'static>(self, handler: Rc<H>) {
-        let open_connections = Rc::new(Cell::new(0_usize));
+        let connections =
+            OpenConnections::new(self.clock.clone(), self.limits.clone(), self.observer.clone());
         let force_close_signal = StopSignal::new();
-        let accepting = pin!(self.accept_connections(
-            handler,
-            open_connections.clone(),
-            force_close_signal.clone()
-        ));
-        let drained = pin!(self.wait_until_drained(open_connections));
-        select(accepting, drained).await;
+        let accepting =
+            pin!(self.accept_connections(handler, connections.clone(), force_close_signal.clone()));
+        let drained = pin!(self.wait_until_drained(&connections));
+        let sweeping = pin!(connections.run_sweeps());
+        select(accepting, select(drained, sweeping)).await;
         force_close_signal.raise();
     }
 
     async fn accept_connections<H: Handler + 'static>(
         &self,
         handler: Rc<H>,
-        open_connections: Rc<Cell<usize>>,
+        connections: Rc<OpenConnections>,
         force_close_signal: StopSignal,
     ) {
         let mut accepted_count = 0;
@@ -134,28 +145,33 @@
         loop {
             turn.step().await;
             match self.listener.accept().await {
-                Ok((stream, _)) => {
-                    let guard = OpenConnectionGuard::new(open_connections.clone());
+                Ok((stream, peer)) => {
+                    // Without room, the stream is dropped, which closes the connection.
+                    if !connections.make_room() {
+                        continue;
+                    }
                     accepted_count += 1;
                     let id = ConnectionId(accepted_count);
-                    let state = ConnectionState::new(id, self.observer.clone());
-                    let (clock, handler) = (self.clock.clone(), handler.clone());
-                    let (stop, force_close) = (self.stop.clone(), force_close_signal.raised());
-                    let lame_duck_time = self.lame_duck_time;
+                    let state = ConnectionState::new(id, peer.ip(), self.observer.clone());
+                    let guard = connections.add(state.clone());
+                    let serving = ServedConnection {
+                        clock: self.clock.clone(),
+                        state: state.clone(),
+                        connections: connections.clone(),
+                        stop: self.stop.clone(),
+                        lame_duck_time: self.lame_duck_time,
+                    }
+                    .serve(stream, handler.clone());
+                    let force_close = force_close_signal.raised();
                     compio::runtime::spawn(async move {
                         let _guard = guard;
-                        let serving = serve_connection(
-                            clock,
-                            stream,
-                            state.clone(),
-                            handler,
-                            stop,
-                            lame_duck_time,
-                        );
-                        let serving = pin!(serving);
-                        let closed_by = match select(serving, pin!(force_close)).await {
+                        let closing = pin!(closed_for_limit(&state));
+                        let force_close = pin!(force_close);
+                        let ending = select(force_close, closing);
+                        let closed_by = match select(pin!(serving), ending).await {
                             Either::Left((closed_by, _)) => closed_by,
-                            Either::Right(_) => Some(CutCause::ForcedClose),
+                            Either::Right((Either::Left(_), _)) => Some(CutCause::ForcedClose),
+                            Either::Right((Either::Right(_), _)) => Some(CutCause::LimitReached),
                         };
                         state.record_end(closed_by);
                     })
@@ -163,6 +179,7 @@
                 }
                 Err(error) => {
                     tracing::warn!(%error, "accepting a connection failed");
+                    connections.close_one();
                     self.clock.sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -170,73 +187,100 @@
     }
 
     /// Completes when, after the stop signal, no connection is open or the drain limit has passed.
-    async fn wait_until_drained(&self, open_connections: Rc<Cell<usize>>) {
+    async fn wait_until_drained(&self, connections: &OpenConnections) {
         self.stop.raised().await;
         let started = self.clock.now();
         self.clock.sleep(self.lame_duck_time.min(self.drain_limit)).await;
-        while open_connections.get() > 0 && self.clock.now().since(started) < self.drain_limit {
+        while !connections.is_empty() && self.clock.now().since(started) < self.drain_limit {
             self.clock.sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
 }
 
-/// Serves one connection until it ends. Returns why this server closed it, if the caller did not
-/// and no error occurred.
-async fn serve_connection<H: Handler + 'static>(
+/// Completes when the connection is told to close because a limit is reached.
+async fn closed_for_limit(state: &ConnectionState) {
+    poll_fn(|context| {
+        state.activity.record_task(context);
+        if state.activity.is_closing() { Poll::Ready(()) } else { Poll::Pending }
+    })
+    .await;
+}
+
+/// A connection that is served.
+struct ServedConnection {
     clock: Rc<dyn Clock>,
-    stream: TcpStream,
     state: Rc<ConnectionState>,
-    handler: Rc<H>,
+    connections: Rc<OpenConnections>,
     stop: StopSignal,
     lame_duck_time: Duration,
-) -> Option<CutCause> {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "connection closed before it was served");
-        return None;
-    }
-    let (socket, own_clock, partial_head) = (stream.clone(), clock.clone(), state.clone());
-    let meter = Rc::new(InputMeter::default());
-    let io = WriteTimeout::new(clock.clone(), http_stream(stream, &meter));
-    let io = ObservedIo::new(io, state.clone());
-    let service = service_fn(move |request| {
-        meter.record_delivery();
-        let (clock, handler) = (clock.clone(), handler.clone());
-        let (state, meter) = (state.clone(), meter.clone());
-        async move { Ok::<_, Infallible>(respond(clock, handler, state, meter, request).await) }
-    });
-    let mut connection = pin!(
-        http1::Builder::new()
+}
+
+impl ServedConnection {
+    /// Serves the connection until it ends. Returns why this server closed it, if the caller did
+    /// not and no error occurred.
+    async fn serve<H: Handler + 'static>(
+        self,
+        stream: TcpStream,
+        handler: Rc<H>,
+    ) -> Option<CutCause> {
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%error, "connection closed before it was served");
+            return None;
+        }
+        let socket = stream.clone();
+        let meter = Rc::new(InputMeter::default());
+        let io = WriteTimeout::new(self.clock.clone(), http_stream(stream, &meter));
+        let io = ObservedIo::new(io, self.state.clone());
+        let mut builder = http1::Builder::new();
+        builder
             .timer(CompioTimer)
             .header_read_timeout(HEADER_TIMEOUT)
             .max_headers(MAX_HEADERS)
-            .keep_alive(!stop.is_raised())
-            .serve_connection(io, service)
-    );
-    let lame_duck_end = async {
-        stop.raised().await;
-        own_clock.sleep(lame_duck_time).await;
-        // The HTTP library closes a connection that has carried a request before, even inside the
-        // head of the next one.
-        let ended = own_clock.now();
-        while partial_head.has_partial_head() && own_clock.now().since(ended) < PARTIAL_HEAD_TIME {
-            own_clock.sleep(DRAIN_POLL_INTERVAL).await;
+            .keep_alive(!self.stop.is_raised());
+        if let Some(head_bytes) = self.connections.limits.head_bytes {
+            builder.max_buf_size(head_bytes);
         }
-    };
-    let (result, closed_by) = match select(connection.as_mut(), pin!(lame_duck_end)).await {
-        Either::Left((result, _)) => (result, None),
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            (connection.await, Some(CutCause::LameDuckClose))
+        let scope = RequestScope {
+            clock: self.clock.clone(),
+            state: self.state.clone(),
+            memory: CallerMemory::new(self.connections.clone(), self.state.clone()),
+            meter,
+        };
+        let scope = Rc::new(scope);
+        let service = service_fn(move |request| {
+            scope.meter.record_delivery();
+            let (scope, handler) = (scope.clone(), handler.clone());
+            async move { Ok::<_, Infallible>(scope.respond(handler, request).await) }
+        });
+        let mut connection = pin!(builder.serve_connection(io, service));
+        let (result, closed_by) =
+            match select(connection.as_mut(), pin!(self.lame_duck_end())).await {
+                Either::Left((result, _)) => (result, None),
+                Either::Right(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    (connection.await, Some(CutCause::LameDuckClose))
+                }
+            };
+        let Err(error) = result else { return closed_by };
+        tracing::debug!(%error, "connection ended with an error");
+        if error.is_parse_too_large() {
+            self.connections.record_refusal(Refusal::HeadSize);
         }
-    };
-    match result {
-        Ok(()) => closed_by,
-        Err(error) => {
-            tracing::debug!(%error, "connection ended with an error");
-            if error.is_parse() {
-                discard_input(&*own_clock, socket).await;
-            }
-            None
+        if error.is_parse() {
+            discard_input(&*self.clock, socket).await;
+        }
+        None
+    }
+
+    /// Completes when the connection is to be closed after the stop signal.
+    async fn lame_duck_end(&self) {
+        self.stop.raised().await;
+        self.clock.sleep(self.lame_duck_time).await;
+        // The HTTP library closes a connection that has carried a request before, even inside the
+        // head of the next one.
+        let ended = self.clock.now();
+        while self.state.has_partial_head() && self.clock.now().since(ended) < PARTIAL_HEAD_TIME {
+            self.clock.sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
 }
@@ -265,48 +309,44 @@
     }
 }
 
-/// Passes one request to the handler.
-async fn respond<H: Handler + 'static>(
+/// What all requests of a connection share.
+struct RequestScope {
     clock: Rc<dyn Clock>,
-    handler: Rc<H>,
     state: Rc<ConnectionState>,
+    memory: CallerMemory,
     meter: Rc<InputMeter>,
-    request: Request<Incoming>,
-) -> Response<ObservedBody> {
-    let (head, incoming) = request.into_parts();
-    // A caller that waits for permission to send its body does not send it after a refusal.
-    let awaits_permission = head.headers.contains_key(header::EXPECT);
-    let unread = UnreadBody::new(incoming, meter.clone());
-    let body = RequestBody::from_connection(unread.clone(), clock.clone());
-    let mut request = Request::from_parts(head, body);
-    let label = RequestLabel::default();
-    request.extensions_mut().insert(state.id());
-    request.extensions_mut().insert(label.clone());
-    state.open_request(label);
-    let response = handler.handle(request).await;
-    if let Some(rest) = unread.take() {
-        state.record_early_response(response.status().as_u16());
-        if !awaits_permission {
-            compio::runtime::spawn(request_body::discard(rest, meter, clock)).detach();
-        }
-    }
-    response.map(|body| ObservedBody::new(body, state))
-}
-
-struct OpenConnectionGuard {
-    open_connections: Rc<Cell<usize>>,
 }
 
-impl OpenConnectionGuard {
-    fn new(open_connections: Rc<Cell<usize>>) -> OpenConnectionGuard {
-        open_connections.set(open_connections.get() + 1);
-        OpenConnectionGuard { open_connections }
-    }
-}
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        self.open_connections.set(self.open_connections.get() - 1);
+impl RequestScope {
+    /// Passes one request to the handler.
+    async fn respond<H: Handler + 'static>(
+        &self,
+        handler: Rc<H>,
+        request: Request<Incoming>,
+    ) -> Response<ObservedBody> {
+        let (head, incoming) = request.into_parts();
+        // A caller that waits for permission to send its body does not send it after a refusal.
+        let awaits_permission = head.headers.contains_key(header::EXPECT);
+        let unread = UnreadBody::new(incoming, self.meter.clone(), self.memory.clone());
+        let body = RequestBody::from_connection(unread.clone(), self.clock.clone());
+        let mut request = Request::from_parts(head, body);
+        let label = RequestLabel::default();
+        request.extensions_mut().insert(self.state.id());
+        request.extensions_mut().insert(label.clone());
+        self.state.open_request(label);
+        let mut response = handler.handle(request).await;
+        if self.state.activity.body_refusal().is_some() {
+            let close = http::HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        if let Some(rest) = unread.take() {
+            self.state.record_early_response(response.status().as_u16());
+            if !awaits_permission {
+                let (meter, clock) = (self.meter.clone(), self.clock.clone());
+                compio::runtime::spawn(request_body::discard(rest, meter, clock)).detach();
+            }
+        }
+        response.map(|body| ObservedBody::new(body, self.state.clone()))
     }
 }
 
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -63,6 +63,11 @@
 pub trait ResponseBody {
     /// Waits at most `limit` for the next chunk. `None` means that the body is complete.
     fn next(&mut self, limit: Duration) -> LocalBoxFuture<'_, Result<Option<Bytes>, CallError>>;
+
+    /// Size of the whole body in bytes, if the upstream states it.
+    fn stated_size(&self) -> Option<usize> {
+        None
+    }
 }
 
 /// An order to an engine to load a range of layers.
