Test the limits on callers and spare connections without memory

By reading: a stalled connection for which no memory is reserved could be ended to make room, which freed nothing. Only connections that have reserved memory are chosen now. A process that may open fewer descriptors than its settings say goes by the lower number and logs a warning.

--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -8,7 +8,7 @@
 use platform::{
     HealthCheckHandler, PlatformCodec, RequestFrontEnd, StoreClient, UpstreamConnector,
 };
-use settings::{EdgeSettings, LogFormat, LogSettings};
+use settings::{EdgeSettings, LimitSettings, LogFormat, LogSettings};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use transport::{StopSignal, Timeouts};
@@ -70,8 +70,9 @@
 
 fn serve(args: &SettingsArgs) -> Result<(), String> {
     let signals = Signals::install().map_err(|error| error.to_string())?;
-    let settings = EdgeSettings::load(&args.settings).map_err(|error| format!("{error:?}"))?;
+    let mut settings = EdgeSettings::load(&args.settings).map_err(|error| format!("{error:?}"))?;
     let _log = start_log(&settings.log);
+    check_descriptors(&mut settings.limits);
     let runtime = compio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
     runtime.block_on(run(clock, settings, signals)).map_err(|error| error.to_string())
@@ -95,6 +96,19 @@
     gateway::serve(gateway, front, checks, signals).await
 }
 
+/// Lowers the number of descriptors in the settings to that which the process may open.
+fn check_descriptors(limits: &mut LimitSettings) {
+    let Some(allowed) = transport::descriptor_limit().map(|limit| limit as f64) else { return };
+    if allowed < limits.max_fds {
+        tracing::warn!(
+            max_fds = limits.max_fds,
+            allowed,
+            "the process may open fewer descriptors than the settings say"
+        );
+        limits.max_fds = allowed;
+    }
+}
+
 /// Starts the log on standard output. A separate thread writes the lines; lines are dropped when
 /// its buffer is full, so that a blocked reader of the output never delays a request. The returned
 /// guard writes the buffered lines when it is dropped. The environment variable `RUST_LOG`
--- a/crates/edge/tests/limits/main.rs
+++ b/crates/edge/tests/limits/main.rs
@@ -151,3 +151,29 @@
     assert!(node.answers("/extra3/x"), "the new route is not served");
     node.check();
 }
+
+/// Guards against callers of the health port that take the descriptors or the memory.
+#[test]
+#[ignore = "one at a time: the check `limits` of cargo xtask ci"]
+fn a_crowd_at_the_health_port() {
+    let mut node = Node::start("health");
+    let script = |number: usize| {
+        let start = b"GET /metrics HTTP/1.1\r\nx-long: ".to_vec();
+        let length = if number.is_multiple_of(2) { LONG_HEAD_BYTES } else { 1 };
+        Box::new(std::iter::once(start).chain(pieces(vec![b'a'; length], PIECE_BYTES))) as Script
+    };
+    let mut crowd = Crowd::connect(node.health, (0..3 * CALLERS).map(script));
+    crowd.send(&mut node);
+    node.check();
+    assert!(node.is_ready(), "the health check is not answered");
+}
+
+/// Guards against limits that refuse a single body of the largest size.
+#[test]
+#[ignore = "one at a time: the check `limits` of cargo xtask ci"]
+fn a_single_body_of_the_largest_size() {
+    let mut node = Node::start("single");
+    let body = "b".repeat(BODY_BYTES);
+    assert_eq!(node.post("/look/x", "single", &body), Some(200));
+    node.check();
+}
--- a/crates/edge/tests/limits/node.rs
+++ b/crates/edge/tests/limits/node.rs
@@ -35,7 +35,7 @@
 pub(crate) struct Node {
     child: Child,
     pub(crate) callers: SocketAddr,
-    health: SocketAddr,
+    pub(crate) health: SocketAddr,
     store: SocketAddr,
     directory: PathBuf,
     max_fds: usize,
@@ -71,13 +71,26 @@
             .unwrap();
         let node = Node { child, callers, health, store, directory, max_fds: 0 };
         let started = Instant::now();
-        while node.call(node.health, "GET", "/v1/readyz", "").unwrap_or_default().0 != 200 {
+        while !node.is_ready() {
             assert!(started.elapsed() < START_LIMIT, "the node does not start");
             thread::sleep(Duration::from_millis(20));
         }
         node
     }
 
+    /// Whether the node answers the balancer's check.
+    pub(crate) fn is_ready(&self) -> bool {
+        let answer = self.call(self.health, "GET", "/v1/readyz", "");
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
+    /// The status of the answer to one request.
+    pub(crate) fn post(&self, path: &str, id: &str, body: &str) -> Option<u16> {
+        let length = body.len();
+        let rest = format!("{}content-length: {length}\r\n\r\n{body}", request_headers(id));
+        self.call(self.callers, "POST", path, &rest).map(|(status, _)| status)
+    }
+
     /// Records the number of open descriptors.
     pub(crate) fn sample(&mut self) {
         let fds = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
--- a/crates/transport/src/activity.rs
+++ b/crates/transport/src/activity.rs
@@ -40,6 +40,8 @@
     steps: Cell<u64>,
     write_blocked: Cell<bool>,
     body: Cell<Option<BodyProgress>>,
+    /// Whether memory was reserved for the current request, beyond that of the connection.
+    has_reserved: Cell<bool>,
     /// Why the body that is being read is refused.
     body_refusal: Cell<Option<Refusal>>,
     is_closing: Cell<bool>,
@@ -53,6 +55,7 @@
             steps: Cell::default(),
             write_blocked: Cell::default(),
             body: Cell::default(),
+            has_reserved: Cell::default(),
             body_refusal: Cell::default(),
             is_closing: Cell::default(),
             waker: RefCell::default(),
@@ -86,6 +89,14 @@
         self.body.get()
     }
 
+    pub(crate) fn set_reserved(&self, has_reserved: bool) {
+        self.has_reserved.set(has_reserved);
+    }
+
+    pub(crate) fn has_reserved(&self) -> bool {
+        self.has_reserved.get()
+    }
+
     /// Ends the body that is being read. Its request is answered with a refusal.
     pub(crate) fn refuse_body(&self, cause: Refusal) {
         self.body_refusal.set(Some(cause));
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -117,6 +117,7 @@
         *self.open_request.borrow_mut() = Some(label);
         self.head_begun.set(false);
         self.body_end.set(None);
+        self.activity.set_reserved(false);
     }
 
     /// Whether the head of a request may be arriving.
--- a/crates/transport/src/eviction.rs
+++ b/crates/transport/src/eviction.rs
@@ -19,6 +19,8 @@
     pub(crate) phase_sweeps: u32,
     /// Whether no byte was moved for a while.
     pub(crate) is_stalled: bool,
+    /// Whether memory is reserved for its request.
+    pub(crate) has_reserved: bool,
     pub(crate) body: Option<BodyProgress>,
 }
 
@@ -44,10 +46,10 @@
 /// body, and else the address of `own` does, which may be `own` itself. The bytes of an answer go
 /// before those of a body, whose request can still be refused.
 pub(crate) fn choose_body(own: &Candidate, candidates: &[Candidate]) -> ConnectionId {
-    let stalled = candidates.iter().filter(|candidate| {
-        candidate.is_stalled
-            && candidate.id != own.id
-            && matches!(candidate.phase, Phase::Body | Phase::Blocked)
+    let holders =
+        || candidates.iter().filter(|candidate| candidate.has_reserved && candidate.id != own.id);
+    let stalled = holders().filter(|candidate| {
+        candidate.is_stalled && matches!(candidate.phase, Phase::Body | Phase::Blocked)
     });
     let stalled = stalled.min_by_key(|candidate| {
         (Reverse(candidate.peer_use), Reverse(candidate.phase_sweeps), candidate.id)
@@ -55,10 +57,7 @@
     if let Some(stalled) = stalled {
         return stalled.id;
     }
-    let bodies = || {
-        let others = candidates.iter().filter(|candidate| candidate.id != own.id);
-        others.filter(|candidate| candidate.phase == Phase::Body)
-    };
+    let bodies = || holders().filter(|candidate| candidate.phase == Phase::Body);
     let heaviest = bodies().max_by_key(|candidate| candidate.peer_use);
     let payer = match heaviest {
         Some(other) if other.peer_use / 2 > own.peer_use => other.peer,
--- a/crates/transport/src/held.rs
+++ b/crates/transport/src/held.rs
@@ -182,6 +182,11 @@
             if !reservation.grow(counted.saturating_sub(reservation.bytes())) {
                 return false;
             }
+            if let Some(activity) = self.memory.activity()
+                && reservation.bytes() > 0
+            {
+                activity.set_reserved(true);
+            }
         }
         self.bytes.reserve_exact(capacity - self.bytes.len());
         true
--- a/crates/transport/src/open_connections.rs
+++ b/crates/transport/src/open_connections.rs
@@ -170,6 +170,7 @@
                 phase_sweeps: watched.phase_sweeps,
                 is_stalled: watched.quiet_sweeps >= STALLED_SWEEPS
                     && watched.steps == activity.steps(),
+                has_reserved: activity.has_reserved(),
                 body: activity.body(),
             }
         })
--- /dev/null
+++ b/crates/transport/tests/caller_limits.rs
@@ -0,0 +1,248 @@
+//! Tests of the limits on callers, over real connections.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    rc::Rc,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+        mpsc,
+    },
+    thread,
+    time::Duration,
+};
+
+use clock::{Clock, RuntimeClock};
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use proptest::prelude::*;
+use transport::{
+    Body, BodyError, ConnectionObserver, CutCause, Handler, Refusal, RequestBody, Server,
+    ServerLimits, StopSignal,
+};
+
+/// Largest body that the handler reads.
+const MAX_BODY_BYTES: usize = 256 << 10;
+/// Longest wait for an answer or for the end of a connection.
+const WAIT: Duration = Duration::from_secs(10);
+/// Allowed growth of the resident memory of this process, in KB.
+const GROWTH_KB: u64 = 48 << 10;
+
+/// Reads each body and answers with its length.
+struct LengthHandler;
+
+impl Handler for LengthHandler {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<RequestBody>,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        async move {
+            match request.into_body().collect_within(MAX_BODY_BYTES, WAIT).await {
+                Ok(body) => Response::new(Body::from(format!("length {}", body.len()))),
+                Err(error) => {
+                    let mut response = Response::new(Body::from(error.to_string()));
+                    *response.status_mut() = match error {
+                        BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+                        BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+                        _ => StatusCode::BAD_REQUEST,
+                    };
+                    let text = HeaderValue::from_static("text/plain");
+                    response.headers_mut().insert(header::CONTENT_TYPE, text);
+                    response
+                }
+            }
+        }
+        .boxed_local()
+    }
+}
+
+/// Records the causes of refusals.
+struct Recorder(Arc<Mutex<Vec<Refusal>>>);
+
+impl ConnectionObserver for Recorder {
+    fn record_cut(&self, _: CutCause) {}
+
+    fn record_early_response(&self) {}
+
+    fn record_refusal(&self, cause: Refusal) {
+        self.0.lock().unwrap().push(cause);
+    }
+}
+
+/// Starts a server in a thread of its own, which serves until the process ends.
+fn start(limits: ServerLimits) -> (SocketAddr, Arc<Mutex<Vec<Refusal>>>) {
+    let refusals = Arc::<Mutex<Vec<Refusal>>>::default();
+    let (sender, addr) = mpsc::channel();
+    let recorded = refusals.clone();
+    thread::spawn(move || {
+        compio::runtime::Runtime::new().unwrap().block_on(async move {
+            let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
+            let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+            let server = Server::bind(clock, any_port, StopSignal::new()).await.unwrap();
+            sender.send(server.local_addr().unwrap()).unwrap();
+            let server = server.limits(limits).observer(Rc::new(Recorder(recorded)));
+            server.run(Rc::new(LengthHandler)).await;
+        });
+    });
+    (addr.recv().unwrap(), refusals)
+}
+
+fn small_limits() -> ServerLimits {
+    ServerLimits {
+        memory: 8 << 20,
+        max_connections: 16,
+        head_bytes: Some(16 << 10),
+        head_time: Duration::from_millis(500),
+        ..ServerLimits::default()
+    }
+}
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream
+}
+
+/// Reads until the server closes the connection.
+fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    // A reset also ends the connection.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn post(length: usize) -> String {
+    format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n")
+}
+
+/// Whether a request inside the limits is answered.
+fn answers(addr: SocketAddr) -> bool {
+    let mut stream = connect(addr);
+    stream.write_all(b"POST / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n").unwrap();
+    stream.write_all(b"content-length: 5\r\n\r\nhello").unwrap();
+    read_all(&mut stream).ends_with("length 5")
+}
+
+/// Guards against a head that holds its connection for as long as single bytes of it arrive.
+#[test]
+fn a_head_that_does_not_end_in_time_is_closed() {
+    let (addr, refusals) = start(small_limits());
+    let mut stream = connect(addr);
+    stream.write_all(b"GET / HTTP/1.1\r\nx: ").unwrap();
+    while stream.write_all(b"a").is_ok() {
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(*refusals.lock().unwrap(), [Refusal::HeadTime]);
+}
+
+/// Guards against a full account that keeps out all later bodies: the one that has stopped ends,
+/// with a refusal, and its memory goes to the next.
+#[test]
+fn a_body_that_has_stopped_makes_room_for_another() {
+    // The connections leave 256 KB for bodies, of which one address may take three quarters.
+    let connection_bytes = 96 << 10;
+    let limits = ServerLimits {
+        memory: 4 * connection_bytes + (256 << 10),
+        max_connections: 4,
+        ..small_limits()
+    };
+    let (addr, refusals) = start(limits);
+    let length = 150 << 10;
+    let mut stopped = connect(addr);
+    stopped.write_all(post(length).as_bytes()).unwrap();
+    stopped.write_all(&vec![b'a'; length - 1]).unwrap();
+    thread::sleep(Duration::from_millis(2500));
+    let mut next = connect(addr);
+    next.write_all(post(length).as_bytes()).unwrap();
+    next.write_all(&vec![b'b'; length]).unwrap();
+    let mut answer = [0; 15];
+    next.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 200 OK");
+    let refusal = read_all(&mut stopped);
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.to_ascii_lowercase().contains("connection: close"), "{refusal}");
+    assert_eq!(*refusals.lock().unwrap(), [Refusal::Evicted]);
+}
+
+/// Guards against idle connections that keep new callers out.
+#[test]
+fn an_idle_connection_makes_room_for_a_new_one() {
+    let (addr, refusals) = start(small_limits());
+    let _idle: Vec<TcpStream> = (0..16).map(|_| connect(addr)).collect();
+    assert!(answers(addr));
+    assert_eq!(*refusals.lock().unwrap(), [Refusal::Displaced]);
+}
+
+/// Fragments of requests, valid and not.
+fn fragment() -> impl Strategy<Value = Vec<u8>> {
+    let texts: &[&str] = &[
+        "POST / HTTP/1.1\r\nhost: h\r\n",
+        "GET / HTTP/1.1\r\n",
+        "GET / HTTP/1.0\r\n\r\n",
+        "transfer-encoding: chunked\r\n",
+        "content-length: 5\r\n",
+        "content-length: 18446744073709551615\r\n",
+        "content-length: 18446744073709551616\r\n",
+        "content-length: -1\r\n",
+        "expect: 100-continue\r\n",
+        "connection: keep-alive\r\n",
+        "\r\n",
+        "\n",
+        "\r\n\r\n",
+        "5\r\nhello\r\n",
+        "0\r\n\r\n",
+        "0\r\nx: y\r\n\r\n",
+        "1;extension=long\r\na\r\n",
+        "ffffffffffffffff\r\n",
+        "10000000000000000\r\n",
+        "hello",
+        "\0",
+        ":",
+    ];
+    let text = proptest::sample::select(texts).prop_map(|text| text.as_bytes().to_vec());
+    prop_oneof![
+        8 => text.clone(),
+        2 => (text, 1..400_usize).prop_map(|(text, count)| text.repeat(count)),
+        1 => proptest::collection::vec(any::<u8>(), 0..200),
+        1 => (1..60_000_usize).prop_map(|length| vec![b'a'; length]),
+    ]
+}
+
+/// Resident memory of this process in KB.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Guards against input that makes the server panic, stop serving or grow.
+#[test]
+fn no_input_ends_the_server_or_makes_it_grow() {
+    static PANICS: AtomicUsize = AtomicUsize::new(0);
+    let (addr, _) = start(small_limits());
+    assert!(answers(addr));
+    let previous = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        PANICS.fetch_add(1, Ordering::Relaxed);
+        previous(panic);
+    }));
+    let before = resident_kb();
+    let fragments = proptest::collection::vec(fragment(), 1..12);
+    let config = ProptestConfig { cases: 300, ..ProptestConfig::default() };
+    proptest!(config, |(fragments in fragments, ends in any::<bool>())| {
+        let mut stream = connect(addr);
+        for fragment in &fragments {
+            // The server may close the connection at any time.
+            let _ = stream.write_all(fragment);
+        }
+        if ends {
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+        }
+        prop_assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+    });
+    assert!(answers(addr));
+    assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+    let growth = resident_kb().saturating_sub(before);
+    assert!(growth < GROWTH_KB, "the process has grown by {growth} KB");
+}
