--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -9,10 +9,13 @@
 use serde::de::DeserializeOwned;
 use types::MAX_BODY_BYTES;
 
-use crate::{CallerMemory, Refusal, held::FREE_BYTES, metered::InputMeter};
+use crate::{CallerMemory, Refusal, TurnLimit, held::FREE_BYTES, metered::InputMeter};
 
 /// Time in which a client must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Frames of a body that are handled in one turn of the task. A caller may send chunks of one byte,
+/// of which a single read has more than a thousand.
+const FRAMES_PER_TURN: u32 = 256;
 /// Time for which the rest of a request is read and discarded after the response.
 pub(crate) const DISCARD_TIME: Duration = Duration::from_secs(5);
 /// Bytes of a request that are read and discarded after the response.
@@ -64,7 +67,9 @@
         if !buffer.reserve(expected.min(FREE_BYTES)).await {
             return Err(self.refuse());
         }
+        let turn = TurnLimit::new(FRAMES_PER_TURN);
         while let Some(frame) = taken.next_frame().await? {
+            turn.step().await;
             self.meter.record_delivery();
             let Ok(data) = frame.into_data() else { continue };
             if buffer.len() + data.len() > max_bytes {
@@ -90,7 +95,9 @@
 pub(crate) async fn discard(mut rest: Incoming, meter: Rc<InputMeter>, clock: Rc<dyn Clock>) {
     let reading = async {
         let mut bytes = 0;
+        let turn = TurnLimit::new(FRAMES_PER_TURN);
         while let Some(Ok(frame)) = rest.frame().await {
+            turn.step().await;
             meter.record_delivery();
             bytes += frame.data_ref().map_or(0, Bytes::len);
             if bytes > MAX_DISCARDED_BYTES {
--- a/crates/transport/tests/caller_limits.rs
+++ b/crates/transport/tests/caller_limits.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     rc::Rc,
     sync::{
         Arc, Mutex,
@@ -17,6 +17,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use proptest::prelude::*;
+use rustix::net::{AddressFamily, SocketType};
 use transport::{
     Body, BodyError, ConnectionObserver, CutCause, Handler, Refusal, RequestBody, Server,
     ServerLimits, StopSignal,
@@ -104,6 +105,16 @@
     stream
 }
 
+/// Connects from `ip`, which is a loopback address.
+fn connect_from(ip: Ipv4Addr, addr: SocketAddr) -> TcpStream {
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    rustix::net::bind(&socket, &SocketAddr::from((ip, 0))).unwrap();
+    rustix::net::connect(&socket, &addr).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream
+}
+
 /// Reads until the server closes the connection.
 fn read_all(stream: &mut TcpStream) -> String {
     let mut answer = Vec::new();
@@ -165,6 +176,37 @@
     assert_eq!(*refusals.lock().unwrap(), [Refusal::Evicted]);
 }
 
+/// Guards against one address that takes all of the memory: another one still gets its share while
+/// none of the bodies has stopped for long.
+#[test]
+fn one_address_leaves_memory_for_another() {
+    let connection_bytes = 96 << 10;
+    let limits = ServerLimits {
+        memory: 8 * connection_bytes + (512 << 10),
+        max_connections: 8,
+        ..small_limits()
+    };
+    let (addr, _) = start(limits);
+    let length = 150 << 10;
+    let greedy: Vec<TcpStream> = (0..6)
+        .map(|_| {
+            let mut stream = connect_from(Ipv4Addr::new(127, 0, 0, 2), addr);
+            // The server may refuse the body while it is sent.
+            let _ = stream.write_all(post(length).as_bytes());
+            let _ = stream.write_all(&vec![b'a'; length - 1]);
+            stream
+        })
+        .collect();
+    let length = 120 << 10;
+    let mut other = connect_from(Ipv4Addr::new(127, 0, 0, 3), addr);
+    other.write_all(post(length).as_bytes()).unwrap();
+    other.write_all(&vec![b'b'; length]).unwrap();
+    let mut answer = [0; 15];
+    other.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 200 OK");
+    drop(greedy);
+}
+
 /// Guards against idle connections that keep new callers out.
 #[test]
 fn an_idle_connection_makes_room_for_a_new_one() {
