Bound the kernel's buffers of callers' connections

Bytes that wait in the kernel use the memory of the machine too. A caller could fill a receive buffer while its request is served, and a caller that stops reading could leave a send buffer that had grown. Counting them in the account was ruled out, since that would leave a node with 112 MB less than half of its connections.

--- a/crates/edge/tests/limits/main.rs
+++ b/crates/edge/tests/limits/main.rs
@@ -7,7 +7,8 @@
 mod node;
 
 use crowd::{Crowd, Script};
-use node::{Node, request_headers};
+use node::Node;
+use standins::platform::caller_headers;
 
 /// Callers of a crowd that sends more than it should. Together they send several times the memory
 /// of the node, within its descriptors.
@@ -33,7 +34,7 @@
 
 /// The start of a request's head.
 fn head(path: &str, id: &str) -> String {
-    format!("POST {path} HTTP/1.1\r\nhost: soak.example\r\n{}", request_headers(id))
+    format!("POST {path} HTTP/1.1\r\nhost: soak.example\r\n{}", caller_headers(id))
 }
 
 /// `bytes` in pieces of at most `piece` bytes.
--- a/crates/edge/tests/limits/node.rs
+++ b/crates/edge/tests/limits/node.rs
@@ -11,7 +11,7 @@
 };
 
 use clock::RuntimeClock;
-use standins::platform::{self, PlatformArgs};
+use standins::platform::{self, PlatformArgs, READY_PATH, caller_headers};
 
 use crate::loopback::free_addrs;
 
@@ -80,14 +80,14 @@
 
     /// Whether the node answers the balancer's check.
     pub(crate) fn is_ready(&self) -> bool {
-        let answer = self.call(self.health, "GET", "/v1/readyz", "");
+        let answer = self.call(self.health, "GET", READY_PATH, "");
         answer.is_some_and(|(status, _)| status == 200)
     }
 
     /// The status of the answer to one request.
     pub(crate) fn post(&self, path: &str, id: &str, body: &str) -> Option<u16> {
         let length = body.len();
-        let rest = format!("{}content-length: {length}\r\n\r\n{body}", request_headers(id));
+        let rest = format!("{}content-length: {length}\r\n\r\n{body}", caller_headers(id));
         self.call(self.callers, "POST", path, &rest).map(|(status, _)| status)
     }
 
@@ -175,10 +175,5 @@
 
 /// The headers of a request inside the limits, and its body.
 fn ordinary_headers(id: &str) -> String {
-    format!("{}content-length: 5\r\n\r\nhello", request_headers(id))
-}
-
-/// The headers that the platform's callers send.
-pub(crate) fn request_headers(id: &str) -> String {
-    format!("attempt-id: {id}\r\nauthorization: Token soak-key\r\ndeadline-ms: 30000\r\n")
+    format!("{}content-length: 5\r\n\r\nhello", caller_headers(id))
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,7 +10,10 @@
 use keyvalue::{Changes, Item, KvError};
 use types::UpstreamName;
 
-use crate::{Gateway, peering::NODE_PREFIX, planner::PLANNER_KEY, refused_parts::REFUSED_PREFIX};
+use crate::{
+    Gateway, caller_limits::check_table, peering::NODE_PREFIX, planner::PLANNER_KEY,
+    refused_parts::REFUSED_PREFIX,
+};
 
 /// Delay before the next read after a failed one. It doubles with each further failure, up to
 /// [`MAX_RETRY_DELAY`] times [`Gateway::fleet_scale`].
@@ -177,6 +180,7 @@
         }
     };
     let version = table.version();
+    check_table(&gateway.settings.limits, &table);
     if gateway.catalog.borrow_mut().apply_table(table) == UpdateOutcome::Applied {
         gateway.metrics.table_version.set(version.try_into().unwrap_or(i64::MAX));
         tracing::info!(version, revision = item.revision, "configuration is in force");
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -24,6 +24,11 @@
     request
 }
 
+/// The platform's headers of a caller's request, for tests that write the bytes of a request.
+pub fn caller_headers(id: &str) -> String {
+    format!("attempt-id: {id}\r\nauthorization: Token {KEY}\r\ndeadline-ms: 30000\r\n")
+}
+
 /// Whether an answer has the signature header of a worker.
 pub fn is_signed(headers: &HeaderMap) -> bool {
     headers.contains_key("worker-signature")
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -27,7 +27,7 @@
 use transport::{Body, Handler, RequestBody, json_response};
 
 use crate::server::{self, bad_request, reply};
-pub use caller::{READY_PATH, caller_request, is_signed};
+pub use caller::{READY_PATH, caller_headers, caller_request, is_signed};
 pub use notices::leaving_worker;
 pub use poison::{poison_call, poison_prompt};
 use store::Store;
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -24,6 +24,9 @@
     /// Largest head of a request, with the empty lines before it, in bytes; `None` for the limit of
     /// the HTTP library.
     pub head_bytes: Option<usize>,
+    /// Size of the receive buffer and of the send buffer of each connection in the kernel, in bytes;
+    /// `None` for those that the kernel chooses. The kernel takes up to twice as much for each.
+    pub socket_bytes: Option<usize>,
     /// Time from the first byte of a head to its end.
     pub head_time: Duration,
     /// Time for which a connection may be idle between two requests.
@@ -40,6 +43,7 @@
             memory: usize::MAX,
             max_connections: usize::MAX,
             head_bytes: None,
+            socket_bytes: None,
             head_time: Duration::from_secs(30),
             idle_time: Duration::from_secs(30),
             body_pause: Duration::from_secs(30),
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -13,6 +13,7 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::{HeaderMap, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use rustix::net::sockopt;
 use serde::Serialize;
 use types::MAX_HEADERS;
 
@@ -123,6 +124,11 @@
     /// closed after its first response, the others after the response that they are sending when
     /// the lame-duck period ends.
     pub async fn run<H: Handler + 'static>(self, handler: Rc<H>) {
+        if let Some(bytes) = self.limits.socket_bytes
+            && let Err(error) = set_buffer_sizes(&self.listener, bytes)
+        {
+            tracing::warn!(%error, "sizes of socket buffers cannot be set");
+        }
         let connections =
             OpenConnections::new(self.clock.clone(), self.limits.clone(), self.observer.clone());
         let force_close_signal = StopSignal::new();
@@ -197,6 +203,12 @@
     }
 }
 
+/// Sets the sizes of the kernel's buffers, which accepted connections inherit.
+fn set_buffer_sizes(listener: &TcpListener, bytes: usize) -> rustix::io::Result<()> {
+    sockopt::set_socket_recv_buffer_size(listener, bytes)?;
+    sockopt::set_socket_send_buffer_size(listener, bytes)
+}
+
 /// Completes when the connection is told to close because a limit is reached.
 async fn closed_for_limit(state: &ConnectionState) {
     poll_fn(|context| {
