Test that every end of a body releases its memory

Bodies that are abandoned, too large or not valid leave room for one that needs most of the memory. The property test covers the account alone; this one covers the paths through the server.

--- a/crates/transport/tests/caller_limits.rs
+++ b/crates/transport/tests/caller_limits.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream},
     rc::Rc,
     sync::{
         Arc, Mutex,
@@ -176,6 +176,43 @@
     assert_eq!(*refusals.lock().unwrap(), [Refusal::Evicted]);
 }
 
+/// Guards against memory that stays reserved on some path: bodies that are abandoned, too large or
+/// not valid leave room for a body that needs most of the memory.
+#[test]
+fn every_end_of_a_body_releases_its_memory() {
+    let connection_bytes = 96 << 10;
+    let limits = ServerLimits {
+        memory: 4 * connection_bytes + (512 << 10),
+        max_connections: 4,
+        ..small_limits()
+    };
+    let (addr, refusals) = start(limits);
+    let chunked = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n30000\r\n";
+    let chunk = "c".repeat(0x30000);
+    for _ in 0..10 {
+        let mut abandoned = connect(addr);
+        abandoned.write_all(post(200 << 10).as_bytes()).unwrap();
+        abandoned.write_all(&vec![b'a'; (200 << 10) - 1]).unwrap();
+        abandoned.shutdown(Shutdown::Write).unwrap();
+        read_all(&mut abandoned);
+        for end in ["\r\n30000\r\n", "no end of a chunk"] {
+            let mut broken = connect(addr);
+            // The server may refuse the body while it is sent.
+            let _ = broken.write_all(format!("{chunked}{chunk}{end}{chunk}").as_bytes());
+            let _ = broken.shutdown(Shutdown::Write);
+            read_all(&mut broken);
+        }
+    }
+    let length = 256 << 10;
+    let mut stream = connect(addr);
+    stream.write_all(post(length).as_bytes()).unwrap();
+    stream.write_all(&vec![b'b'; length]).unwrap();
+    let mut answer = [0; 15];
+    stream.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 200 OK");
+    assert_eq!(*refusals.lock().unwrap(), []);
+}
+
 /// Guards against one address that takes all of the memory: another one still gets its share while
 /// none of the bodies has stopped for long.
 #[test]
@@ -279,7 +316,7 @@
             let _ = stream.write_all(fragment);
         }
         if ends {
-            let _ = stream.shutdown(std::net::Shutdown::Write);
+            let _ = stream.shutdown(Shutdown::Write);
         }
         prop_assert_eq!(PANICS.load(Ordering::Relaxed), 0);
     });
