--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -10,7 +10,7 @@
 use platform::{
     HealthCheckHandler, PlatformCodec, RequestFrontEnd, StoreClient, UpstreamConnector,
 };
-use settings::{EdgeSettings, LogFormat, LogSettings};
+use settings::{EdgeSettings, LimitSettings, LogFormat, LogSettings};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use transport::{StopSignal, Timeouts};
@@ -78,8 +78,9 @@
 
 fn serve(args: &SettingsArgs) -> Result<(), String> {
     let signals = Signals::install().map_err(|error| error.to_string())?;
-    let settings = EdgeSettings::load(&args.settings).map_err(|error| format!("{error:?}"))?;
+    let mut settings = EdgeSettings::load(&args.settings).map_err(|error| format!("{error:?}"))?;
     let _log = start_log(&settings.log);
+    check_descriptors(&mut settings.limits);
     let runtime = compio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
     runtime.block_on(run(clock, settings, signals)).map_err(|error| error.to_string())
@@ -92,9 +93,10 @@
 ) -> std::io::Result<()> {
     let store =
         Rc::new(StoreClient::new(clock.clone(), settings.store, STORE_TIMEOUTS, WATCH_WAIT));
-    let connector = Rc::new(UpstreamConnector::new(clock.clone(), UPSTREAM_TIMEOUTS));
+    let connector = UpstreamConnector::new(clock.clone(), UPSTREAM_TIMEOUTS)
+        .idle_limit(gateway::idle_limit(&settings.limits));
     let codec = Rc::new(PlatformCodec);
-    let gateway = GatewayBuilder::new(clock, settings, store, connector, codec)
+    let gateway = GatewayBuilder::new(clock, settings, store, Rc::new(connector), codec)
         .stop(StopSignal::new())
         .build();
     let front = Rc::new(RequestFrontEnd::new(gateway.clone()));
@@ -102,6 +104,19 @@
     gateway::serve(gateway, front, checks, signals).await
 }
 
+/// Lowers the number of descriptors in the settings to that which the process may open.
+fn check_descriptors(limits: &mut LimitSettings) {
+    let Some(allowed) = transport::descriptor_limit().map(|limit| limit as f64) else { return };
+    if allowed < limits.max_fds {
+        tracing::warn!(
+            max_fds = limits.max_fds,
+            allowed,
+            "the process may open fewer descriptors than the settings say"
+        );
+        limits.max_fds = allowed;
+    }
+}
+
 /// Starts the log on standard output. A separate thread writes the lines; lines are dropped when
 /// its buffer is full, so that a blocked reader of the output never delays a request. The returned
 /// guard writes the buffered lines when it is dropped. The environment variable `RUST_LOG`
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -17,6 +17,7 @@
 use catalog::{Access, ModelProfile, Phase, Route, RoutingTable, Upstream};
 use http::{HeaderMap, Method};
 use pipelines::{CostedPath, PathCandidate, PathQuery, costed_paths, reason_against};
+use transport::CallerMemory;
 use types::{FailureKind, RequestId, ServiceName};
 
 use crate::{
@@ -101,6 +102,7 @@
             target: query.path.as_str().into(),
             headers: HeaderMap::new(),
             body,
+            memory: CallerMemory::default(),
             tokens: size.map_or(0, |size| self.reserved_tokens(table, service, size)),
             prompt: query.prompt.unwrap_or_default(),
             draw: EXPLAINED_DRAW,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod beacons;
 mod buffered;
 mod builder;
+mod caller_limits;
 mod crashes;
 mod demand;
 mod entries;
@@ -66,6 +67,7 @@
 mod wakeup;
 
 pub use builder::GatewayBuilder;
+pub use caller_limits::idle_limit;
 pub use node::Gateway;
 pub use peering::{exchange_datagrams, register};
 pub use planner::run_planner;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -18,7 +18,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderMap, Method, StatusCode, header};
 use rand::Rng;
-use transport::{BodyError, StopSignal};
+use transport::{BodyError, CallerMemory, StopSignal};
 use types::{Failure, FailureKind, Organisation, RequestId, ServiceName, Verdict};
 use upstreams::Call;
 
@@ -33,6 +33,9 @@
 /// service. A node without a routing table waits for the key-value service, whose outages last for
 /// seconds.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(1500);
+/// Time after which a caller may retry when there was no memory for its request. Bodies that make no
+/// progress are ended within that time.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a caller may retry when the node is shutting down. It is short since the retry
 /// goes to another node.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -63,6 +66,8 @@
     pub(crate) target: Arc<str>,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Holds the bytes of the answer.
+    pub(crate) memory: CallerMemory,
     /// Tokens of KV cache that are reserved for the request on each engine.
     pub(crate) tokens: u32,
     /// Number of prompt tokens.
@@ -219,6 +224,7 @@
         let (limit, usable) = time_limits(&route, request.deadline);
         let deadline = arrived + usable;
         let start_by = arrived + route.latency_target.mul_f64(START_SHARE);
+        let memory = request.body.memory();
         let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
         let body = body.map_err(reject)?;
         let roll = rand::rng().random::<f64>();
@@ -250,6 +256,7 @@
             target: request.target,
             headers: request.headers,
             body,
+            memory,
             tokens,
             prompt: request.generation.map_or(0, |generation| generation.prompt),
             resume_after: request.resume_after,
@@ -298,6 +305,10 @@
     body.collect_within(max_bytes, limit).await.map_err(|error| match error {
         BodyError::TooLarge(max_bytes) => too_large(max_bytes),
         BodyError::Broken(_) => Failure::not_run(FailureKind::Invalid, error.to_string()).into(),
+        BodyError::NoMemory => {
+            let failure = Failure::not_run(FailureKind::Overloaded, error.to_string());
+            RoutedFailure::retry_after(failure, MEMORY_RETRY_AFTER)
+        }
         BodyError::Timeout => rejection(StatusCode::REQUEST_TIMEOUT, &error.to_string()),
     })
 }
