Count the transfer of prompts over links between domains in the times of paths

The predicted time of a crossing was the delay of the link alone, so that a path over links that carry a prompt in 90 ms seemed nearly as fast as one within the domain. A crossing now adds the transfer of the prompt, and an event of a stream that crosses may wait behind one usual prompt.

--- a/crates/catalog/src/latency.rs
+++ b/crates/catalog/src/latency.rs
@@ -28,6 +28,9 @@
     pub usual_answer: f64,
     /// Longest delay between two failure domains, in one direction, in milliseconds.
     pub crossing_ms: f64,
+    /// Time that the activations of one token take on the links between failure domains, which all
+    /// requests share, in milliseconds.
+    pub transfer_ms: f64,
     /// Factor on the time to prefill prompts, by the name of the kind of accelerator; above 1 is
     /// slower. All kinds of the profile are included.
     pub read_factors: BTreeMap<Arc<str>, f64>,
--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -73,6 +73,7 @@
         usual_prompt: 10.0,
         usual_answer: 10.0,
         crossing_ms: 0.5,
+        transfer_ms: 0.0,
         read_factors: BTreeMap::from([("gpu".into(), 1.0)]),
     }
 }
--- a/crates/pipelines/src/latency.rs
+++ b/crates/pipelines/src/latency.rs
@@ -8,7 +8,7 @@
 //!
 //! The formulas leave out that engines may batch unevenly, that prompts are prefilled by several
 //! stages at once, that a cached prefix of a prompt need not be prefilled, and the network apart
-//! from the delay between failure domains. Contexts count with the KV cache that is reserved for the
+//! from the links between failure domains. Contexts count with the KV cache that is reserved for the
 //! requests, which is the mean of what they are expected to hold.
 
 use catalog::LatencyModel;
@@ -83,21 +83,32 @@
 
 impl PathTimes {
     /// The times of this path after a further stage that runs `share` of the layers, which the path
-    /// reaches over a link between failure domains if `crosses`.
+    /// reaches over a link between failure domains if `crosses`. `prompt` is the number of prompt
+    /// tokens of the request.
     #[must_use]
     pub fn then(
         self,
         model: &LatencyModel,
         times: &EngineTimes,
         share: f64,
+        prompt: f64,
         crosses: bool,
     ) -> Self {
-        // Each step passes over the link once.
-        let link_ms = if crosses { model.crossing_ms } else { 0.0 };
+        // Each step passes over the link once, and may wait there behind the prompt of another
+        // request.
+        let (link_ms, transfer_ms, wait_ms) = if crosses {
+            let prompts = [prompt, model.usual_prompt].map(|tokens| tokens * model.transfer_ms);
+            (model.crossing_ms, prompts[0], prompts[1])
+        } else {
+            (0.0, 0.0, 0.0)
+        };
         // The prompts that wait at this engine are prefilled while those before it are, too.
-        let start_ms = (self.prefill_ms + link_ms).max(share * times.queue_ms);
+        let start_ms = (self.prefill_ms + link_ms + transfer_ms).max(share * times.queue_ms);
         PathTimes {
-            event_ms: self.event_ms + share * times.event_ms + model.event_steps * link_ms,
+            event_ms: self.event_ms
+                + share * times.event_ms
+                + model.event_steps * link_ms
+                + wait_ms,
             prefill_ms: start_ms + share * times.read_ms,
         }
     }
--- a/crates/pipelines/src/targets.rs
+++ b/crates/pipelines/src/targets.rs
@@ -86,7 +86,8 @@
         crosses: bool,
     ) -> Option<(PathTimes, f64)> {
         let targets = self.targets;
-        let next = times.then(targets.model, &self.engines[candidate], share, crosses);
+        let next =
+            times.then(targets.model, &self.engines[candidate], share, targets.prompt, crosses);
         let added = next.first_event_ms() - times.first_event_ms();
         targets.are_met(&next, self.share).then(|| (next, targets.time_cost(added)))
     }
--- a/crates/pipelines/tests/paths/support.rs
+++ b/crates/pipelines/tests/paths/support.rs
@@ -22,6 +22,7 @@
         usual_prompt: 760.0,
         usual_answer: 230.0,
         crossing_ms: 0.75,
+        transfer_ms: 0.0,
         read_factors: Default::default(),
     }
 }
--- a/crates/pipelines/tests/paths/targets.rs
+++ b/crates/pipelines/tests/paths/targets.rs
@@ -1,6 +1,7 @@
 //! Paths that meet the latency targets of a route.
 
 use crate::support::{LAYERS, engine, model, query, targets};
+use catalog::LatencyModel;
 use pipelines::{EngineTimes, EngineWork, Path, PathCandidate, PathTimes, choose_path};
 use proptest::prelude::*;
 use rand::{SeedableRng, rngs::StdRng};
@@ -31,8 +32,8 @@
     // 5 steps of 10 * (0.85 + 20 * 0.02 + 10 * 0.005) ms.
     assert!((times.decode_ms - 65.0).abs() < 1e-9, "{times:?}");
     assert_eq!((times.event_ms, times.queue_ms, times.read_ms), (times.decode_ms, 0.0, 0.0));
-    let halves = PathTimes::default().then(&model, &times, 0.5, false);
-    let whole = halves.then(&model, &times, 0.5, true);
+    let halves = PathTimes::default().then(&model, &times, 0.5, 0.0, false);
+    let whole = halves.then(&model, &times, 0.5, 0.0, true);
     assert!((whole.event_ms - 65.0 - 5.0 * 0.75).abs() < 1e-9, "{whole:?}");
     let reading = EngineTimes::predict(&model, &EngineWork { unread: 4096.0, ..work }, 1000.0);
     // One chunk of 2,048 tokens at 4 / 200 ms each.
@@ -55,6 +56,25 @@
     }
 }
 
+/// Guards against prompts that leave a busy engine for a path over a link between failure domains
+/// that takes as long for each prompt as a whole event: the streams that cross then wait behind them.
+#[test]
+fn a_path_over_narrow_links_is_the_last_resort() {
+    let mut near = engine(0, 0..LAYERS, 16.0);
+    near.requests = 20;
+    let mut halves = [engine(1, 0..LAYERS / 2, 2.0), engine(2, LAYERS / 2..LAYERS, 2.0)];
+    halves[1].domain = "other".into();
+    let candidates: Vec<PathCandidate> = halves.into_iter().chain([near]).collect();
+    let crosses = |transfer_ms, seed| {
+        let model = LatencyModel { transfer_ms, ..model() };
+        let query = query(Some(targets(&model, 760.0)));
+        let path = choose_path(&candidates, &query, &mut StdRng::seed_from_u64(seed));
+        path.unwrap().crossings > 0
+    };
+    assert!((0..50).all(|seed| crosses(0.0, seed)), "the fast engines are cheaper");
+    assert!(!(0..50).any(|seed| crosses(0.12, seed)), "a prompt takes 91 ms on the link");
+}
+
 /// Guards against a request that takes a cheaper path that is late although a faster one is only
 /// close to its targets.
 #[test]
