Let calls to a crashed stand-in upstream be refused

An upstream of the tests that had crashed could be called and crash once more, on a slow run after the node's record of its failure had expired. Two requests then shared a crash, and once one of them was refused the other no longer was: 29 refusals of 30 were stored. A trial printed 62 calls to 60 upstreams for the one failure in 18 runs, and 60 calls for the other 17.

--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -20,7 +20,7 @@
 
 use codec::TextCodec;
 pub use log::LogCapture;
-pub use scripted_upstreams::{PauseRequest, ScriptedUpstreams, Step, event};
+pub use scripted_upstreams::{PauseRequest, ScriptedUpstreams, Step};
 pub use store::MemoryStore;
 
 /// Host name of all routes.
@@ -220,6 +220,11 @@
     }
 }
 
+/// The encoded event with this number.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: token {number}\n\n")
+}
+
 /// A future that is ready with `value`.
 fn ready<T: 'static>(value: T) -> LocalBoxFuture<'static, T> {
     std::future::ready(value).boxed_local()
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -18,7 +18,7 @@
     UpstreamResponse,
 };
 
-use super::ready;
+use super::{event, ready};
 
 /// What an upstream does with its next call.
 #[derive(Clone, Debug)]
@@ -172,6 +172,10 @@
         limit: Duration,
     ) -> LocalBoxFuture<'_, Result<UpstreamResponse, CallError>> {
         async move {
+            // A process that has ended cannot crash again.
+            if self.upstreams.stopped.borrow().contains(&self.name) {
+                return Err(CallError::Refused);
+            }
             let crashing_body = self.upstreams.crashing_body.get();
             let crashes =
                 crashing_body.is_some_and(|start| call.body.starts_with(start.as_bytes()));
@@ -393,8 +397,3 @@
 fn events(numbers: &[u64]) -> Vec<BodyPart> {
     numbers.iter().map(|number| BodyPart::Bytes(event(*number).into())).collect()
 }
-
-/// The encoded event with this number.
-pub fn event(number: u64) -> String {
-    format!("id: {number}\ndata: token {number}\n\n")
-}
