Count a connection as idle after a discarded body

The rest of a body that arrived after an early response set the state "a head may be arriving", which nothing cleared. The idle connection was closed with head-time although its caller might use it again. Bytes that arrive while a body is discarded no longer begin a head; in this time the connection counts as one whose body was refused.

--- a/crates/transport/src/activity.rs
+++ b/crates/transport/src/activity.rs
@@ -17,7 +17,7 @@
     Head,
     /// The rest of a body.
     Body,
-    /// The end of the request whose body was refused.
+    /// The end of a request whose body was refused or is discarded.
     Refused,
     /// The caller, which does not take the bytes of its answer.
     Blocked,
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -83,6 +83,8 @@
     open_request: RefCell<Option<RequestLabel>>,
     /// Whether bytes may have arrived since the last request was answered.
     head_begun: Cell<bool>,
+    /// Whether the rest of a body is read and discarded.
+    is_discarding: Cell<bool>,
     /// Whether the body of the open request's response has ended or was aborted.
     body_end: Cell<Option<Result<(), BodyAborted>>>,
     /// Number of times that everything the connection had to write was written.
@@ -102,6 +104,7 @@
             observer,
             open_request: RefCell::default(),
             head_begun: Cell::default(),
+            is_discarding: Cell::default(),
             body_end: Cell::default(),
             flushes: Cell::default(),
             write_failed: Cell::default(),
@@ -138,6 +141,7 @@
         }
         match (self.open_request.borrow().is_some(), self.head_begun.get()) {
             (true, _) => Phase::Handler,
+            _ if self.is_discarding.get() => Phase::Refused,
             (false, true) => Phase::Head,
             (false, false) => Phase::Idle,
         }
@@ -145,11 +149,18 @@
 
     fn record_read(&self) {
         self.activity.record_step();
-        if self.open_request.borrow().is_none() {
+        if self.open_request.borrow().is_none() && !self.is_discarding.get() {
             self.head_begun.set(true);
         }
     }
 
+    /// Records that the rest of the open request's body is discarded, until the guard is dropped.
+    /// What arrives in this time begins no head.
+    pub(crate) fn begin_discard(self: &Rc<Self>) -> DiscardGuard {
+        self.is_discarding.set(true);
+        DiscardGuard { state: self.clone() }
+    }
+
     /// Records that the handler has responded before the request's body was read to its end.
     pub(crate) fn record_early_response(&self, status: u16) {
         let open_request = self.open_request.borrow();
@@ -206,6 +217,17 @@
     }
 }
 
+/// Marks a connection on which the rest of a body is discarded.
+pub(crate) struct DiscardGuard {
+    state: Rc<ConnectionState>,
+}
+
+impl Drop for DiscardGuard {
+    fn drop(&mut self) {
+        self.state.is_discarding.set(false);
+    }
+}
+
 /// The body of a response, which tells the connection's state how it ended.
 pub(crate) struct ObservedBody {
     inner: Body,
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -355,7 +355,12 @@
             self.state.record_early_response(response.status().as_u16());
             if !awaits_permission {
                 let (meter, clock) = (self.meter.clone(), self.clock.clone());
-                compio::runtime::spawn(request_body::discard(rest, meter, clock)).detach();
+                let discarding = self.state.begin_discard();
+                compio::runtime::spawn(async move {
+                    request_body::discard(rest, meter, clock).await;
+                    drop(discarding);
+                })
+                .detach();
             }
         }
         response.map(|body| ObservedBody::new(body, self.state.clone()))
--- a/crates/transport/tests/caller_limits.rs
+++ b/crates/transport/tests/caller_limits.rs
@@ -1,120 +1,22 @@
 //! Tests of the limits on callers, over real connections.
 
+mod callers;
+
 use std::{
     io::{Read, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream},
-    rc::Rc,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
-        mpsc,
-    },
+    sync::atomic::{AtomicUsize, Ordering},
     thread,
     time::Duration,
 };
 
-use clock::{Clock, RuntimeClock};
-use futures_util::{FutureExt, future::LocalBoxFuture};
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use callers::{connect, connect_from, post, small_limits, start};
 use proptest::prelude::*;
-use rustix::net::{AddressFamily, SocketType};
-use transport::{
-    Body, BodyError, ConnectionObserver, CutCause, Handler, Refusal, RequestBody, Server,
-    ServerLimits, StopSignal,
-};
+use transport::{Refusal, ServerLimits};
 
-/// Largest body that the handler reads.
-const MAX_BODY_BYTES: usize = 256 << 10;
-/// Longest wait for an answer or for the end of a connection.
-const WAIT: Duration = Duration::from_secs(10);
 /// Allowed growth of the resident memory of this process, in KB.
 const GROWTH_KB: u64 = 48 << 10;
 
-/// Reads each body and answers with its length.
-struct LengthHandler;
-
-impl Handler for LengthHandler {
-    fn handle(
-        self: Rc<Self>,
-        request: Request<RequestBody>,
-    ) -> LocalBoxFuture<'static, Response<Body>> {
-        async move {
-            match request.into_body().collect_within(MAX_BODY_BYTES, WAIT).await {
-                Ok(body) => Response::new(Body::from(format!("length {}", body.len()))),
-                Err(error) => {
-                    let mut response = Response::new(Body::from(error.to_string()));
-                    *response.status_mut() = match error {
-                        BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
-                        BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-                        _ => StatusCode::BAD_REQUEST,
-                    };
-                    let text = HeaderValue::from_static("text/plain");
-                    response.headers_mut().insert(header::CONTENT_TYPE, text);
-                    response
-                }
-            }
-        }
-        .boxed_local()
-    }
-}
-
-/// Records the causes of refusals.
-struct Recorder(Arc<Mutex<Vec<Refusal>>>);
-
-impl ConnectionObserver for Recorder {
-    fn record_cut(&self, _: CutCause) {}
-
-    fn record_early_response(&self) {}
-
-    fn record_refusal(&self, cause: Refusal) {
-        self.0.lock().unwrap().push(cause);
-    }
-}
-
-/// Starts a server in a thread of its own, which serves until the process ends.
-fn start(limits: ServerLimits) -> (SocketAddr, Arc<Mutex<Vec<Refusal>>>) {
-    let refusals = Arc::<Mutex<Vec<Refusal>>>::default();
-    let (sender, addr) = mpsc::channel();
-    let recorded = refusals.clone();
-    thread::spawn(move || {
-        compio::runtime::Runtime::new().unwrap().block_on(async move {
-            let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
-            let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-            let server = Server::bind(clock, any_port, StopSignal::new()).await.unwrap();
-            sender.send(server.local_addr().unwrap()).unwrap();
-            let server = server.limits(limits).observer(Rc::new(Recorder(recorded)));
-            server.run(Rc::new(LengthHandler)).await;
-        });
-    });
-    (addr.recv().unwrap(), refusals)
-}
-
-fn small_limits() -> ServerLimits {
-    ServerLimits {
-        memory: 8 << 20,
-        max_connections: 16,
-        head_bytes: Some(16 << 10),
-        head_time: Duration::from_millis(500),
-        ..ServerLimits::default()
-    }
-}
-
-fn connect(addr: SocketAddr) -> TcpStream {
-    let stream = TcpStream::connect(addr).unwrap();
-    stream.set_read_timeout(Some(WAIT)).unwrap();
-    stream
-}
-
-/// Connects from `ip`, which is a loopback address.
-fn connect_from(ip: Ipv4Addr, addr: SocketAddr) -> TcpStream {
-    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
-    rustix::net::bind(&socket, &SocketAddr::from((ip, 0))).unwrap();
-    rustix::net::connect(&socket, &addr).unwrap();
-    let stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(WAIT)).unwrap();
-    stream
-}
-
 /// Reads until the server closes the connection.
 fn read_all(stream: &mut TcpStream) -> String {
     let mut answer = Vec::new();
@@ -123,10 +25,6 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
-fn post(length: usize) -> String {
-    format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n")
-}
-
 /// Whether a request inside the limits is answered.
 fn answers(addr: SocketAddr) -> bool {
     let mut stream = connect(addr);
@@ -138,13 +36,13 @@
 /// Guards against a head that holds its connection for as long as single bytes of it arrive.
 #[test]
 fn a_head_that_does_not_end_in_time_is_closed() {
-    let (addr, refusals) = start(small_limits());
+    let (addr, record) = start(small_limits());
     let mut stream = connect(addr);
     stream.write_all(b"GET / HTTP/1.1\r\nx: ").unwrap();
     while stream.write_all(b"a").is_ok() {
         thread::sleep(Duration::from_millis(20));
     }
-    assert_eq!(*refusals.lock().unwrap(), [Refusal::HeadTime]);
+    assert_eq!(*record.refusals.lock().unwrap(), [Refusal::HeadTime]);
 }
 
 /// Guards against a full account that keeps out all later bodies: the one that has stopped ends,
@@ -158,7 +56,7 @@
         max_connections: 4,
         ..small_limits()
     };
-    let (addr, refusals) = start(limits);
+    let (addr, record) = start(limits);
     let length = 150 << 10;
     let mut stopped = connect(addr);
     stopped.write_all(post(length).as_bytes()).unwrap();
@@ -173,7 +71,7 @@
     let refusal = read_all(&mut stopped);
     assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
     assert!(refusal.to_ascii_lowercase().contains("connection: close"), "{refusal}");
-    assert_eq!(*refusals.lock().unwrap(), [Refusal::Evicted]);
+    assert_eq!(*record.refusals.lock().unwrap(), [Refusal::Evicted]);
 }
 
 /// Guards against memory that stays reserved on some path: bodies that are abandoned, too large or
@@ -186,7 +84,7 @@
         max_connections: 4,
         ..small_limits()
     };
-    let (addr, refusals) = start(limits);
+    let (addr, record) = start(limits);
     let chunked = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n30000\r\n";
     let chunk = "c".repeat(0x30000);
     for _ in 0..10 {
@@ -210,7 +108,7 @@
     let mut answer = [0; 15];
     stream.read_exact(&mut answer).unwrap();
     assert_eq!(&answer, b"HTTP/1.1 200 OK");
-    assert_eq!(*refusals.lock().unwrap(), []);
+    assert_eq!(*record.refusals.lock().unwrap(), []);
 }
 
 /// Guards against one address that takes all of the memory: another one still gets its share while
@@ -247,10 +145,10 @@
 /// Guards against idle connections that keep new callers out.
 #[test]
 fn an_idle_connection_makes_room_for_a_new_one() {
-    let (addr, refusals) = start(small_limits());
+    let (addr, record) = start(small_limits());
     let _idle: Vec<TcpStream> = (0..16).map(|_| connect(addr)).collect();
     assert!(answers(addr));
-    assert_eq!(*refusals.lock().unwrap(), [Refusal::Displaced]);
+    assert_eq!(*record.refusals.lock().unwrap(), [Refusal::Displaced]);
 }
 
 /// Fragments of requests, valid and not.
