Read no request on a connection that was told to close

The task of a connection polled the HTTP service before the end that a limit demands. A request that arrived between the two was read, its handler started, and the connection ended without an answer. The end is polled first now.

The new test failed before with a cut of cause limit-reached; it keeps the thread until the new connection and the request have both arrived.

--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -174,10 +174,12 @@
                         let closing = pin!(closed_for_limit(&state));
                         let force_close = pin!(force_close);
                         let ending = select(force_close, closing);
-                        let closed_by = match select(pin!(serving), ending).await {
-                            Either::Left((closed_by, _)) => closed_by,
-                            Either::Right((Either::Left(_), _)) => Some(CutCause::ForcedClose),
-                            Either::Right((Either::Right(_), _)) => Some(CutCause::LimitReached),
+                        // The end is polled first: a connection that was told to close reads no
+                        // further request.
+                        let closed_by = match select(ending, pin!(serving)).await {
+                            Either::Left((Either::Left(_), _)) => Some(CutCause::ForcedClose),
+                            Either::Left((Either::Right(_), _)) => Some(CutCause::LimitReached),
+                            Either::Right((closed_by, _)) => closed_by,
                         };
                         state.record_end(closed_by);
                     })
--- a/crates/transport/tests/ordinary_callers.rs
+++ b/crates/transport/tests/ordinary_callers.rs
@@ -8,7 +8,8 @@
     thread,
 };
 
-use callers::{connect, post, small_limits, start};
+use callers::{HANDLER_TIME, connect, post, small_limits, start};
+use transport::{CutCause, ServerLimits};
 
 fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n")
@@ -43,3 +44,22 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(*record.refusals.lock().unwrap(), []);
 }
+
+/// Guards against a request that is read on a connection which was already told to close: its
+/// handler would start, and its caller would get no answer. The handler's thread is kept until the
+/// new connection and the request have both arrived.
+#[test]
+fn a_displaced_connection_reads_no_request() {
+    let (addr, record) = start(ServerLimits { max_connections: 2, ..small_limits() });
+    let mut idle = connect(addr);
+    idle.write_all(get("/").as_bytes()).unwrap();
+    read_until(&mut idle, "length 0");
+    let mut busy = connect(addr);
+    busy.write_all(get("/block").as_bytes()).unwrap();
+    thread::sleep(HANDLER_TIME / 3);
+    let _new = connect(addr);
+    idle.write_all(get("/wait").as_bytes()).unwrap();
+    read_until(&mut busy, "length 0");
+    read_until(&mut idle, "length 0");
+    assert_eq!(*record.cuts.lock().unwrap(), Vec::<CutCause>::new());
+}
