Check the rate of a body only beyond the bytes of its connection

A body of 300 bytes whose end came after six seconds was refused by the least rate, which is not published to callers. The rate now applies once more bytes have arrived than are counted with each connection. The announced size is not used: an announced body holds no memory before it arrives. Short bodies stay limited by body_pause and by the deadline.

The new test failed before with a refusal of cause body-time.

--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -33,7 +33,8 @@
     pub idle_time: Duration,
     /// Time for which a body may make no progress.
     pub body_pause: Duration,
-    /// Least rate of a body in bytes per second, averaged over its whole time.
+    /// Least rate of a body in bytes per second, averaged over its whole time. It applies to the
+    /// bodies that need more memory than is counted with their connection.
     pub body_rate: usize,
 }
 
--- a/crates/transport/src/open_connections.rs
+++ b/crates/transport/src/open_connections.rs
@@ -16,6 +16,7 @@
     activity::Phase,
     connection::ConnectionState,
     eviction::{self, Candidate},
+    held::FREE_BYTES,
 };
 
 /// Time between two sweeps over the open connections.
@@ -248,8 +249,13 @@
         }
     }
 
+    /// Whether a body that needs more memory than its connection has is slower than `rate`. A short
+    /// body may arrive slowly: no rate is published to callers.
     fn is_too_slow(&self, rate: usize) -> bool {
         let Some(body) = self.state.activity.body() else { return false };
+        if body.received <= FREE_BYTES {
+            return false;
+        }
         let seconds = (SWEEP_INTERVAL * self.phase_sweeps).as_secs() as usize;
         self.phase_sweeps > RATE_GRACE_SWEEPS && body.received < rate.saturating_mul(seconds)
     }
--- a/crates/transport/tests/ordinary_callers.rs
+++ b/crates/transport/tests/ordinary_callers.rs
@@ -6,6 +6,7 @@
     io::{Read, Write},
     net::TcpStream,
     thread,
+    time::Duration,
 };
 
 use callers::{HANDLER_TIME, connect, post, small_limits, start};
@@ -63,3 +64,18 @@
     read_until(&mut idle, "length 0");
     assert_eq!(*record.cuts.lock().unwrap(), Vec::<CutCause>::new());
 }
+
+/// Guards against the least rate of a body that refuses a short one: no rate is published, and a
+/// short body needs no memory beyond that of its connection.
+#[test]
+fn a_short_body_may_pause() {
+    let (addr, record) = start(ServerLimits { body_rate: 128, ..small_limits() });
+    let mut stream = connect(addr);
+    stream.write_all(post(300).as_bytes()).unwrap();
+    stream.write_all(&[b'a'; 150]).unwrap();
+    thread::sleep(Duration::from_secs(6));
+    let _ = stream.write_all(&[b'a'; 150]);
+    let answer = read_until(&mut stream, "length 300");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(*record.refusals.lock().unwrap(), []);
+}
