Evict bodies of the same address when its share is used up

Reservation::grow did not tell whether the account or the share of the address was short, so that an address at its share ended stalled bodies of others, which gave it nothing. It returns the shortage now, and eviction is confined to the address when its share is short.

The new test, with two addresses over real connections, failed before: the paused body of the other address was refused with 503.

--- a/crates/transport/src/eviction.rs
+++ b/crates/transport/src/eviction.rs
@@ -5,6 +5,7 @@
 use crate::{
     ConnectionId,
     activity::{BodyProgress, Phase},
+    memory::Shortage,
 };
 
 /// A connection that may be ended.
@@ -41,13 +42,21 @@
     first.map(|(_, candidate)| candidate.id)
 }
 
-/// The connection whose bytes are given up when `own` needs memory. A stalled one goes first. Else
-/// an address that has taken more than twice as much as that of `own` gives up its least complete
-/// body, and else the address of `own` does, which may be `own` itself. The bytes of an answer go
-/// before those of a body, whose request can still be refused.
-pub(crate) fn choose_body(own: &Candidate, candidates: &[Candidate]) -> ConnectionId {
-    let holders =
-        || candidates.iter().filter(|candidate| candidate.has_reserved && candidate.id != own.id);
+/// The connection whose bytes are evicted when `own` needs memory. If its address has its share, only
+/// connections of this address are chosen from. A stalled one goes first. Else
+/// an address that has taken more than twice as much as that of `own` loses its least complete
+/// body, and else the address of `own` does, which may be `own` itself.
+pub(crate) fn choose_body(
+    own: &Candidate,
+    candidates: &[Candidate],
+    shortage: Shortage,
+) -> ConnectionId {
+    let helps = |candidate: &&Candidate| {
+        candidate.has_reserved
+            && candidate.id != own.id
+            && (shortage == Shortage::Account || candidate.peer == own.peer)
+    };
+    let holders = || candidates.iter().filter(helps);
     let stalled = holders().filter(|candidate| {
         candidate.is_stalled && matches!(candidate.phase, Phase::Body | Phase::Blocked)
     });
--- a/crates/transport/src/held.rs
+++ b/crates/transport/src/held.rs
@@ -8,7 +8,7 @@
     MemoryAccount, Refusal,
     activity::{Activity, BodyProgress},
     connection::ConnectionState,
-    memory::Reservation,
+    memory::{Reservation, Shortage},
     open_connections::OpenConnections,
 };
 
@@ -75,9 +75,9 @@
         self.connection.as_ref().map(|(connections, _)| &connections.account)
     }
 
-    async fn make_room(&self) -> bool {
+    async fn make_room(&self, shortage: Shortage) -> bool {
         let Some((connections, state)) = &self.connection else { return false };
-        connections.make_memory(state.id()).await
+        connections.make_memory(state.id(), shortage).await
     }
 
     async fn wait(&self) {
@@ -123,8 +123,8 @@
     /// Makes room for `more` bytes, for which others may have to end. Returns `false` if there is
     /// none.
     pub(crate) async fn reserve(&mut self, more: usize) -> bool {
-        while !self.try_reserve(more) {
-            if !self.memory.make_room().await {
+        while let Err(shortage) = self.try_reserve(more) {
+            if !self.memory.make_room(shortage).await {
                 return false;
             }
         }
@@ -143,17 +143,13 @@
 
     /// Appends `data` if there is memory for it.
     pub fn try_extend(&mut self, data: &[u8]) -> bool {
-        let has_room = self.try_reserve(data.len());
-        if has_room {
-            self.bytes.extend_from_slice(data);
-        }
-        has_room
+        self.append(data).is_ok()
     }
 
     /// Appends `data`, and waits for memory if there is none.
     pub async fn extend_when_free(&mut self, data: &[u8]) {
-        while !self.try_extend(data) {
-            if !self.memory.make_room().await {
+        while let Err(shortage) = self.append(data) {
+            if !self.memory.make_room(shortage).await {
                 self.memory.wait().await;
             }
         }
@@ -169,19 +165,23 @@
         }
     }
 
-    fn try_reserve(&mut self, more: usize) -> bool {
+    fn append(&mut self, data: &[u8]) -> Result<(), Shortage> {
+        self.try_reserve(data.len())?;
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn try_reserve(&mut self, more: usize) -> Result<(), Shortage> {
         let needed = self.bytes.len().saturating_add(more);
         if needed <= self.bytes.capacity() {
-            return true;
+            return Ok(());
         }
         let doubled = self.bytes.capacity().saturating_mul(2);
         let target = if self.is_exact { self.max_bytes } else { doubled };
         let capacity = target.min(self.max_bytes).max(needed);
         if let Some(reservation) = &mut self.reservation {
             let counted = capacity.saturating_sub(FREE_BYTES);
-            if !reservation.grow(counted.saturating_sub(reservation.bytes())) {
-                return false;
-            }
+            reservation.grow(counted.saturating_sub(reservation.bytes()))?;
             if let Some(activity) = self.memory.activity()
                 && reservation.bytes() > 0
             {
@@ -189,7 +189,7 @@
             }
         }
         self.bytes.reserve_exact(capacity - self.bytes.len());
-        true
+        Ok(())
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -40,7 +40,7 @@
 pub use held::{CallerMemory, HeldBuffer};
 pub use idle::IdleLimit;
 pub use limits::{Refusal, ServerLimits};
-pub use memory::{MemoryAccount, Reservation};
+pub use memory::{MemoryAccount, Reservation, Shortage};
 pub use metered::MeteredReader;
 pub use request_body::{BodyError, RequestBody};
 pub use response::ResponseStream;
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -11,6 +11,15 @@
 /// Share of the account that one peer address may take, as a fraction. The rest is for the others.
 const PEER_SHARE: (usize, usize) = (3, 4);
 
+/// Why bytes cannot be reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    /// The account is used up.
+    Account,
+    /// The peer has its share of the account. Only its own releases help.
+    Peer,
+}
+
 /// An account of the bytes that are held for callers. Bytes are reserved before they are read. The
 /// reservation is part of the buffer that holds them, so it ends on every path with the buffer.
 pub struct MemoryAccount {
@@ -39,7 +48,8 @@
     /// Reserves `bytes` for the peer, unless the account or the share of the peer is used up.
     pub fn reserve(self: &Arc<Self>, peer: IpAddr, bytes: usize) -> Option<Reservation> {
         let mut reservation = Reservation { account: self.clone(), peer, bytes: 0 };
-        reservation.grow(bytes).then_some(reservation)
+        reservation.grow(bytes).ok()?;
+        Some(reservation)
     }
 
     /// Bytes that are reserved.
@@ -98,22 +108,25 @@
 }
 
 impl Reservation {
-    /// Reserves `bytes` more. Returns `false` and changes nothing if there is no room for them.
-    pub fn grow(&mut self, bytes: usize) -> bool {
+    /// Reserves `bytes` more. Changes nothing if there is no room for them.
+    pub fn grow(&mut self, bytes: usize) -> Result<(), Shortage> {
         if bytes == 0 {
-            return true;
+            return Ok(());
         }
         let account = &self.account;
         let mut book = account.book();
         let own = book.peers.get(&self.peer).copied().unwrap_or_default();
         let fits = |used: usize, limit| used.checked_add(bytes).is_some_and(|sum| sum <= limit);
-        if !fits(book.used, account.limit) || !fits(own, account.peer_limit) {
-            return false;
+        if !fits(own, account.peer_limit) {
+            return Err(Shortage::Peer);
+        }
+        if !fits(book.used, account.limit) {
+            return Err(Shortage::Account);
         }
         book.used += bytes;
         book.peers.insert(self.peer, own + bytes);
         self.bytes += bytes;
-        true
+        Ok(())
     }
 
     /// Bytes that are reserved.
--- a/crates/transport/src/open_connections.rs
+++ b/crates/transport/src/open_connections.rs
@@ -17,6 +17,7 @@
     connection::ConnectionState,
     eviction::{self, Candidate},
     held::FREE_BYTES,
+    memory::Shortage,
 };
 
 /// Time between two sweeps over the open connections.
@@ -114,12 +115,12 @@
     }
 
     /// Makes room for more bytes of connection `own`. Returns `false` if it has to do without.
-    pub(crate) async fn make_memory(&self, own: ConnectionId) -> bool {
+    pub(crate) async fn make_memory(&self, own: ConnectionId, shortage: Shortage) -> bool {
         let candidates = self.candidates(|peer| self.account.used_by(peer));
         let Some(own) = candidates.iter().find(|candidate| candidate.id == own) else {
             return false;
         };
-        let chosen = eviction::choose_body(own, &candidates);
+        let chosen = eviction::choose_body(own, &candidates, shortage);
         if chosen == own.id {
             return false;
         }
--- a/crates/transport/tests/memory.rs
+++ b/crates/transport/tests/memory.rs
@@ -47,7 +47,7 @@
                     let index = index % held.len();
                     let reservation = &mut held[index].1;
                     let before = reservation.bytes();
-                    let has_grown = reservation.grow(bytes);
+                    let has_grown = reservation.grow(bytes).is_ok();
                     let expected = if has_grown { before + bytes } else { before };
                     prop_assert_eq!(reservation.bytes(), expected);
                 }
--- a/crates/transport/tests/ordinary_callers.rs
+++ b/crates/transport/tests/ordinary_callers.rs
@@ -4,14 +4,17 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{Ipv4Addr, TcpStream},
     thread,
     time::Duration,
 };
 
-use callers::{HANDLER_TIME, connect, post, small_limits, start};
+use callers::{HANDLER_TIME, connect, connect_from, post, small_limits, start};
 use transport::{CutCause, ServerLimits};
 
+/// Memory that is counted for a connection.
+const CONNECTION_BYTES: usize = 96 << 10;
+
 fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n")
 }
@@ -79,3 +82,34 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(*record.refusals.lock().unwrap(), []);
 }
+
+/// Guards against an address at its share that ends the bodies of others, which gives it nothing.
+#[test]
+fn an_address_at_its_share_ends_its_own_bodies() {
+    let limits = ServerLimits {
+        memory: 8 * CONNECTION_BYTES + (512 << 10),
+        max_connections: 8,
+        ..small_limits()
+    };
+    let (addr, _) = start(limits);
+    let length = 60 << 10;
+    let mut paused = connect_from(Ipv4Addr::new(127, 0, 0, 2), addr);
+    paused.write_all(post(length).as_bytes()).unwrap();
+    paused.write_all(&vec![b'a'; length - 1]).unwrap();
+    thread::sleep(Duration::from_millis(2500));
+    let length = 150 << 10;
+    let greedy: Vec<TcpStream> = (0..4)
+        .map(|_| {
+            let mut stream = connect_from(Ipv4Addr::new(127, 0, 0, 3), addr);
+            // The server may refuse the body while it is sent.
+            let _ = stream.write_all(post(length).as_bytes());
+            let _ = stream.write_all(&vec![b'b'; length - 1]);
+            stream
+        })
+        .collect();
+    thread::sleep(HANDLER_TIME);
+    let _ = paused.write_all(b"a");
+    let answer = read_until(&mut paused, "length 61440");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    drop(greedy);
+}
