Let an address that is alone use the whole memory account

Where all callers come through one balancer, a quarter of the account was never used.

The new test failed before with 503.

--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -8,7 +8,8 @@
     task::{Poll, Waker},
 };
 
-/// Share of the account that one peer address may take, as a fraction. The rest is for the others.
+/// Share of the account that one peer address may take while others hold bytes, as a fraction. An
+/// address that is alone may use all of it: all callers may come through one balancer.
 const PEER_SHARE: (usize, usize) = (3, 4);
 
 /// Why bytes cannot be reserved.
@@ -45,7 +46,8 @@
         Arc::new(MemoryAccount { limit, peer_limit, book: Mutex::default() })
     }
 
-    /// Reserves `bytes` for the peer, unless the account or the share of the peer is used up.
+    /// Reserves `bytes` for the peer, unless the account or the share of the peer is used up. The
+    /// share applies while other peers hold bytes.
     pub fn reserve(self: &Arc<Self>, peer: IpAddr, bytes: usize) -> Option<Reservation> {
         let mut reservation = Reservation { account: self.clone(), peer, bytes: 0 };
         reservation.grow(bytes).ok()?;
@@ -117,7 +119,8 @@
         let mut book = account.book();
         let own = book.peers.get(&self.peer).copied().unwrap_or_default();
         let fits = |used: usize, limit| used.checked_add(bytes).is_some_and(|sum| sum <= limit);
-        if !fits(own, account.peer_limit) {
+        let is_alone = own == book.used;
+        if !is_alone && !fits(own, account.peer_limit) {
             return Err(Shortage::Peer);
         }
         if !fits(book.used, account.limit) {
--- a/crates/transport/tests/ordinary_callers.rs
+++ b/crates/transport/tests/ordinary_callers.rs
@@ -10,7 +10,7 @@
 };
 
 use callers::{HANDLER_TIME, connect, connect_from, post, small_limits, start};
-use transport::{CutCause, ServerLimits};
+use transport::{CutCause, Refusal, ServerLimits};
 
 /// Memory that is counted for a connection.
 const CONNECTION_BYTES: usize = 96 << 10;
@@ -113,3 +113,19 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     drop(greedy);
 }
+
+/// Guards against a part of the memory that nobody can use where all callers share the address of a
+/// balancer.
+#[test]
+fn a_single_address_may_use_the_whole_account() {
+    let limits =
+        ServerLimits { memory: 2 * CONNECTION_BYTES, max_connections: 1, ..small_limits() };
+    let (addr, record) = start(limits);
+    let length = 100 << 10;
+    let mut stream = connect(addr);
+    stream.write_all(post(length).as_bytes()).unwrap();
+    let _ = stream.write_all(&vec![b'a'; length]);
+    let answer = read_until(&mut stream, "length 102400");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(*record.refusals.lock().unwrap(), Vec::<Refusal>::new());
+}
