Displace connections that never carried a request first

Within one address the connection that was idle for longest was displaced, also if its caller had used it and newer ones had never sent anything. A connection that was silent for a second and has carried no request goes first now. Without the second, each new connection of a crowd would displace the one before it, among them those of ordinary callers. A connection whose body was refused is not displaced before its refusal is written.

The new test failed before: the used connection was closed.

--- a/crates/transport/src/activity.rs
+++ b/crates/transport/src/activity.rs
@@ -17,7 +17,7 @@
     Head,
     /// The rest of a body.
     Body,
-    /// The end of a request whose body was refused or is discarded.
+    /// The end of a body that is discarded, or of a connection whose refusal was written.
     Refused,
     /// The caller, which does not take the bytes of its answer.
     Blocked,
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -83,6 +83,8 @@
     open_request: RefCell<Option<RequestLabel>>,
     /// Whether bytes may have arrived since the last request was answered.
     head_begun: Cell<bool>,
+    /// Whether the connection has carried a request.
+    has_carried: Cell<bool>,
     /// Whether the rest of a body is read and discarded.
     is_discarding: Cell<bool>,
     /// Whether the body of the open request's response has ended or was aborted.
@@ -104,6 +106,7 @@
             observer,
             open_request: RefCell::default(),
             head_begun: Cell::default(),
+            has_carried: Cell::default(),
             is_discarding: Cell::default(),
             body_end: Cell::default(),
             flushes: Cell::default(),
@@ -119,6 +122,7 @@
     pub(crate) fn open_request(&self, label: RequestLabel) {
         *self.open_request.borrow_mut() = Some(label);
         self.head_begun.set(false);
+        self.has_carried.set(true);
         self.body_end.set(None);
         self.activity.set_reserved(false);
     }
@@ -128,12 +132,18 @@
         self.head_begun.get()
     }
 
+    /// Whether the head of a request was ever read.
+    pub(crate) fn has_carried(&self) -> bool {
+        self.has_carried.get()
+    }
+
     /// What the connection waits for.
     pub(crate) fn phase(&self) -> Phase {
-        if self.activity.body_refusal().is_some() {
+        let is_refused = self.activity.body_refusal().is_some();
+        if is_refused && self.open_request.borrow().is_none() {
             return Phase::Refused;
         }
-        if self.activity.body().is_some() {
+        if self.activity.body().is_some() && !is_refused {
             return Phase::Body;
         }
         if self.activity.is_write_blocked() {
--- a/crates/transport/src/eviction.rs
+++ b/crates/transport/src/eviction.rs
@@ -20,19 +20,23 @@
     pub(crate) phase_sweeps: u32,
     /// Whether no byte was moved for a while.
     pub(crate) is_stalled: bool,
+    /// Whether it has carried a request.
+    pub(crate) has_carried: bool,
     /// Whether memory is reserved for its request.
     pub(crate) has_reserved: bool,
     pub(crate) body: Option<BodyProgress>,
 }
 
-/// The connection to close when one more would exceed the limit: an idle one, else one whose body
-/// was refused or whose head is incomplete, else one that is stalled; among these one of the address with the most
+/// The connection to close when one more would exceed the limit: one that has been silent for a while
+/// and has carried no request, else another idle one, else one whose refusal was written or whose
+/// head is incomplete, else one that is stalled. Among these it is one of the address with the most
 /// connections, and the one that has waited longest. Returns `None` if all of them are in use.
 pub(crate) fn choose_connection(candidates: &[Candidate]) -> Option<ConnectionId> {
     let rank = |candidate: &Candidate| match candidate.phase {
-        Phase::Idle => Some(0),
-        Phase::Refused | Phase::Head => Some(1),
-        Phase::Body | Phase::Blocked if candidate.is_stalled => Some(2),
+        Phase::Idle if candidate.is_stalled && !candidate.has_carried => Some(0),
+        Phase::Idle => Some(1),
+        Phase::Refused | Phase::Head => Some(2),
+        Phase::Body | Phase::Blocked if candidate.is_stalled => Some(3),
         _ => None,
     };
     let ranked = candidates.iter().filter_map(|candidate| Some((rank(candidate)?, candidate)));
--- a/crates/transport/src/open_connections.rs
+++ b/crates/transport/src/open_connections.rs
@@ -172,6 +172,7 @@
                 phase_sweeps: watched.phase_sweeps,
                 is_stalled: watched.quiet_sweeps >= STALLED_SWEEPS
                     && watched.steps == activity.steps(),
+                has_carried: watched.state.has_carried(),
                 has_reserved: activity.has_reserved(),
                 body: activity.body(),
             }
--- a/crates/transport/tests/ordinary_callers.rs
+++ b/crates/transport/tests/ordinary_callers.rs
@@ -129,3 +129,23 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(*record.refusals.lock().unwrap(), Vec::<Refusal>::new());
 }
+
+/// Guards against a connection that its caller uses again and that is displaced before newer ones
+/// that never sent anything.
+#[test]
+fn a_silent_connection_is_displaced_before_one_that_has_carried_a_request() {
+    let (addr, record) = start(ServerLimits { max_connections: 2, ..small_limits() });
+    let mut used = connect(addr);
+    used.write_all(get("/").as_bytes()).unwrap();
+    read_until(&mut used, "length 0");
+    thread::sleep(Duration::from_millis(500));
+    let _silent = connect(addr);
+    thread::sleep(Duration::from_millis(2500));
+    let mut new = connect(addr);
+    new.write_all(get("/").as_bytes()).unwrap();
+    assert!(read_until(&mut new, "length 0").starts_with("HTTP/1.1 200"));
+    let _ = used.write_all(get("/").as_bytes());
+    let answer = read_until(&mut used, "length 0");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(*record.refusals.lock().unwrap(), [Refusal::Displaced]);
+}
