--- a/crates/transport/src/eviction.rs
+++ b/crates/transport/src/eviction.rs
@@ -27,10 +27,10 @@
     pub(crate) body: Option<BodyProgress>,
 }
 
-/// The connection to close when one more would exceed the limit: one that has been silent for a while
-/// and has carried no request, else another idle one, else one whose refusal was written or whose
-/// head is incomplete, else one that is stalled. Among these it is one of the address with the most
-/// connections, and the one that has waited longest. Returns `None` if all of them are in use.
+/// The connection to close when one more would exceed the limit: one that has been silent for a
+/// while and has carried no request, else another idle one, else one whose refusal was written or
+/// whose head is incomplete, else one that is stalled. Among these it is one of the address with the
+/// most connections, and the one that has waited longest. Returns `None` if all are in use.
 pub(crate) fn choose_connection(candidates: &[Candidate]) -> Option<ConnectionId> {
     let rank = |candidate: &Candidate| match candidate.phase {
         Phase::Idle if candidate.is_stalled && !candidate.has_carried => Some(0),
@@ -46,10 +46,10 @@
     first.map(|(_, candidate)| candidate.id)
 }
 
-/// The connection whose bytes are evicted when `own` needs memory. If its address has its share, only
-/// connections of this address are chosen from. A stalled one goes first. Else
-/// an address that has taken more than twice as much as that of `own` loses its least complete
-/// body, and else the address of `own` does, which may be `own` itself.
+/// The connection whose bytes are evicted when `own` needs memory. If its address has its share,
+/// only connections of this address are chosen from. A stalled one goes first. Else an address that
+/// has taken more than twice as much as that of `own` loses its least complete body, and else the
+/// address of `own` does, which may be `own` itself.
 pub(crate) fn choose_body(
     own: &Candidate,
     candidates: &[Candidate],
@@ -72,13 +72,13 @@
     }
     let bodies = || holders().filter(|candidate| candidate.phase == Phase::Body);
     let heaviest = bodies().max_by_key(|candidate| candidate.peer_use);
-    let payer = match heaviest {
+    let owner = match heaviest {
         Some(other) if other.peer_use / 2 > own.peer_use => other.peer,
         _ => own.peer,
     };
     let reads_body = (own.phase == Phase::Body).then_some(own);
-    let payers = bodies().chain(reads_body).filter(|candidate| candidate.peer == payer);
-    let last = payers.min_by_key(|candidate| (percent(candidate.body), Reverse(candidate.id)));
+    let owned = bodies().chain(reads_body).filter(|candidate| candidate.peer == owner);
+    let last = owned.min_by_key(|candidate| (percent(candidate.body), Reverse(candidate.id)));
     last.map_or(own.id, |candidate| candidate.id)
 }
 
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -1,4 +1,4 @@
-//! Limits on what the callers of a server may take up.
+//! Limits on what the callers of a server may use.
 
 use std::time::Duration;
 
@@ -11,9 +11,9 @@
 /// request's body and of its answer.
 const CONNECTION_BYTES: usize = (64 << 10) + 2 * FREE_BYTES;
 /// Largest part of the memory that connections may take, as a fraction. The rest is for bodies.
-const CONNECTION_SHARE: usize = 2;
+const CONNECTION_SHARE: (usize, usize) = (1, 2);
 
-/// Limits on what the callers of a server may take up. The default has none on memory and
+/// Limits on what the callers of a server may use. The default has none on memory and
 /// connections, for servers whose peers are trusted.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
@@ -57,7 +57,8 @@
     /// Connections that may be open: as many as the limit says, but only so many that the rest of
     /// the memory is enough for bodies.
     pub fn connection_limit(&self) -> usize {
-        self.max_connections.min(self.memory / CONNECTION_SHARE / CONNECTION_BYTES).max(1)
+        let memory = self.memory / CONNECTION_SHARE.1 * CONNECTION_SHARE.0;
+        self.max_connections.min(memory / CONNECTION_BYTES).max(1)
     }
 
     /// Bytes of the memory that are left for bodies when all connections are open.
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -1,4 +1,4 @@
-//! The memory that a server's callers may take up.
+//! The memory that a server's callers may use.
 
 use std::{
     collections::HashMap,
@@ -26,11 +26,11 @@
 pub struct MemoryAccount {
     limit: usize,
     peer_limit: usize,
-    book: Mutex<Book>,
+    ledger: Mutex<Ledger>,
 }
 
 #[derive(Default)]
-struct Book {
+struct Ledger {
     used: usize,
     /// Bytes by peer address. An address that holds none has no entry.
     peers: HashMap<IpAddr, usize>,
@@ -43,7 +43,7 @@
     /// Creates an account of `limit` bytes.
     pub fn new(limit: usize) -> Arc<MemoryAccount> {
         let peer_limit = limit / PEER_SHARE.1 * PEER_SHARE.0;
-        Arc::new(MemoryAccount { limit, peer_limit, book: Mutex::default() })
+        Arc::new(MemoryAccount { limit, peer_limit, ledger: Mutex::default() })
     }
 
     /// Reserves `bytes` for the peer, unless the account or the share of the peer is used up. The
@@ -56,47 +56,47 @@
 
     /// Bytes that are reserved.
     pub fn used(&self) -> usize {
-        self.book().used
+        self.ledger().used
     }
 
     /// Bytes that are reserved for one peer.
     pub fn used_by(&self, peer: IpAddr) -> usize {
-        self.book().peers.get(&peer).copied().unwrap_or_default()
+        self.ledger().peers.get(&peer).copied().unwrap_or_default()
     }
 
     /// Waits until bytes are released.
     pub(crate) async fn wait_for_release(&self) {
-        let releases = self.book().releases;
+        let releases = self.ledger().releases;
         poll_fn(|context| {
-            let mut book = self.book();
-            if book.releases != releases {
+            let mut ledger = self.ledger();
+            if ledger.releases != releases {
                 return Poll::Ready(());
             }
-            if !book.waiting.iter().any(|waker| waker.will_wake(context.waker())) {
-                book.waiting.push(context.waker().clone());
+            if !ledger.waiting.iter().any(|waker| waker.will_wake(context.waker())) {
+                ledger.waiting.push(context.waker().clone());
             }
             Poll::Pending
         })
         .await;
     }
 
-    fn book(&self) -> MutexGuard<'_, Book> {
-        // The book is consistent between any two statements that can panic.
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        // The ledger is consistent between any two statements that can panic.
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn release(&self, peer: IpAddr, bytes: usize) {
         let waiting = {
-            let mut book = self.book();
-            book.used -= bytes;
-            if let Some(used) = book.peers.get_mut(&peer) {
+            let mut ledger = self.ledger();
+            ledger.used -= bytes;
+            if let Some(used) = ledger.peers.get_mut(&peer) {
                 *used -= bytes;
                 if *used == 0 {
-                    book.peers.remove(&peer);
+                    ledger.peers.remove(&peer);
                 }
             }
-            book.releases += 1;
-            std::mem::take(&mut book.waiting)
+            ledger.releases += 1;
+            std::mem::take(&mut ledger.waiting)
         };
         waiting.into_iter().for_each(Waker::wake);
     }
@@ -116,18 +116,18 @@
             return Ok(());
         }
         let account = &self.account;
-        let mut book = account.book();
-        let own = book.peers.get(&self.peer).copied().unwrap_or_default();
+        let mut ledger = account.ledger();
+        let own = ledger.peers.get(&self.peer).copied().unwrap_or_default();
         let fits = |used: usize, limit| used.checked_add(bytes).is_some_and(|sum| sum <= limit);
-        let is_alone = own == book.used;
+        let is_alone = own == ledger.used;
         if !is_alone && !fits(own, account.peer_limit) {
             return Err(Shortage::Peer);
         }
-        if !fits(book.used, account.limit) {
+        if !fits(ledger.used, account.limit) {
             return Err(Shortage::Account);
         }
-        book.used += bytes;
-        book.peers.insert(self.peer, own + bytes);
+        ledger.used += bytes;
+        ledger.peers.insert(self.peer, own + bytes);
         self.bytes += bytes;
         Ok(())
     }
--- a/crates/transport/src/open_connections.rs
+++ b/crates/transport/src/open_connections.rs
@@ -124,7 +124,7 @@
         if chosen == own.id {
             return false;
         }
-        self.give_up_bytes(chosen);
+        self.evict(chosen);
         self.wait_for_memory().await
     }
 
@@ -134,7 +134,7 @@
     }
 
     /// Ends the body that a connection reads, or else the connection.
-    fn give_up_bytes(&self, id: ConnectionId) {
+    fn evict(&self, id: ConnectionId) {
         let reads_body = |watched: &Watched| watched.state.phase() == Phase::Body;
         if self.open.borrow().get(&id).is_some_and(reads_body) {
             self.refuse_body(id, Refusal::Evicted);
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -29,7 +29,7 @@
 };
 
 /// Time in which a client must send the request line and headers. It limits how long an idle
-/// connection takes up resources.
+/// connection uses resources.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Default of [`Server::lame_duck_time`]. It is long enough for a request that was on its way when
 /// the server was told to stop, which then gets a response instead of a closed connection.
@@ -107,7 +107,7 @@
         self
     }
 
-    /// Sets the limits on what callers may take up.
+    /// Sets the limits on what callers may use.
     pub fn limits(mut self, limits: ServerLimits) -> Server {
         self.limits = limits;
         self
--- a/crates/transport/tests/memory.rs
+++ b/crates/transport/tests/memory.rs
@@ -1,4 +1,4 @@
-//! Property test of the account of the memory that callers take up.
+//! Property test of the account of the memory that callers use.
 
 use std::net::{IpAddr, Ipv4Addr};
 
