--- a/crates/transport/src/eviction.rs
+++ b/crates/transport/src/eviction.rs
@@ -5,6 +5,7 @@
 use crate::{
     ConnectionId,
     activity::{BodyProgress, Phase},
+    memory::Shortage,
 };
 
 /// A connection that may be ended.
@@ -19,19 +20,23 @@
     pub(crate) phase_sweeps: u32,
     /// Whether no byte was moved for a while.
     pub(crate) is_stalled: bool,
+    /// Whether it has carried a request.
+    pub(crate) has_carried: bool,
     /// Whether memory is reserved for its request.
     pub(crate) has_reserved: bool,
     pub(crate) body: Option<BodyProgress>,
 }
 
-/// The connection to close when one more would exceed the limit: an idle one, else one whose body
-/// was refused or whose head is incomplete, else one that is stalled; among these one of the address with the most
-/// connections, and the one that has waited longest. Returns `None` if all of them are in use.
+/// The connection to close when one more would exceed the limit: one that has been silent for a
+/// while and has carried no request, else another idle one, else one whose refusal was written or
+/// whose head is incomplete, else one that is stalled. Among these it is one of the address with the
+/// most connections, and the one that has waited longest. Returns `None` if all are in use.
 pub(crate) fn choose_connection(candidates: &[Candidate]) -> Option<ConnectionId> {
     let rank = |candidate: &Candidate| match candidate.phase {
-        Phase::Idle => Some(0),
-        Phase::Refused | Phase::Head => Some(1),
-        Phase::Body | Phase::Blocked if candidate.is_stalled => Some(2),
+        Phase::Idle if candidate.is_stalled && !candidate.has_carried => Some(0),
+        Phase::Idle => Some(1),
+        Phase::Refused | Phase::Head => Some(2),
+        Phase::Body | Phase::Blocked if candidate.is_stalled => Some(3),
         _ => None,
     };
     let ranked = candidates.iter().filter_map(|candidate| Some((rank(candidate)?, candidate)));
@@ -41,13 +46,21 @@
     first.map(|(_, candidate)| candidate.id)
 }
 
-/// The connection whose bytes are given up when `own` needs memory. A stalled one goes first. Else
-/// an address that has taken more than twice as much as that of `own` gives up its least complete
-/// body, and else the address of `own` does, which may be `own` itself. The bytes of an answer go
-/// before those of a body, whose request can still be refused.
-pub(crate) fn choose_body(own: &Candidate, candidates: &[Candidate]) -> ConnectionId {
-    let holders =
-        || candidates.iter().filter(|candidate| candidate.has_reserved && candidate.id != own.id);
+/// The connection whose bytes are evicted when `own` needs memory. If its address has its share,
+/// only connections of this address are chosen from. A stalled one goes first. Else an address that
+/// has taken more than twice as much as that of `own` loses its least complete body, and else the
+/// address of `own` does, which may be `own` itself.
+pub(crate) fn choose_body(
+    own: &Candidate,
+    candidates: &[Candidate],
+    shortage: Shortage,
+) -> ConnectionId {
+    let helps = |candidate: &&Candidate| {
+        candidate.has_reserved
+            && candidate.id != own.id
+            && (shortage == Shortage::Account || candidate.peer == own.peer)
+    };
+    let holders = || candidates.iter().filter(helps);
     let stalled = holders().filter(|candidate| {
         candidate.is_stalled && matches!(candidate.phase, Phase::Body | Phase::Blocked)
     });
@@ -59,13 +72,13 @@
     }
     let bodies = || holders().filter(|candidate| candidate.phase == Phase::Body);
     let heaviest = bodies().max_by_key(|candidate| candidate.peer_use);
-    let payer = match heaviest {
+    let owner = match heaviest {
         Some(other) if other.peer_use / 2 > own.peer_use => other.peer,
         _ => own.peer,
     };
     let reads_body = (own.phase == Phase::Body).then_some(own);
-    let payers = bodies().chain(reads_body).filter(|candidate| candidate.peer == payer);
-    let last = payers.min_by_key(|candidate| (percent(candidate.body), Reverse(candidate.id)));
+    let owned = bodies().chain(reads_body).filter(|candidate| candidate.peer == owner);
+    let last = owned.min_by_key(|candidate| (percent(candidate.body), Reverse(candidate.id)));
     last.map_or(own.id, |candidate| candidate.id)
 }
 
--- a/crates/transport/src/open_connections.rs
+++ b/crates/transport/src/open_connections.rs
@@ -16,6 +16,8 @@
     activity::Phase,
     connection::ConnectionState,
     eviction::{self, Candidate},
+    held::FREE_BYTES,
+    memory::Shortage,
 };
 
 /// Time between two sweeps over the open connections.
@@ -113,16 +115,16 @@
     }
 
     /// Makes room for more bytes of connection `own`. Returns `false` if it has to do without.
-    pub(crate) async fn make_memory(&self, own: ConnectionId) -> bool {
+    pub(crate) async fn make_memory(&self, own: ConnectionId, shortage: Shortage) -> bool {
         let candidates = self.candidates(|peer| self.account.used_by(peer));
         let Some(own) = candidates.iter().find(|candidate| candidate.id == own) else {
             return false;
         };
-        let chosen = eviction::choose_body(own, &candidates);
+        let chosen = eviction::choose_body(own, &candidates, shortage);
         if chosen == own.id {
             return false;
         }
-        self.give_up_bytes(chosen);
+        self.evict(chosen);
         self.wait_for_memory().await
     }
 
@@ -132,7 +134,7 @@
     }
 
     /// Ends the body that a connection reads, or else the connection.
-    fn give_up_bytes(&self, id: ConnectionId) {
+    fn evict(&self, id: ConnectionId) {
         let reads_body = |watched: &Watched| watched.state.phase() == Phase::Body;
         if self.open.borrow().get(&id).is_some_and(reads_body) {
             self.refuse_body(id, Refusal::Evicted);
@@ -170,6 +172,7 @@
                 phase_sweeps: watched.phase_sweeps,
                 is_stalled: watched.quiet_sweeps >= STALLED_SWEEPS
                     && watched.steps == activity.steps(),
+                has_carried: watched.state.has_carried(),
                 has_reserved: activity.has_reserved(),
                 body: activity.body(),
             }
@@ -248,8 +251,13 @@
         }
     }
 
+    /// Whether a body that needs more memory than its connection has is slower than `rate`. A short
+    /// body may arrive slowly: no rate is published to callers.
     fn is_too_slow(&self, rate: usize) -> bool {
         let Some(body) = self.state.activity.body() else { return false };
+        if body.received <= FREE_BYTES {
+            return false;
+        }
         let seconds = (SWEEP_INTERVAL * self.phase_sweeps).as_secs() as usize;
         self.phase_sweeps > RATE_GRACE_SWEEPS && body.received < rate.saturating_mul(seconds)
     }
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -29,7 +29,7 @@
 };
 
 /// Time in which a client must send the request line and headers. It limits how long an idle
-/// connection takes up resources.
+/// connection uses resources.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Default of [`Server::lame_duck_time`]. It is long enough for a request that was on its way when
 /// the server was told to stop, which then gets a response instead of a closed connection.
@@ -107,7 +107,7 @@
         self
     }
 
-    /// Sets the limits on what callers may take up.
+    /// Sets the limits on what callers may use.
     pub fn limits(mut self, limits: ServerLimits) -> Server {
         self.limits = limits;
         self
@@ -174,10 +174,12 @@
                         let closing = pin!(closed_for_limit(&state));
                         let force_close = pin!(force_close);
                         let ending = select(force_close, closing);
-                        let closed_by = match select(pin!(serving), ending).await {
-                            Either::Left((closed_by, _)) => closed_by,
-                            Either::Right((Either::Left(_), _)) => Some(CutCause::ForcedClose),
-                            Either::Right((Either::Right(_), _)) => Some(CutCause::LimitReached),
+                        // The end is polled first: a connection that was told to close reads no
+                        // further request.
+                        let closed_by = match select(ending, pin!(serving)).await {
+                            Either::Left((Either::Left(_), _)) => Some(CutCause::ForcedClose),
+                            Either::Left((Either::Right(_), _)) => Some(CutCause::LimitReached),
+                            Either::Right((closed_by, _)) => closed_by,
                         };
                         state.record_end(closed_by);
                     })
@@ -355,7 +357,12 @@
             self.state.record_early_response(response.status().as_u16());
             if !awaits_permission {
                 let (meter, clock) = (self.meter.clone(), self.clock.clone());
-                compio::runtime::spawn(request_body::discard(rest, meter, clock)).detach();
+                let discarding = self.state.begin_discard();
+                compio::runtime::spawn(async move {
+                    request_body::discard(rest, meter, clock).await;
+                    drop(discarding);
+                })
+                .detach();
             }
         }
         response.map(|body| ObservedBody::new(body, self.state.clone()))
