Try replicas that are only avoided while others refuse

One refusing replica made requests wait even if another replica was avoided only after a bad answer, and may work. If all replicas are avoided, those that do not refuse requests are tried as before; requests wait only if all of them refuse.

--- a/crates/gateway/src/replica_choice.rs
+++ b/crates/gateway/src/replica_choice.rs
@@ -68,17 +68,23 @@
             .collect();
         let usable: Vec<&Arc<Upstream>> =
             replicas.iter().copied().filter(|upstream| self.is_usable(upstream)).collect();
-        if usable.is_empty() && replicas.iter().any(|upstream| self.is_replica_refusing(upstream)) {
-            return Err(NoSelection::Full);
-        }
-        // If all replicas are avoided, they may work nevertheless, so one of them is tried.
-        let candidates = if usable.is_empty() { replicas } else { usable };
+        // If all replicas are avoided, they may work nevertheless, so one of them is tried. Those
+        // that refuse requests have no capacity.
+        let candidates = if usable.is_empty() {
+            replicas
+                .iter()
+                .copied()
+                .filter(|upstream| !self.is_replica_refusing(upstream))
+                .collect()
+        } else {
+            usable
+        };
         let free: Vec<Arc<Upstream>> = candidates
             .iter()
             .filter(|upstream| !self.is_replica_full(upstream))
             .map(|upstream| Arc::clone(upstream))
             .collect();
-        if free.is_empty() && !candidates.is_empty() {
+        if free.is_empty() && !replicas.is_empty() {
             return Err(NoSelection::Full);
         }
         Ok(free)
--- a/crates/gateway/tests/gateway/replicas.rs
+++ b/crates/gateway/tests/gateway/replicas.rs
@@ -114,6 +114,20 @@
     assert!(answered.is_ok());
 }
 
+/// Guards against one refusing replica that holds requests back from another one, which is only
+/// avoided after a bad answer and may work.
+#[compio::test]
+async fn a_replica_that_is_only_avoided_is_tried_while_the_other_refuses() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.push_steps([Step::Refuse(503), Step::Broken]);
+    assert!(fixture.send("/once/x").await.is_err());
+    fixture.push_steps([Step::Answer(200, "done")]);
+    fixture.send("/once/x").await.expect("the avoided replica answers");
+    let called = fixture.called_upstreams();
+    assert_ne!(called[0], called[1]);
+    assert_eq!(called[2], called[1]);
+}
+
 /// Guards against a place that stays taken after its caller has disconnected.
 #[compio::test]
 async fn a_caller_that_disconnects_frees_its_place() {
