End an entry upstream only by its own address

A later process under the name of an entry upstream, at another address, counted as the end of the old one, which may still serve. Only a refused connection or another process at its address shows the end now. An upstream whose name is registered for another process is probed like one without an entry; before, the probe was left out while the name was registered.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -114,8 +114,9 @@
 
 impl Gateway {
     /// Whether the process of an upstream is known to have ended: it has refused a connection, or
-    /// another process that started later is registered under its name or address. The removal of
-    /// its entry shows nothing, since it may go on serving for its drain time.
+    /// another process that started later is registered at its address. The removal of its entry,
+    /// or a later entry under its name at another address, shows nothing, since it may go on serving
+    /// for its drain time.
     fn has_entry_ended(&self, entry: &LiveEntry) -> bool {
         let Upstream { name, addr, incarnation, .. } = &*entry.upstream;
         if entry.has_ended.get() {
@@ -126,16 +127,21 @@
             return true;
         }
         let catalog = self.catalog.borrow();
-        catalog.upstreams().any(|other| {
-            (other.name == *name || other.addr == *addr) && other.incarnation > *incarnation
-        })
+        catalog.upstreams().any(|other| other.addr == *addr && other.incarnation > *incarnation)
     }
 
-    /// Probes an upstream that has no entry in the registry any more. Those that have one are probed
-    /// when a call to them breaks or is silent.
+    /// Whether the process of an upstream has an entry in the registry.
+    fn is_registered(&self, upstream: &Upstream) -> bool {
+        let catalog = self.catalog.borrow();
+        let registered = catalog.upstream(&upstream.name);
+        registered.is_some_and(|other| other.is_same_incarnation(upstream))
+    }
+
+    /// Probes an upstream whose process has no entry in the registry any more. Those that have one
+    /// are probed when a call to them breaks or is silent.
     async fn probe_removed_entry(&self, entry: &LiveEntry) {
         let LiveEntry { upstream, client, has_ended } = entry;
-        if self.catalog.borrow().upstream(&upstream.name).is_some() || self.is_paused(upstream) {
+        if self.is_registered(upstream) || self.is_paused(upstream) {
             return;
         }
         let probe = timeout(&*self.clock, PROBE_LIMIT, client.probe()).await;
--- a/crates/gateway/tests/gateway/entries.rs
+++ b/crates/gateway/tests/gateway/entries.rs
@@ -94,6 +94,33 @@
     assert_eq!(break_twice(restarted).await, (whole_stream(), 3));
 }
 
+/// Guards against a stream that runs on a third upstream because a process at another address is
+/// registered under the name of its first one, which still serves it.
+#[compio::test]
+async fn a_later_entry_at_another_address_does_not_end_an_entry_upstream() {
+    let moved = |fixture: &Fixture, name: &str, _: &str| {
+        fixture.store.write(&entry(name), Some("drafts 10.0.1.9:80 a up 0-5 2"));
+    };
+    let (received, entries) = break_twice(moved).await;
+    assert_eq!((received, entries), (None, 2));
+}
+
+/// Guards against a stream that is cut because an upstream whose name is registered at another
+/// address is not probed.
+#[compio::test]
+async fn an_entry_upstream_that_ends_after_its_name_has_moved_does_not_count() {
+    let moved = |fixture: &Fixture, name: &str, _: &str| {
+        fixture.store.write(&entry(name), Some("drafts 10.0.1.9:80 a up 0-5 2"));
+        let (stopped, name) = (fixture.upstreams.stopped.clone(), name.to_owned());
+        compio::runtime::spawn(async move {
+            compio::time::sleep(BREAK_DELAY * 2).await;
+            stopped.borrow_mut().push(name);
+        })
+        .detach();
+    };
+    assert_eq!(break_twice(moved).await, (whole_stream(), 3));
+}
+
 /// Guards against an upstream that counts as ended because an older process was registered at its
 /// address.
 #[compio::test]
