Let a request return to a replica that refused it

With the settings table for overload, a replica whose refusal set a pause in the health table, or that asked for one, is left to that pause. Replicas that fail otherwise stay in the list: without that, an unreachable one would be tried again at once when all others refuse.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -66,6 +66,9 @@
                     if !self.record_failure(&mut attempts, &selection, &cause, verdict) {
                         return Err(self.give_up(&attempts, kind, &cause));
                     }
+                    if verdict == Verdict::NotRun {
+                        self.allow_refusing_replica(&mut attempts, &selection);
+                    }
                     continue;
                 }
             };
--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Gateway,
+    attempt::Attempts,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection},
 };
@@ -41,6 +42,16 @@
         self.gateway.settings.overload.is_some() && self.model_profile().is_none()
     }
 
+    /// Lets the request use the replica of the last failed attempt again after its pause, if it only
+    /// refused the request. Otherwise, one refusal by each replica would end the request.
+    pub(crate) fn allow_refusing_replica(&self, attempts: &mut Attempts, selection: &Selection) {
+        let (gateway, upstream) = (&self.gateway, &selection.upstream);
+        let has_pause = gateway.is_replica_refusing(upstream) || gateway.is_paused(upstream);
+        if self.has_replica_limits() && has_pause {
+            attempts.avoided.pop();
+        }
+    }
+
     /// Records that a replica answered a request that was sent at `started`, or was given up.
     pub(crate) fn record_replica_answer(&self, selection: &Selection, started: Timestamp) {
         let gateway = &self.gateway;
