Keep the end of the pause after refusals by itself

A replica that had refused a call counted as refusing for as long as it was avoided for anything, such as the report of another node or a bad answer. The health table now keeps the end of the pause after refusals, and gives it out in place of a yes or no. The new test saw a refusing upstream after that end before.

--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -150,7 +150,7 @@
         if health.failing_for(name, incarnation, now).is_some() {
             return Some("it has failed");
         }
-        if health.is_refusing(name, incarnation, now) {
+        if health.refusing_until(name, incarnation, now).is_some() {
             return Some("it has refused requests");
         }
         Some("it is avoided after a bad answer")
--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -93,9 +93,14 @@
     /// Whether a replica is avoided for its refusals alone. It has no capacity then, so that trying
     /// it would only use up the retry budget.
     pub(crate) fn is_replica_refusing(&self, upstream: &Upstream) -> bool {
-        let (name, incarnation) = (&upstream.name, upstream.incarnation);
-        let health = self.health.borrow();
-        self.settings.overload.is_some() && health.is_refusing(name, incarnation, self.clock.now())
+        self.refusing_until(upstream).is_some()
+    }
+
+    /// When the pause after refusals of a replica ends; `None` if it is not avoided for them alone.
+    fn refusing_until(&self, upstream: &Upstream) -> Option<Timestamp> {
+        self.settings.overload.as_ref()?;
+        let (name, now) = (&upstream.name, self.clock.now());
+        self.health.borrow().refusing_until(name, upstream.incarnation, now)
     }
 
     /// Requests of this node that may be in flight at a replica.
--- a/crates/pipelines/src/health.rs
+++ b/crates/pipelines/src/health.rs
@@ -52,6 +52,8 @@
     last_event: Timestamp,
     /// Time until which the upstream is avoided.
     until: Timestamp,
+    /// End of the pause after the last refusals.
+    refused_until: Timestamp,
     /// End of the pause that the failures and refusals seen by this node have set. Other nodes are
     /// told of the upstream until then.
     own_until: Timestamp,
@@ -67,6 +69,7 @@
             created: now,
             last_event: now,
             until: now,
+            refused_until: now,
             own_until: now,
         }
     }
@@ -148,6 +151,7 @@
         let pause = (pause * 2_u32.pow(record.refusals.min(8) - 1)).min(MAX_REFUSAL_PAUSE);
         record.last_event = now;
         record.until = record.until.max(now + pause);
+        record.refused_until = record.refused_until.max(now + pause);
         record.own_until = record.own_until.max(now + pause);
         pause
     }
@@ -217,12 +221,18 @@
             .is_some_and(|record| record.incarnation == incarnation && now < record.until)
     }
 
-    /// Whether `incarnation` of an upstream is avoided now only because it has refused calls.
-    pub fn is_refusing(&self, name: &str, incarnation: u64, now: Timestamp) -> bool {
-        self.records.get(name).is_some_and(|record| {
-            let only_refused = record.refusals > 0 && record.failures == 0;
-            record.incarnation == incarnation && only_refused && now < record.until
-        })
+    /// End of the pause after refusals of `incarnation` of an upstream, if that is in the future and
+    /// the upstream has not failed. What [`avoid`](Self::avoid) has set does not lengthen it.
+    pub fn refusing_until(
+        &self,
+        name: &str,
+        incarnation: u64,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let record = self.records.get(name)?;
+        let is_refusing =
+            record.incarnation == incarnation && record.failures == 0 && now < record.refused_until;
+        is_refusing.then_some(record.refused_until)
     }
 
     /// How long `incarnation` of an upstream has been failing: the time since its record was
--- a/crates/pipelines/tests/decisions.rs
+++ b/crates/pipelines/tests/decisions.rs
@@ -328,6 +328,21 @@
     assert!(health.record_refusal(&name, 1, at(now), first) <= Duration::from_secs(2));
 }
 
+/// Guards against an upstream that counts as refusing calls for as long as it is avoided for something
+/// else, such as the report of another node.
+#[test]
+fn a_pause_for_another_reason_does_not_lengthen_refusals() {
+    let mut health = HealthTable::default();
+    let at = |millis| Timestamp::from_origin(Duration::from_millis(millis));
+    let name = "one".into();
+    health.record_refusal(&name, 1, at(0), Duration::from_millis(100));
+    health.avoid(&name, 1, at(50), Duration::from_millis(500));
+    assert_eq!(health.refusing_until("one", 1, at(60)), Some(at(100)));
+    assert_eq!(health.refusing_until("one", 1, at(100)), None);
+    assert!(health.is_avoided("one", 1, at(100)));
+    assert_eq!(health.refusing_until("one", 2, at(60)), None, "a restarted one has not refused");
+}
+
 /// Guards against the load of a dead node that keeps memory reserved for ever.
 #[test]
 fn the_load_of_a_silent_node_expires() {
