Keep the limit of a replica after a misdirected request

A refusal with status 421 shows that an entry is out of date, and not that the replica is full, so it no longer reduces the limit of its requests. The pause after it stays. The new test saw a reduction before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -212,10 +212,11 @@
         if gateway.is_paused(upstream) {
             return;
         }
-        if selection.stages.is_empty() {
+        let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
+        // A misdirected call shows an entry that is out of date, and no lack of capacity.
+        if selection.stages.is_empty() && !is_misdirected {
             self.record_replica_refusal(upstream);
         }
-        let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST.as_u16();
         let pause = if is_misdirected { AVOID_AFTER_MISDIRECTED } else { AVOID_AFTER_OVERLOAD };
         let now = gateway.clock.now();
         let applied_pause =
--- a/crates/gateway/tests/gateway/replicas.rs
+++ b/crates/gateway/tests/gateway/replicas.rs
@@ -132,6 +132,16 @@
     assert_eq!(called[2], called[1]);
 }
 
+/// Guards against a limit that falls although the replica had capacity: it refused a call that was not
+/// meant for it.
+#[compio::test]
+async fn a_misdirected_request_does_not_reduce_the_limit() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.push_steps([Step::Refuse(421), Step::Answer(200, "done")]);
+    fixture.send("/any/x").await.expect("the other replica answers");
+    assert!(!fixture.metrics_text().contains("limit_reductions_total{cause=\"refusal\"} 1"));
+}
+
 /// Guards against a place that stays taken after its caller has disconnected.
 #[compio::test]
 async fn a_caller_that_disconnects_frees_its_place() {
