Keep time-outs and server errors out of the usual time of answers

A time-out before the first answer set the usual time of a replica, and fast server errors lowered it, after which normal answers counted as slow. Both new tests failed before.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -97,7 +97,7 @@
         let response = self.send_call(attempts, selection).await.map_err(|error| {
             self.avoid_after_error(selection, &error);
             if matches!(error, CallError::Timeout) {
-                self.record_replica_answer(selection, started);
+                self.record_replica_timeout(selection, started);
             }
             let verdict = error.verdict();
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
@@ -127,7 +127,10 @@
             let verdict = Verdict::MayHaveRun;
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
         })?;
-        self.record_replica_answer(selection, started);
+        // A failure of the replica's own is often fast, and says nothing about the time of answers.
+        if status < FIRST_SERVER_ERROR {
+            self.record_replica_answer(selection, started);
+        }
         Ok(BufferedResponse { status, headers, body })
     }
 
--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -52,7 +52,24 @@
         }
     }
 
-    /// Records that a replica answered a request that was sent at `started`, or was given up.
+    /// Records that a replica has not answered a request that was sent at `started` and is given up.
+    pub(crate) fn record_replica_timeout(&self, selection: &Selection, started: Timestamp) {
+        let gateway = &self.gateway;
+        if !self.has_replica_limits() {
+            return;
+        }
+        let now = gateway.clock.now();
+        let upstream = &selection.upstream;
+        let taken = now.since(started);
+        let mut limits = gateway.replica_limits.borrow_mut();
+        let was_reduced = limits.record_timeout(replica(upstream), taken, now);
+        drop(limits);
+        if was_reduced {
+            gateway.report_reduced_limit(upstream, "slow");
+        }
+    }
+
+    /// Records that a replica answered a request that was sent at `started`.
     pub(crate) fn record_replica_answer(&self, selection: &Selection, started: Timestamp) {
         let gateway = &self.gateway;
         if !self.has_replica_limits() {
--- a/crates/gateway/tests/gateway/replicas.rs
+++ b/crates/gateway/tests/gateway/replicas.rs
@@ -142,6 +142,22 @@
     assert!(!fixture.metrics_text().contains("limit_reductions_total{cause=\"refusal\"} 1"));
 }
 
+/// Guards against server errors that lower the usual time of answers: the replica then counts as slow
+/// as soon as it answers as usual, and its limit falls.
+#[compio::test]
+async fn fast_server_errors_do_not_make_later_answers_slow() {
+    let fixture = Fixture::ready_for_overload().await;
+    for _ in 0..8 {
+        fixture.push_steps([Step::Answer(500, "failed")]);
+        fixture.send("/once/x").await.expect("the error is passed on");
+    }
+    for _ in 0..8 {
+        fixture.occupy(1, Duration::from_millis(100)).await;
+        compio::time::sleep(SEND_TIME).await;
+    }
+    assert!(!fixture.metrics_text().contains("limit_reductions_total{cause=\"slow\"}"));
+}
+
 /// Guards against a place that stays taken after its caller has disconnected.
 #[compio::test]
 async fn a_caller_that_disconnects_frees_its_place() {
--- a/crates/pipelines/src/replica_limit.rs
+++ b/crates/pipelines/src/replica_limit.rs
@@ -119,9 +119,8 @@
         Some(Duration::from_secs_f64(times.usual))
     }
 
-    /// Records that a replica answered after `taken`, or had not answered when it was given up
-    /// after `taken`. `in_flight` is the number of this node's requests at it, including this one.
-    /// Returns whether its limit was reduced.
+    /// Records that a replica answered after `taken`. `in_flight` is the number of this node's
+    /// requests at it, including this one. Returns whether its limit was reduced.
     pub fn record_answer(
         &mut self,
         replica: Replica<'_>,
@@ -143,6 +142,25 @@
         false
     }
 
+    /// Records that a replica had not answered when it was given up after `taken`. Before the first
+    /// answer, that says nothing about what an answer usually takes. Returns whether its limit was
+    /// reduced.
+    pub fn record_timeout(
+        &mut self,
+        replica: Replica<'_>,
+        taken: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let record = self.record_mut(replica, now);
+        let Some(times) = &mut record.times else { return false };
+        times.add(taken.as_secs_f64().max(times.recent));
+        if !times.is_slow() {
+            return false;
+        }
+        let reaction = Duration::from_secs_f64(times.recent);
+        record.reduce(SLOW_FACTOR, reaction, now)
+    }
+
     /// Records that a replica refused a request for lack of capacity. Returns whether its limit was
     /// reduced.
     pub fn record_refusal(&mut self, replica: Replica<'_>, now: Timestamp) -> bool {
--- a/crates/pipelines/tests/replicas.rs
+++ b/crates/pipelines/tests/replicas.rs
@@ -114,6 +114,22 @@
     assert_eq!(limits.limit(replica(&"r0".into())), SLOTS, "the oldest record is gone");
 }
 
+/// Guards against a time-out before the first answer that sets the usual time: all waits would be
+/// estimated from it, and no answer would count as slow.
+#[test]
+fn a_timeout_does_not_set_the_usual_time() {
+    let name: UpstreamName = "r1".into();
+    let mut limits = ReplicaLimits::default();
+    limits.record_timeout(replica(&name), WORK * 50, at(0));
+    assert_eq!(limits.usual_time(replica(&name)), None);
+    limits.record_answer(replica(&name), 1, WORK, at(100));
+    assert_eq!(limits.usual_time(replica(&name)), Some(WORK));
+    for number in 0..4 {
+        limits.record_timeout(replica(&name), WORK * 50, at(5_000 * (number + 1)));
+    }
+    assert!(limits.limit(replica(&name)) < SLOTS, "time-outs count as slow answers");
+}
+
 proptest! {
     /// Guards against a limit of zero, which would block a replica for good, and one above its slots,
     /// which its queue may not bear.
