--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Gateway,
+    attempt::Attempts,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection},
 };
@@ -41,7 +42,34 @@
         self.gateway.settings.overload.is_some() && self.model_profile().is_none()
     }
 
-    /// Records that a replica answered a request that was sent at `started`, or was given up.
+    /// Lets the request use the replica of the last failed attempt again after its pause, if it only
+    /// refused the request. Otherwise, one refusal by each replica would end the request.
+    pub(crate) fn allow_refusing_replica(&self, attempts: &mut Attempts, selection: &Selection) {
+        let (gateway, upstream) = (&self.gateway, &selection.upstream);
+        let has_pause = gateway.is_replica_refusing(upstream) || gateway.is_paused(upstream);
+        if self.has_replica_limits() && has_pause {
+            attempts.avoided.pop();
+        }
+    }
+
+    /// Records that a replica has not answered a request that was sent at `started` and is given up.
+    pub(crate) fn record_replica_timeout(&self, selection: &Selection, started: Timestamp) {
+        let gateway = &self.gateway;
+        if !self.has_replica_limits() {
+            return;
+        }
+        let now = gateway.clock.now();
+        let upstream = &selection.upstream;
+        let taken = now.since(started);
+        let mut limits = gateway.replica_limits.borrow_mut();
+        let was_reduced = limits.record_timeout(replica(upstream), taken, now);
+        drop(limits);
+        if was_reduced {
+            gateway.report_reduced_limit(upstream, "slow");
+        }
+    }
+
+    /// Records that a replica answered a request that was sent at `started`.
     pub(crate) fn record_replica_answer(&self, selection: &Selection, started: Timestamp) {
         let gateway = &self.gateway;
         if !self.has_replica_limits() {
@@ -82,9 +110,14 @@
     /// Whether a replica is avoided for its refusals alone. It has no capacity then, so that trying
     /// it would only use up the retry budget.
     pub(crate) fn is_replica_refusing(&self, upstream: &Upstream) -> bool {
-        let (name, incarnation) = (&upstream.name, upstream.incarnation);
-        let health = self.health.borrow();
-        self.settings.overload.is_some() && health.is_refusing(name, incarnation, self.clock.now())
+        self.refusing_until(upstream).is_some()
+    }
+
+    /// When the pause after refusals of a replica ends; `None` if it is not avoided for them alone.
+    fn refusing_until(&self, upstream: &Upstream) -> Option<Timestamp> {
+        self.settings.overload.as_ref()?;
+        let (name, now) = (&upstream.name, self.clock.now());
+        self.health.borrow().refusing_until(name, upstream.incarnation, now)
     }
 
     /// Requests of this node that may be in flight at a replica.
