--- a/crates/transport/src/eviction.rs
+++ b/crates/transport/src/eviction.rs
@@ -29,8 +29,8 @@
 
 /// The connection to close when one more would exceed the limit: one that has been silent for a
 /// while and has carried no request, else another idle one, else one whose refusal was written or
-/// whose head is incomplete, else one that is stalled. Among these it is one of the address with the
-/// most connections, and the one that has waited longest. Returns `None` if all are in use.
+/// whose head is incomplete, else one that is stalled. Among these it is one of the address with
+/// the most connections, and the one that has waited longest. Returns `None` if all are in use.
 pub(crate) fn choose_connection(candidates: &[Candidate]) -> Option<ConnectionId> {
     let rank = |candidate: &Candidate| match candidate.phase {
         Phase::Idle if candidate.is_stalled && !candidate.has_carried => Some(0),
