Refuse requests that end before the pauses of all replicas

While all replicas refused requests, a request waited even if its deadline was before the end of the first pause. That end is now the least expected wait, so that the queue refuses such a request at once. A replica that asked for a pause is not counted as refusing, so that nothing is assumed about it here. The new test got the refusal at the deadline before.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -65,7 +65,7 @@
         }
         let started = gateway.clock.now();
         let waiting = self.waiting(query, end);
-        let wait = self.expected_wait(&wait_queue, &waiting).unwrap_or_default();
+        let wait = self.expected_wait(&wait_queue, &waiting, query).unwrap_or_default();
         let outcome = match wait_queue.enqueue(waiting, wait) {
             Ok(entry) => {
                 let _waiting = self.count_waiting();
@@ -113,14 +113,21 @@
         }
     }
 
-    /// How long the request is expected to wait behind those that are admitted before it. A resumed
-    /// one can no longer be refused as not run, so it waits whatever is expected. `None` without an
-    /// observation: no request is refused for the estimate then.
+    /// How long the request is expected to wait: behind those that are admitted before it, and at
+    /// least until a replica that refuses requests may be tried. `None` if nothing is known.
     pub(crate) fn expected_wait(
         &self,
         wait_queue: &WaitQueue,
         waiting: &Waiting,
+        query: SelectionQuery<'_>,
     ) -> Option<Duration> {
+        self.expected_queue_wait(wait_queue, waiting).max(self.refusal_wait(query))
+    }
+
+    /// How long the request is expected to wait behind those that are admitted before it. A resumed
+    /// one can no longer be refused as not run, so it waits whatever is expected. `None` without an
+    /// observation: no request is refused for the estimate then.
+    fn expected_queue_wait(&self, wait_queue: &WaitQueue, waiting: &Waiting) -> Option<Duration> {
         let is_plain = self.gateway.settings.overload.is_none();
         if waiting.resumed || is_plain || !self.gateway.flow(&self.service).has_observed() {
             return None;
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -209,7 +209,7 @@
             }
         }
         let waiting = self.waiting(query, end);
-        let wait = self.expected_wait(&wait_queue, &waiting);
+        let wait = self.expected_wait(&wait_queue, &waiting, query);
         let now = gateway.clock.now();
         let enqueued = wait_queue.order().preview(&waiting, wait.unwrap_or_default(), now);
         match enqueued {
--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use catalog::Upstream;
+use catalog::{Phase, Upstream};
 use clock::Timestamp;
 use pipelines::Replica;
 use types::ServiceName;
@@ -13,7 +13,7 @@
     Gateway,
     attempt::Attempts,
     lifecycle::ActiveRequest,
-    selection::{NoSelection, Selection},
+    selection::{NoSelection, Selection, SelectionQuery},
 };
 
 impl ActiveRequest {
@@ -38,6 +38,24 @@
             "no replica is free before the deadline");
     }
 
+    /// Time until the first of the replicas may be tried, if all of them refuse requests. A resumed
+    /// request is not refused for it.
+    pub(crate) fn refusal_wait(&self, query: SelectionQuery<'_>) -> Option<Duration> {
+        if query.is_resumed || !self.has_replica_limits() {
+            return None;
+        }
+        let gateway = &self.gateway;
+        let catalog = gateway.catalog.borrow();
+        let replicas = catalog.upstreams().filter(|upstream| {
+            upstream.service == self.service
+                && upstream.phase == Phase::Serving
+                && !query.avoid.contains(&upstream.name)
+        });
+        let ends: Option<Vec<Timestamp>> =
+            replicas.map(|upstream| gateway.refusing_until(upstream)).collect();
+        Some(ends?.into_iter().min()?.since(gateway.clock.now()))
+    }
+
     pub(crate) fn has_replica_limits(&self) -> bool {
         self.gateway.settings.overload.is_some() && self.model_profile().is_none()
     }
--- a/crates/gateway/tests/gateway/replicas.rs
+++ b/crates/gateway/tests/gateway/replicas.rs
@@ -158,6 +158,22 @@
     assert!(!fixture.metrics_text().contains("limit_reductions_total{cause=\"slow\"}"));
 }
 
+/// Guards against a request that waits for the end of a pause after refusals although its deadline is
+/// earlier. The pause after a misdirected request is 400 ms.
+#[compio::test]
+async fn a_request_that_ends_before_the_pauses_of_all_replicas_is_refused_at_once() {
+    let fixture = Fixture::ready_for_overload().await;
+    fixture.push_steps([Step::Refuse(421), Step::Refuse(421), Step::Answer(200, "done")]);
+    let refused = compio::runtime::spawn(fixture.gateway.clone().route(request("/any/x")));
+    compio::time::sleep(SEND_TIME).await;
+    let mut hurried = request("/any/x");
+    hurried.deadline = Some(Duration::from_millis(150));
+    let failure = fixture.gateway.clone().route(hurried).await.err().expect("it is refused");
+    assert!(failure.failure.message.contains("cannot be served in time"), "{failure:?}");
+    assert!(fixture.metrics_text().contains("gypsumrack_replica_refusals_total 1"));
+    assert!(refused.await.expect("it does not panic").is_ok());
+}
+
 /// Guards against a place that stays taken after its caller has disconnected.
 #[compio::test]
 async fn a_caller_that_disconnects_frees_its_place() {
