Choose the ports of the soak's nodes on addresses of their own

A port that is free when it is chosen on 127.0.0.1 may be taken by an outgoing connection before the node binds it, or while it is restarted.

--- a/xtask/src/soak/node.rs
+++ b/xtask/src/soak/node.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     fs::{File, OpenOptions},
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
@@ -28,7 +28,7 @@
     /// Starts a node that uses the key-value service at `store`. Its settings and its log are kept
     /// in `directory`.
     pub(super) fn start(number: usize, store: SocketAddr, directory: &Path) -> EdgeNode {
-        let [callers, health, peers] = free_addrs();
+        let [callers, health, peers] = free_addrs(number);
         let settings = directory.join(format!("node-{number}.toml"));
         let text = format!(
             "name = \"node-{number}\"\ndomain = \"{}\"\ncallers = \"{callers}\"\n\
@@ -101,9 +101,16 @@
         .expect("the node process can be started")
 }
 
-/// Loopback addresses whose ports were free when they were chosen.
-fn free_addrs() -> [SocketAddr; 3] {
+/// Second byte of the loopback address of the first node.
+const FIRST_GROUP: usize = 160;
+
+/// Addresses whose ports are free, on a loopback address of the node's own. On 127.0.0.1, an outgoing
+/// connection of another process may take a port before the node binds it, or while it restarts.
+fn free_addrs(number: usize) -> [SocketAddr; 3] {
+    let group = (FIRST_GROUP + number % 64) as u8;
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, group, high, low);
     let listeners: [TcpListener; 3] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
+        std::array::from_fn(|_| TcpListener::bind((ip, 0)).expect("a port is free"));
     listeners.map(|listener| listener.local_addr().expect("address is known"))
 }
