Log by which configuration a request was rejected, and when the retry budget is used up

A report of CONFIG could not be traced: the line of a rejected request did not say which version had decided it, for how long that was in force, whether another node had announced a newer one, or since when the key-value service was lost. Its reason was in a second field named message, which replaced the text of the line in JSON; it is called reason now.

A node whose part of the retry budget is used up says so once in a window, with the number of nodes that it divides by and with what it has used. The code around that budget moves to a module of its own. A request is counted when its body has arrived, no longer at the time at which its head did, so that the counter's times only grow.

No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -111,9 +111,7 @@
     /// Whether the request may be retried after an attempt with this verdict, and the budget has a
     /// retry left.
     pub(crate) fn has_retry_left(&self, verdict: Verdict) -> bool {
-        let gateway = &self.gateway;
-        let (now, nodes) = (gateway.clock.now(), gateway.node_count());
-        self.is_retry_allowed(verdict) && gateway.retry_budget(&self.service).has_left(now, nodes)
+        self.is_retry_allowed(verdict) && self.gateway.has_retry_left(&self.service)
     }
 
     /// Whether the request may be retried after an attempt with this verdict, as far as the budget
@@ -131,8 +129,7 @@
         if !self.is_retry_allowed(verdict) {
             return false;
         }
-        let now = gateway.clock.now();
-        let granted = gateway.retry_budget(&self.service).take(now, gateway.node_count());
+        let granted = gateway.take_retry(&self.service);
         let label = if verdict == Verdict::NotRun { "not-run" } else { "rerun" };
         let label = if granted { label } else { "over-budget" };
         gateway.metrics.resends.with_label_values(&[label]).inc();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod refused_parts;
 mod replica_choice;
 mod replica_limits;
+mod retry_budget;
 mod run;
 mod runs;
 mod selection;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -118,6 +118,18 @@
     }
 }
 
+/// How up to date the configuration of a node is, for the log line of a rejected request.
+struct Freshness {
+    /// Version in force; `None` before the first one.
+    version: Option<u64>,
+    /// Time since it came into force.
+    age_ms: Option<u64>,
+    /// A newer version that another node has announced.
+    announced: Option<u64>,
+    /// Time since the key-value service was lost; `None` if it can be reached.
+    store_lost_ms: Option<u64>,
+}
+
 impl Gateway {
     /// Whether a request of `route` that arrives now can be answered before the process exits. The
     /// balancer may send connections to a stopping node until it exits, if other nodes are stopping
@@ -160,6 +172,21 @@
         Ok((table, route))
     }
 
+    /// How up to date the configuration of this node is.
+    fn freshness(&self) -> Freshness {
+        let now = self.clock.now();
+        let age_ms =
+            |since: Option<Timestamp>| since.map(|since| now.since(since).as_millis() as u64);
+        let version = self.catalog.borrow().table().map(|table| table.version());
+        let announced = self.announced_version.get();
+        Freshness {
+            version,
+            age_ms: age_ms(self.table_since.get()),
+            announced: (announced > version.unwrap_or_default()).then_some(announced),
+            store_lost_ms: age_ms(self.store_lost_at.get()),
+        }
+    }
+
     async fn serve_request(
         self: Rc<Self>,
         request: RoutedRequest,
@@ -168,8 +195,11 @@
             Ok(active) => active,
             Err((id, failure)) => {
                 self.metrics.requests.with_label_values(&["", "rejected"]).inc();
+                let Freshness { version, age_ms, announced, store_lost_ms } = self.freshness();
                 tracing::info!(request = %id, verdict = %failure.failure.verdict,
-                    status = failure.status, message = failure.failure.message, "request rejected");
+                    status = failure.status, reason = failure.failure.message, version,
+                    version_age_ms = age_ms, announced_version = announced, store_lost_ms,
+                    "request rejected");
                 return Err(failure);
             }
         };
@@ -238,7 +268,7 @@
         if let Some(refusal) = self.check_parts(&parts) {
             return Err(reject(self.poison_failure(&refusal)));
         }
-        self.retry_budget(&service).count_request(arrived);
+        self.count_request(&service);
         let tokens = request
             .generation
             .map_or(0, |generation| self.reserved_tokens(&table, &service, generation));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,9 +1,8 @@
 use std::{
-    cell::{Cell, RefCell, RefMut},
+    cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::{Rc, Weak},
-    time::Duration,
 };
 
 use admission::Flow;
@@ -202,17 +201,6 @@
             .map(|upstream| upstream.name.clone())
     }
 
-    /// The limit on retries to a service.
-    pub(crate) fn retry_budget(&self, service: &ServiceName) -> RefMut<'_, SharedRetryBudget> {
-        RefMut::map(self.retry_budgets.borrow_mut(), |retry_budgets| {
-            retry_budgets.entry(service.clone()).or_insert_with(|| {
-                let settings = &self.settings;
-                let window = Duration::from_secs_f64(settings.retry_window_s);
-                SharedRetryBudget::new(window, settings.retry_ratio, settings.retry_extra)
-            })
-        })
-    }
-
     /// Number of nodes, including this one.
     pub(crate) fn node_count(&self) -> usize {
         self.members.borrow().len() + 1
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -20,3 +20,15 @@
     assert!(refusal.is_err());
     assert!(text.contains("no upstream can serve the request"), "{text}");
 }
+
+/// Guards against a refusal of which nobody can tell by which configuration it was decided: a report of
+/// a request that was refused as an older version says could not be traced.
+#[compio::test]
+async fn the_log_line_of_a_rejected_request_names_the_version_that_it_was_decided_by() {
+    let fixture = Fixture::ready().await;
+    assert!(fixture.send("/unknown/x").await.is_err());
+    let capture = LogCapture::start();
+    assert!(fixture.send("/unknown/x").await.is_err());
+    let text = capture.text();
+    assert!(text.contains("version=1 version_age_ms="), "{text}");
+}
--- a/crates/gateway/tests/gateway/support/log.rs
+++ b/crates/gateway/tests/gateway/support/log.rs
@@ -37,7 +37,8 @@
 impl LogCapture {
     pub fn start() -> LogCapture {
         INSTALL.call_once(|| {
-            let subscriber = tracing_subscriber::fmt().with_writer(|| ThreadWriter).finish();
+            let subscriber =
+                tracing_subscriber::fmt().with_ansi(false).with_writer(|| ThreadWriter).finish();
             tracing::subscriber::set_global_default(subscriber)
                 .expect("no other test installs a subscriber");
         });
--- a/crates/pipelines/src/budget.rs
+++ b/crates/pipelines/src/budget.rs
@@ -1,15 +1,29 @@
 use std::time::Duration;
 
 use clock::Timestamp;
-use retries::{RetryCounter, RetryRule};
+use retries::{RetryCounter, RetryCounts, RetryRule};
 
 /// One node's part of a retry budget that several nodes share. It limits retries to a share of the
 /// requests.
 #[derive(Debug)]
 pub struct SharedRetryBudget {
     counter: RetryCounter,
+    window: Duration,
     ratio: f64,
     extra: f64,
+    /// When it was last reported that no retry is left.
+    reported_at: Option<Timestamp>,
+}
+
+/// What one node has used of its part of a budget within the window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUse {
+    /// Its requests.
+    pub requests: u64,
+    /// Its retries.
+    pub retries: u64,
+    /// Largest number of retries for these requests.
+    pub allowed: f64,
 }
 
 /// Share of the budget that the nodes use. The rest keeps them within the budget although they
@@ -34,7 +48,8 @@
     /// their requests, and `extra` requests more.
     pub fn new(window: Duration, ratio: f64, extra: f64) -> SharedRetryBudget {
         // Each node makes few requests in a window, so that they can be counted one by one.
-        SharedRetryBudget { counter: RetryCounter::new(window, Duration::ZERO), ratio, extra }
+        let counter = RetryCounter::new(window, Duration::ZERO);
+        SharedRetryBudget { counter, window, ratio, extra, reported_at: None }
     }
 
     /// Counts a request.
@@ -56,6 +71,18 @@
         self.counter.has_left(now, &part)
     }
 
+    /// What this node has used, to report that no retry is left. `None` if that was reported within
+    /// the window.
+    pub fn report_shortage(&mut self, now: Timestamp, nodes: usize) -> Option<BudgetUse> {
+        if self.reported_at.is_some_and(|at| now.since(at) < self.window) {
+            return None;
+        }
+        self.reported_at = Some(now);
+        let RetryCounts { requests, retries } = self.counter.counts(now);
+        let allowed = self.node_part(nodes).allowed(requests);
+        Some(BudgetUse { requests, retries, allowed })
+    }
+
     fn node_part(&self, nodes: usize) -> NodePart {
         NodePart { ratio: self.ratio, extra: self.extra / nodes.max(1) as f64 }
     }
--- a/crates/pipelines/src/lib.rs
+++ b/crates/pipelines/src/lib.rs
@@ -34,7 +34,7 @@
 mod unread;
 
 pub use beacon_plan::{BEACON_INTERVAL, BeaconPlan, OtherNodes, demand_interval, demand_lifetime};
-pub use budget::SharedRetryBudget;
+pub use budget::{BudgetUse, SharedRetryBudget};
 pub use crossing::CrossingGaps;
 pub use demand::{Demand, DemandKey, DemandTable, MAX_REPORTED_ORGANISATIONS, ServiceDemand};
 pub use fair_share::fair_level;
--- a/crates/retries/src/lib.rs
+++ b/crates/retries/src/lib.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// Requests and retries in a window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryCounts {
+    /// Number of requests.
+    pub requests: u64,
+    /// Number of retries.
+    pub retries: u64,
+}
+
 /// Counters of one part of the window.
 #[derive(Debug)]
 struct Slice {
@@ -81,10 +90,19 @@
         let is_due = rule
             .free_interval()
             .is_some_and(|interval| self.last_retry.is_none_or(|last| now.since(last) >= interval));
-        // A slice that began before the window counts with its retries only.
+        is_due || self.retries as f64 + 1.0 <= rule.allowed(self.current_requests(now))
+    }
+
+    /// Requests and retries that count now.
+    pub fn counts(&mut self, now: Timestamp) -> RetryCounts {
+        self.expire(now);
+        RetryCounts { requests: self.current_requests(now), retries: self.retries }
+    }
+
+    /// Requests in the window. A slice that began before it counts with its retries only.
+    fn current_requests(&self, now: Timestamp) -> u64 {
         let old = self.slices.iter().take_while(|slice| now.since(slice.start) >= self.window);
-        let requests = self.requests - old.map(|slice| slice.requests).sum::<u64>();
-        is_due || self.retries as f64 + 1.0 <= rule.allowed(requests)
+        self.requests - old.map(|slice| slice.requests).sum::<u64>()
     }
 
     /// Time until the counts of the oldest slice have left the window.
