Divide what the fleet shares by the nodes that may use a part of it

Cause: retry_extra was divided by the nodes that have an entry in the key-value service now. Entries have a lease, so they can lapse together while the service is away, or be missing while nodes start. All nodes see that at the same time, and each takes the whole budget for its part. The class of the fault is a bound that holds only while all nodes agree on a number which each of them reads for itself.

Change: a node whose entry is gone, or that was heard from without having one, counts for a lease time or the window of the budget, whichever is longer. The nodes are in a table of their own (members.rs). It is also compared with each list of all entries now, as that of the upstreams is: a node whose removal fell into lost history stayed a member for good.

The same cause elsewhere: the part of the engines' capacity that a node uses while it does not hear the others was divided by the same number.

--- a/crates/gateway/src/beacons.rs
+++ b/crates/gateway/src/beacons.rs
@@ -109,6 +109,7 @@
         let now = self.clock.now();
         let reserved = decoded_loads(beacon.loads);
         let node = beacon.node.clone();
+        self.record_contact(&node);
         self.observe_table_version(beacon.table_version);
         self.load.borrow_mut().set_peer(beacon.node, reserved, now);
         for (name, incarnation, percent) in beacon.slow {
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -105,10 +105,10 @@
     /// start and while the node is cut off; 1 if there are no other nodes.
     pub fn coverage(&self) -> f64 {
         let (members, load) = (self.members.borrow(), self.load.borrow());
-        if members.is_empty() {
+        if members.len() == 0 {
             return 1.0;
         }
-        let heard = members.keys().filter(|name| load.knows_peer(name)).count();
+        let heard = members.iter().filter(|(name, _)| load.knows_peer(name)).count();
         heard as f64 / members.len() as f64
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod flow;
 mod leaving;
 mod lifecycle;
+mod members;
 mod metrics;
 mod node;
 mod observed_store;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     rc::{Rc, Weak},
 };
@@ -15,13 +15,13 @@
 };
 use settings::EdgeSettings;
 use transport::{CallError, StopSignal};
-use types::{LayerRange, NodeName, ServiceName, UpstreamName};
+use types::{LayerRange, ServiceName, UpstreamName};
 use upstreams::Connector;
 
 use crashes::CrashTable;
 
 use crate::{
-    metrics::Metrics, observer::GatewayObserver, peering::Member, pressure::Pressure,
+    members::MemberTable, metrics::Metrics, observer::GatewayObserver, pressure::Pressure,
     runs::RunTable, stream_probe::ProbeTimes, updates::Outbox, wait_queue::WaitQueue,
     wakeup::Wakeup,
 };
@@ -91,8 +91,8 @@
     pub(crate) crashes: RefCell<CrashTable>,
     /// The attempts that take part in a crash if an engine of theirs ends now.
     pub(crate) runs: RunTable,
-    /// The other nodes that are registered in the key-value service.
-    pub(crate) members: RefCell<BTreeMap<NodeName, Member>>,
+    /// The other nodes.
+    pub(crate) members: RefCell<MemberTable>,
     pub(crate) metrics: Metrics,
     /// Since when the key-value service cannot be reached; `None` if it can.
     pub(crate) store_lost_at: Cell<Option<Timestamp>>,
@@ -202,9 +202,4 @@
             .find(|upstream| upstream.addr == addr)
             .map(|upstream| upstream.name.clone())
     }
-
-    /// Number of nodes, including this one.
-    pub(crate) fn node_count(&self) -> usize {
-        self.members.borrow().len() + 1
-    }
 }
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -187,7 +187,7 @@
         let own = load.own().filter(|(name, _)| is_candidate(name));
         let in_use: f64 = own.map(|(_, load)| load.token_layers).sum();
         let added = f64::from(profile.layers) * f64::from(self.tokens);
-        let part = own_part(capacity, max_fill, gateway.node_count());
+        let part = own_part(capacity, max_fill, gateway.sharing_nodes());
         (in_use > 0.0).then(|| (in_use + added) / part)
     }
 
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -2,21 +2,22 @@
 //! datagrams about requests in flight, failing and slow upstreams, loaded layers, crashes and
 //! changes in the key-value service.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use clock::supervise;
 use compio::runtime::spawn;
 use futures_util::future::join4;
 use keyvalue::{KvError, api::Expected};
 use peers::{Datagram, DatagramSocket};
-use types::Domain;
 
-use crate::{Gateway, beacons::send_beacons, demand::send_demand, updates::send_updates};
+use crate::{
+    Gateway, beacons::send_beacons, demand::send_demand, members::Member, updates::send_updates,
+};
 
 /// Prefix of the keys under which nodes register, followed by the node's name.
 pub(crate) const NODE_PREFIX: &str = "gypsumrack/nodes/";
 /// Time after which a node's entry expires unless its lease is renewed.
-const LEASE_TTL: Duration = Duration::from_secs(30);
+pub(crate) const LEASE_TTL: Duration = Duration::from_secs(30);
 /// Time between two renewals in a small fleet. A renewal counts as a tenth of a call. One that is
 /// not answered reveals an outage of the key-value service, which a pending watch does not.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1000);
@@ -27,55 +28,7 @@
 /// Largest number of nodes of a small fleet.
 const SMALL_FLEET: f64 = 20.0;
 
-/// Another node, as described by its entry in the key-value service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Member {
-    /// Address at which it receives datagrams.
-    pub(crate) addr: SocketAddr,
-    /// Failure domain.
-    pub(crate) domain: Domain,
-}
-
-impl Member {
-    /// Decodes the value of an entry: address and failure domain, separated by a space.
-    fn decode(value: &[u8]) -> Option<Member> {
-        let (addr, domain) = std::str::from_utf8(value).ok()?.split_once(' ')?;
-        Some(Member { addr: addr.parse().ok()?, domain: domain.into() })
-    }
-
-    /// Encodes the value that [`Member::decode`] reads.
-    fn encode(&self) -> String {
-        format!("{} {}", self.addr, self.domain)
-    }
-}
-
 impl Gateway {
-    /// Applies a change of another node's entry.
-    pub(crate) fn apply_member(&self, name: &str, value: Option<&[u8]>) {
-        if name == self.settings.name.as_str() {
-            return;
-        }
-        let member = value.and_then(Member::decode);
-        if member.is_none() && value.is_some() {
-            tracing::warn!(node = name, "entry of a node is not usable");
-        }
-        let mut members = self.members.borrow_mut();
-        match member {
-            Some(member) => {
-                let Member { addr, domain } = &member;
-                if members.get(name) != Some(&member) {
-                    tracing::info!(node = name, %addr, %domain, "node has joined");
-                }
-                members.insert(name.into(), member);
-            }
-            None => {
-                if members.remove(name).is_some() {
-                    tracing::info!(node = name, "node has left");
-                }
-            }
-        }
-    }
-
     /// Factor on the intervals of periodic work in a large fleet. It grows with the square root of
     /// the number of nodes, so that the datagrams of one node and the calls of all nodes to the
     /// key-value service grow more slowly than the fleet.
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -10,14 +10,14 @@
 impl Gateway {
     /// Whether this node's part of the retry budget of a service has a retry left.
     pub(crate) fn has_retry_left(&self, service: &ServiceName) -> bool {
-        let (now, nodes) = (self.clock.now(), self.node_count());
+        let (now, nodes) = (self.clock.now(), self.sharing_nodes());
         self.retry_budget(service).has_left(now, nodes)
     }
 
     /// Takes a retry from this node's part of the retry budget of a service. Returns whether there
     /// was one left.
     pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
-        let (now, nodes) = (self.clock.now(), self.node_count());
+        let (now, nodes) = (self.clock.now(), self.sharing_nodes());
         let mut budget = self.retry_budget(service);
         if budget.take(now, nodes) {
             return true;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,7 +8,7 @@
 use compio::runtime::spawn;
 use futures_util::future::{Either, select};
 use keyvalue::{Changes, Item, KvError};
-use types::{ServiceName, UpstreamName};
+use types::{NodeName, ServiceName, UpstreamName};
 
 use crate::{
     Gateway, caller_limits::check_table, peering::NODE_PREFIX, planner::PLANNER_KEY,
@@ -22,7 +22,7 @@
 /// Shortest outage in which the entries of upstreams that still run may lapse.
 const MIN_OUTAGE: Duration = Duration::from_millis(1000);
 /// Time after an outage within which upstreams that still run write lapsed entries again.
-const LAPSE_GRACE: Duration = Duration::from_millis(2000);
+pub(crate) const LAPSE_GRACE: Duration = Duration::from_millis(2000);
 
 /// Keeps the catalog of this node up to date with the key-value service.
 pub async fn watch_store(gateway: Rc<Gateway>) {
@@ -60,10 +60,13 @@
     let (items, at) = gateway.store.list_items("").await?;
     let prefix = gateway.codec.upstream_prefix();
     let mut names: Vec<UpstreamName> = Vec::new();
+    let mut nodes: Vec<NodeName> = Vec::new();
     let mut has_planner = false;
     for item in items {
         if let Some(name) = item.key.strip_prefix(prefix) {
             names.push(name.into());
+        } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
+            nodes.push(name.into());
         }
         has_planner |= item.key == PLANNER_KEY;
         apply_item(gateway, &item);
@@ -73,6 +76,7 @@
     let lost_at = gateway.store_lost_at.get();
     let was_outage =
         lost_at.is_some_and(|lost_at| gateway.clock.now().since(lost_at) >= MIN_OUTAGE);
+    gateway.apply_member_list(&nodes, at, was_outage);
     if was_outage && !missing.is_empty() {
         tracing::info!(
             revision = at,
@@ -155,7 +159,7 @@
     if item.key == codec.table_key() {
         apply_table(gateway, item);
     } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
-        gateway.apply_member(name, item.value.as_deref());
+        gateway.apply_member(name, item.value.as_deref(), item.revision);
     } else if let Some(rest) = item.key.strip_prefix(REFUSED_PREFIX) {
         gateway.apply_refused_part(rest, item.value.as_deref());
     } else if item.key == PLANNER_KEY {
--- a/crates/gateway/tests/gateway/retry_budget.rs
+++ b/crates/gateway/tests/gateway/retry_budget.rs
@@ -26,6 +26,34 @@
     sent.len().saturating_sub(REQUESTS)
 }
 
+/// The entries of all other nodes lapse together while the key-value service is away. Each node then
+/// took the whole budget for its part.
+#[compio::test]
+async fn a_node_that_sees_the_entries_of_all_others_lapse_keeps_to_its_part() {
+    let budget = "retry_extra = 40\nretry_window_s = 10\nfirst_start = true";
+    let fixture = Fixture::ready_with_retry_budget(budget, 39).await;
+    for number in 0..39 {
+        fixture.write_node(number, None);
+    }
+    run_for(APPLY_TIME).await;
+    let retries = count_retries(&fixture).await;
+    assert!(retries <= RATIO_RETRIES + 1, "{retries} retries");
+}
+
+/// The same if the entries are missing from a list, after the history of the service was lost.
+#[compio::test]
+async fn a_node_that_misses_the_others_in_a_new_list_keeps_to_its_part() {
+    let budget = "retry_extra = 40\nretry_window_s = 10\nfirst_start = true";
+    let fixture = Fixture::ready_with_retry_budget(budget, 39).await;
+    let is_node = |key: &String| key.starts_with("gypsumrack/nodes/other");
+    fixture.store.items.borrow_mut().retain(|key, _| !is_node(key));
+    fixture.store.history_gone.set(true);
+    fixture.store.write("unknown", Some("1"));
+    run_for(APPLY_TIME).await;
+    let retries = count_retries(&fixture).await;
+    assert!(retries <= RATIO_RETRIES + 1, "{retries} retries");
+}
+
 /// A node that restarts does not know what its predecessor used of the part in the same window.
 #[compio::test]
 async fn a_restarted_node_does_not_use_the_part_of_its_predecessor_again() {
