Report when a stream that a crash cut off had started

Cause: a request is refused after two crashes, unless another one explains them as well: one that ran on the same engines and had not run there for longer. A stream whose engine crashed was reported as started at the moment at which it broke, some 20 ms before the crash was noticed. Streams that were cut off twice therefore looked like the likelier cause, and the request that crashed the engines was sent up to four times. The class is evidence that is recorded with the time of its discovery.

Change: the report holds the time at which the attempt was sent.

The test got an age of 20 ms for a stream that had run for 150 ms.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -133,6 +133,7 @@
             upstream: selection.upstream.clone(),
             client: selection.client.clone(),
             parts: self.parts.clone(),
+            started: selection.selected,
             checked,
         };
         compio::runtime::spawn(check.run()).detach();
@@ -145,6 +146,9 @@
     upstream: Arc<Upstream>,
     client: Rc<dyn upstreams::UpstreamClient>,
     parts: RequestParts,
+    /// When the attempt started. A stream that had run for long when its engine crashed is no reason to
+    /// excuse the request that crashed it.
+    started: Timestamp,
     /// Raised when the request need not wait any longer, also if the check is given up.
     checked: StopSignal,
 }
@@ -167,14 +171,14 @@
             }
         };
         if let Err(error) = result {
-            self.record(&error, broken_at);
+            self.record(&error);
             self.gateway.wait_for_decision().await;
         }
         clock.sleep((broken_at + CRASH_CHECK_TIME).since(clock.now())).await;
     }
 
-    fn record(&self, error: &CallError, broken_at: Timestamp) {
-        let CrashCheck { gateway, upstream, parts, .. } = self;
+    fn record(&self, error: &CallError) {
+        let CrashCheck { gateway, upstream, parts, started, .. } = self;
         gateway.mark_failed(&upstream.name, FailureEvidence::of_error(error), &error.to_string());
         // An upstream that does not answer may only be out of reach.
         if !matches!(error, CallError::Refused) {
@@ -184,7 +188,7 @@
         // Counted for the request itself also if its answer had begun.
         let parts = RequestParts { shared: Arc::default(), ..parts.clone() };
         let process = (upstream.name.clone(), upstream.incarnation);
-        gateway.record_crash(process, vec![Suspect::silent(&parts, broken_at)]);
+        gateway.record_crash(process, vec![Suspect::silent(&parts, *started)]);
     }
 }
 
--- a/crates/gateway/tests/gateway/datagrams.rs
+++ b/crates/gateway/tests/gateway/datagrams.rs
@@ -255,3 +255,26 @@
     }
     assert_eq!(arrived, suspects);
 }
+
+/// Guards against a stream that was cut off by a crash and counts as started when it broke: it then
+/// seemed the likelier cause and excused the request that had crashed the engine, which crashed two
+/// more.
+#[compio::test]
+async fn a_note_about_a_crash_says_when_a_stream_that_it_cut_off_had_started() {
+    const RUN_TIME: Duration = Duration::from_millis(150);
+    let (fixture, peer, _) = fixture_with_peer().await;
+    let crash = Step::EventsThenCrash { numbers: vec![0], pause: RUN_TIME };
+    fixture.push_steps([crash, Step::Events(vec![1])]);
+    let response = fixture.send("/drafts/x").await.expect("the stream begins");
+    assert!(body(response).await.is_some(), "the stream is resumed");
+    let mut ages = Vec::new();
+    while ages.is_empty() {
+        let Datagram::Crashes(notes) = next_update(&peer).await else { continue };
+        for note in notes {
+            let CrashNote::Crash { suspects, .. } = note else { continue };
+            ages.extend(suspects.iter().filter(|one| !one.has_begun).map(|one| one.age_ms));
+        }
+    }
+    let run_ms = RUN_TIME.as_millis() as u32;
+    assert!(ages.iter().all(|age| *age >= run_ms), "{ages:?}");
+}
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -52,6 +52,8 @@
     EventsThenCut(Vec<u64>),
     /// A stream of events with these numbers, which breaks after a pause.
     EventsThenLateBreak { numbers: Vec<u64>, pause: Duration },
+    /// A stream of events with these numbers. After a pause its process stops, and the stream breaks.
+    EventsThenCrash { numbers: Vec<u64>, pause: Duration },
     /// A stream of events with these numbers, which then stays silent.
     EventsThenSilence(Vec<u64>),
     /// A stream of events with these numbers, a pause, and then further events up to its end.
@@ -270,6 +272,15 @@
                     parts.extend([BodyPart::Pause(pause), BodyPart::Break]);
                     Ok(stream(parts))
                 }
+                Step::EventsThenCrash { numbers, pause } => {
+                    let mut parts = events(&numbers);
+                    let stopped = self.upstreams.stopped.clone();
+                    parts.extend([
+                        BodyPart::Pause(pause),
+                        BodyPart::Crash(self.name.clone(), stopped),
+                    ]);
+                    Ok(stream(parts))
+                }
                 Step::EventsThenSilence(numbers) => {
                     let mut parts = events(&numbers);
                     parts.push(BodyPart::Silence);
