--- a/crates/gateway/src/beacons.rs
+++ b/crates/gateway/src/beacons.rs
@@ -41,7 +41,7 @@
             .map(|(name, incarnation)| (name.clone(), incarnation));
         Beacon {
             node: self.settings.name.clone(),
-            table_version: self.catalog.borrow().table().map_or(0, |table| table.version()),
+            table_version: self.table_version(),
             loads,
             failing: failing.collect(),
             slow: self.slow_engines(),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -178,11 +178,11 @@
         let age_ms =
             |since: Option<Timestamp>| since.map(|since| now.since(since).as_millis() as u64);
         let version = self.catalog.borrow().table().map(|table| table.version());
-        let announced = self.announced_version.get();
+        let announced = self.lacks_announced_table().then(|| self.announced_version.get());
         Freshness {
             version,
             age_ms: age_ms(self.table_since.get()),
-            announced: (announced > version.unwrap_or_default()).then_some(announced),
+            announced,
             store_lost_ms: age_ms(self.store_lost_at.get()),
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -103,7 +103,7 @@
     /// watch may be as silent, so the watch is opened anew.
     pub(crate) store_silent: Rc<Wakeup>,
     /// Raised when the changes in the key-value service are to be read without waiting for the next
-    /// interval.
+    /// interval, since another node has announced a newer routing table.
     pub(crate) reread: Wakeup,
     /// Newest version of the routing table that another node has announced.
     pub(crate) announced_version: Cell<u64>,
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -170,13 +170,23 @@
     /// Triggers an immediate read of the changes if another node has a newer routing table, which
     /// is too large for a datagram.
     pub(crate) fn observe_table_version(&self, version: u64) {
-        let known = self.catalog.borrow().table().map_or(0, |table| table.version());
-        // Each announced version triggers only one read, also if that read did not find it.
-        if version > known.max(self.announced_version.get()) {
+        // Each announced version triggers only one read. While a watch is pending, `watch` checks
+        // that it shows the version.
+        if version > self.table_version().max(self.announced_version.get()) {
             self.announced_version.set(version);
             self.reread.raise();
         }
     }
+
+    /// Whether another node has announced a newer routing table than the one in force here.
+    pub(crate) fn lacks_announced_table(&self) -> bool {
+        self.announced_version.get() > self.table_version()
+    }
+
+    /// Version of the routing table in force; 0 if there is none.
+    pub(crate) fn table_version(&self) -> u64 {
+        self.catalog.borrow().table().map_or(0, |table| table.version())
+    }
 }
 
 /// Sends this node's updates to the other nodes.
