Put crashes down to a refused part only while its requests may still run

Cause: a refused part explained every crash during which one of its requests was running, whenever that was, and an explained crash is no evidence for anything else. A crash takes down a hundred requests, so a sound part, or a single sound request, is refused by chance now and then. Its streams were running on most engines, and so it hid the crashes that followed. The class is one observation that settles a question for good.

Change: a refused part explains crashes up to one second after its refusal; no request with it is sent later. A refused single request explains none for the search for parts. When a part is found to be the cause, the refusals of parts whose crashes it explains as well end.

The new test fails before the change.

--- a/crates/crashes/src/refusal.rs
+++ b/crates/crashes/src/refusal.rs
@@ -9,6 +9,10 @@
 /// Time for which a refusal is kept after a request with the part last arrived.
 pub(crate) const REFUSAL_LIFETIME: Duration = Duration::from_secs(600);
 
+/// Time after the refusal of a part within which a crash is put down to requests with the part that had
+/// been sent before.
+const EXPLAINED_TIME: Duration = Duration::from_secs(1);
+
 /// From where a node knows that a part is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -79,15 +83,34 @@
         shared.map(|(part, (_, crashes))| (part, crashes)).collect()
     }
 
-    /// Whether a part is refused for an organisation.
-    pub(crate) fn is_refused(&self, part: Digest, organisation: Digest) -> bool {
+    /// Whether the refusal of a part explains a crash during a request of an organisation. A crash long
+    /// after the refusal had another cause, or the refusal is wrong: no request with the part has been
+    /// sent since.
+    pub(crate) fn explains(
+        &self,
+        part: Digest,
+        organisation: Digest,
+        crashed_at: Timestamp,
+    ) -> bool {
         let scopes = [Some(organisation), None];
         scopes.into_iter().any(|organisation| {
             let refused = RefusedPart { part, organisation };
-            self.states.get(&refused).is_some_and(|state| !state.is_withdrawn())
+            self.states.get(&refused).is_some_and(|state| {
+                !state.is_withdrawn() && crashed_at <= state.since + EXPLAINED_TIME
+            })
         })
     }
 
+    /// Ends a refusal. Returns whether it was in force.
+    pub(crate) fn withdraw_one(&mut self, refused: &RefusedPart) -> bool {
+        let state = self.states.get_mut(refused).filter(|state| !state.is_withdrawn());
+        let is_refused = state.is_some();
+        if let Some(state) = state {
+            state.revision += 1;
+        }
+        is_refused
+    }
+
     /// The refusal that applies to a request, which is kept alive by this.
     pub(crate) fn check(
         &mut self,
--- a/crates/crashes/src/requests.rs
+++ b/crates/crashes/src/requests.rs
@@ -54,7 +54,7 @@
         }
         let mut runs: HashMap<Digest, CrashedRuns> = HashMap::new();
         for (process, event) in &self.events {
-            if now.since(event.at) >= EVENT_LIFETIME || self.has_refused_part(event) {
+            if now.since(event.at) >= EVENT_LIFETIME || self.is_explained(event) {
                 continue;
             }
             for suspect in event.silent.iter() {
@@ -86,7 +86,7 @@
                 event.contains(fingerprint)
                     && !event.is_answered(fingerprint)
                     && now.since(event.at) < EVENT_LIFETIME
-                    && !self.has_refused_part(event)
+                    && !self.is_explained(event)
             })
             .filter_map(|event| {
                 let runs = [event.silent.get(fingerprint), event.begun.get(fingerprint)];
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -204,7 +204,7 @@
             events.retain(|event| {
                 let is_explained =
                     explained.iter().any(|(cause, evidence)| cause.explains(event, *evidence));
-                !is_explained && !self.has_refused_part(event)
+                !is_explained && !self.is_explained_by_part(event)
             });
             events.sort_by_key(|event| event.at);
             let found = [Evidence::Silent, Evidence::All].into_iter().find_map(|evidence| {
@@ -216,6 +216,7 @@
             let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
             let refused = RefusedPart { part, organisation: Some(cause.organisation) };
             notes.extend(self.refuse(refused, crashes, now));
+            notes.extend(self.withdraw_explained(cause, evidence));
         }
         for (part, crashes) in self.refusals.shared_parts() {
             notes.extend(self.refuse(RefusedPart { part, organisation: None }, crashes, now));
@@ -223,6 +224,35 @@
         notes
     }
 
+    /// Ends the refusals of other parts whose crashes a cause explains too. They were refused since their
+    /// requests ran on the same engines. Returns the notes on them.
+    fn withdraw_explained(&mut self, cause: Cause, evidence: Evidence) -> Vec<CrashNote> {
+        let is_explained = |refused: &RefusedPart| {
+            let Some(organisation) = refused.organisation else { return false };
+            let other = Cause { organisation, part: refused.part };
+            let mut crashes = self
+                .events
+                .values()
+                .filter(|event| {
+                    other.explains(event, Evidence::All)
+                        && self.refusals.explains(other.part, organisation, event.at)
+                })
+                .peekable();
+            other != cause
+                && crashes.peek().is_some()
+                && crashes.all(|event| cause.explains(event, evidence))
+        };
+        let others: Vec<RefusedPart> = self.refusals.iter().map(|(refused, _)| *refused).collect();
+        let wrong: Vec<RefusedPart> = others.into_iter().filter(is_explained).collect();
+        wrong
+            .into_iter()
+            .filter(|refused| self.refusals.withdraw_one(refused))
+            .collect::<Vec<_>>()
+            .iter()
+            .filter_map(|refused| self.refusal_note(refused))
+            .collect()
+    }
+
     /// Refuses a part. Returns the note on it if it was not refused before.
     pub(crate) fn refuse(
         &mut self,
@@ -334,10 +364,20 @@
         has_new
     }
 
-    pub(crate) fn has_refused_part(&self, event: &CrashEvent) -> bool {
+    /// Whether a refused part, or a refused request, explains a crash.
+    pub(crate) fn is_explained(&self, event: &CrashEvent) -> bool {
+        self.is_explained_by_part(event)
+            || event.suspects(Evidence::All).any(|suspect| {
+                self.refusals.explains(suspect.fingerprint, suspect.organisation, event.at)
+            })
+    }
+
+    /// Whether a refused part explains a crash. A single request that is refused explains none of those
+    /// that show a part: it may have been running by chance.
+    fn is_explained_by_part(&self, event: &CrashEvent) -> bool {
         event.suspects(Evidence::All).any(|suspect| {
-            let mut parts = suspect.parts().chain([suspect.fingerprint]);
-            parts.any(|part| self.refusals.is_refused(part, suspect.organisation))
+            let mut parts = suspect.parts();
+            parts.any(|part| self.refusals.explains(part, suspect.organisation, event.at))
         })
     }
 
--- a/crates/crashes/tests/parts.rs
+++ b/crates/crashes/tests/parts.rs
@@ -227,6 +227,34 @@
     assert!(!history.is_refused(ACME, &[PREAMBLE, CRASHING]));
 }
 
+/// Guards against a sound part that is refused by chance and then hides the cause: each later crash was
+/// put down to it as long as one of its requests was still running, and engines went on crashing.
+#[test]
+fn a_sound_part_that_is_refused_does_not_hide_the_part_that_crashes_engines() {
+    let mut history = History::default();
+    for number in 0..3 {
+        let crashing = request(ACME, &[PREAMBLE, CRASHING], 0);
+        history.crash(&[crashing, request(OTHER, &[SOUND], 10 + number)]);
+    }
+    assert!(history.is_refused(OTHER, &[SOUND]), "it explains the crashes better than one request");
+    let refused_at = at_ms(history.now_ms);
+    history.now_ms += 1500;
+    for number in 1..4 {
+        let (started, progress) = (at_ms(history.now_ms), at_ms(history.now_ms + 300));
+        let crashing = request(ACME, &[PREAMBLE, CRASHING], number);
+        let running = request(OTHER, &[SOUND], 20);
+        let suspects = vec![
+            Suspect::silent(&crashing, started),
+            Suspect::begun(&running, refused_at, progress),
+        ];
+        history.now_ms += 400;
+        history.crash_of(suspects);
+        history.now_ms += 100;
+    }
+    assert!(history.is_refused(ACME, &[PREAMBLE, CRASHING]));
+    assert!(!history.is_refused(OTHER, &[SOUND]), "the cause explains its crashes as well");
+}
+
 /// What happens on a site: crashes with the requests that the engine was running, and answers.
 #[derive(Clone, Debug)]
 enum Step {
