Keep to the rate of requests that an upstream names

Cause: no node read the header. A node alone could not have kept to it either, since the rate is that of all nodes together.

Change: the adapter passes the rate on from every answer of the upstream. The decision is pipelines::RateLimitTable: each node sends its part in some intervals of a second, by its rank among the nodes, and loses what it does not use. An upstream without room is no entry of a path and no replica for new requests. Nodes tell each other the rates that they hear.

Tried in tests without a network and left: a random draw for each interval, which exceeded the allowed number in the property test (47 nodes at 7.7 a second, 40 nodes at 0.7 with a random phase). With ranks the bound holds for every schedule: 5.5 s of 0.9 of the rate in a window of 4 s.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -102,6 +102,7 @@
             let verdict = error.verdict();
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
         })?;
+        self.observe_rate(selection, &response);
         let (status, signed) = (response.status, response.signed);
         if response.not_run {
             self.avoid_after_refusal(selection, &response);
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -71,6 +71,7 @@
             crossing_gaps: RefCell::default(),
             health: RefCell::new(HealthTable::default()),
             pauses: RefCell::new(PauseTable::default()),
+            rate_limits: RefCell::default(),
             retry_budgets: RefCell::default(),
             wait_queues: RefCell::default(),
             flows: RefCell::default(),
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -317,6 +317,9 @@
             if is_candidate(upstream) {
                 return None;
             }
+            if !gateway.has_rate_left(upstream) {
+                return Some("this node's part of the rate that it takes is used up");
+            }
             let is_full = gateway.is_replica_full(upstream);
             is_full.then_some("this node's limit on requests at it is reached")
         });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod peering;
 mod planner;
 mod pressure;
+mod rate_limits;
 mod refused_parts;
 mod replica_choice;
 mod replica_limits;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -60,6 +60,11 @@
         self.registered.len()
     }
 
+    /// Number of nodes with an entry whose names come before `name`.
+    pub(crate) fn rank(&self, name: &NodeName) -> usize {
+        self.registered.range(..name.clone()).count()
+    }
+
     /// Applies an entry. Returns whether it is new or has changed.
     fn insert(&mut self, name: NodeName, member: Member, revision: u64) -> bool {
         self.unregistered.remove(&name);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub(crate) leaving_marks: IntCounterVec,
     /// Refusals by which upstreams asked for a pause.
     pub(crate) pauses: IntCounter,
+    /// Limits on the rate of requests that upstreams have named, by who said so.
+    pub(crate) rate_limits: IntCounterVec,
     /// Notices of upstreams that were not valid and had no effect, by notice.
     pub(crate) invalid_notices: IntCounterVec,
     /// Orders sent to engines, by outcome.
@@ -116,6 +118,11 @@
                 "Refusals by which upstreams asked for a pause",
             )
             .expect("counter is valid"),
+            rate_limits: counter_vec(
+                "gypsumrack_rate_limits_total",
+                "Limits on the rate of requests that upstreams have named or changed",
+                &["source"],
+            ),
             invalid_notices: counter_vec(
                 "gypsumrack_invalid_notices_total",
                 "Headers by which upstreams announce something and that were not valid",
@@ -210,6 +217,7 @@
             Box::new(self.refused_parts.clone()),
             Box::new(self.leaving_marks.clone()),
             Box::new(self.pauses.clone()),
+            Box::new(self.rate_limits.clone()),
             Box::new(self.invalid_notices.clone()),
             Box::new(self.orders.clone()),
             Box::new(self.paths.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,7 +10,7 @@
 use clock::{Clock, Timestamp};
 use keyvalue::RevisionStore;
 use pipelines::{
-    CrossingGaps, DemandTable, HealthTable, LoadTable, PauseTable, ReplicaLimits,
+    CrossingGaps, DemandTable, HealthTable, LoadTable, PauseTable, RateLimitTable, ReplicaLimits,
     SharedRetryBudget, UnreadTable,
 };
 use settings::EdgeSettings;
@@ -79,6 +79,8 @@
     pub(crate) crossing_gaps: RefCell<CrossingGaps>,
     pub(crate) health: RefCell<HealthTable>,
     pub(crate) pauses: RefCell<PauseTable>,
+    /// Requests a second that upstreams take from all nodes together.
+    pub(crate) rate_limits: RefCell<RateLimitTable>,
     /// Limits on retries, by service.
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     /// The requests that wait for capacity, by service.
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    fn limits_rate(&self, rate: f64) {
+        let Some(gateway) = self.gateway.upgrade() else { return };
+        gateway.record_own_rate(&self.name, self.incarnation, rate);
+    }
+
     fn sent_invalid_notice(&self, notice: Notice) {
         let Some(gateway) = self.gateway.upgrade() else { return };
         let notice: &str = notice.into();
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -119,6 +119,7 @@
                     unread: waiting,
                     read_factor: read_factor * slowdown,
                     can_be_entry: reserved.entered < upstream.capacity
+                        && gateway.has_rate_left(upstream)
                         && (query.allowed_entries.is_empty()
                             || query.allowed_entries.contains(&upstream.name)),
                 });
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -70,6 +70,11 @@
                 self.apply_demand(report.clone());
                 return Some(Datagram::Demand(report));
             }
+            Datagram::RateLimits(rates) => self.apply_rates(&rates),
+            Datagram::RelayRateLimits(rates) => {
+                self.apply_rates(&rates);
+                return Some(Datagram::RateLimits(rates));
+            }
             Datagram::RelayStoreChanges(changes) => {
                 let new = self.apply_store_changes(changes);
                 return (!new.is_empty()).then_some(Datagram::StoreChanges(new));
--- a/crates/gateway/src/replica_choice.rs
+++ b/crates/gateway/src/replica_choice.rs
@@ -25,6 +25,7 @@
                 && !avoid.contains(&upstream.name)
                 && gateway.is_usable(upstream)
                 && !gateway.is_replica_full(upstream)
+                && gateway.has_rate_left(upstream)
         })
     }
 
@@ -81,7 +82,7 @@
         };
         let free: Vec<Arc<Upstream>> = candidates
             .iter()
-            .filter(|upstream| !self.is_replica_full(upstream))
+            .filter(|upstream| !self.is_replica_full(upstream) && self.has_rate_left(upstream))
             .map(|upstream| Arc::clone(upstream))
             .collect();
         if free.is_empty() && !replicas.is_empty() {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -109,6 +109,7 @@
     ) -> Selection {
         let gateway = self.gateway.clone();
         gateway.load.borrow_mut().add(&loads);
+        gateway.rate_limits.borrow_mut().count_request(&upstream.name);
         let client = gateway.client(&upstream);
         let selected = gateway.clock.now();
         let run = self.start_run(&upstream, &stages);
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -149,6 +149,7 @@
                     continue;
                 }
             };
+            self.observe_rate(&selection, &response);
             if response.not_run {
                 self.avoid_after_refusal(&selection, &response);
                 let cause = format!("refused with status {}", response.status);
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -8,7 +8,7 @@
 use crashes::{CrashNote, RefusedPart};
 use futures_util::future::{join, join3};
 use keyvalue::Item;
-use peers::{Datagram, DatagramSocket, StoreChange};
+use peers::{Datagram, DatagramSocket, NamedRate, StoreChange};
 use rand::Rng;
 use types::UpstreamName;
 
@@ -29,6 +29,9 @@
 /// Most leaving upstreams in one datagram, which fit with the longest names.
 const MAX_LEAVING_PER_DATAGRAM: usize = 16;
 
+/// Most rates of upstreams in one datagram, which fit with the longest names.
+const MAX_RATES_PER_DATAGRAM: usize = 16;
+
 /// Longest delay before changes are sent, for each node of the domain. If all of them have read the
 /// changes at once, the first one is on average this much ahead of the second, which is enough for
 /// its datagrams to arrive.
@@ -55,6 +58,8 @@
     refused_parts: UpdateQueue<RefusedPart>,
     /// Upstreams that have said to this node that they are leaving, each with its incarnation.
     leaving: UpdateQueue<(UpstreamName, u64)>,
+    /// Rates that upstreams have named to this node.
+    rates: UpdateQueue<NamedRate>,
 }
 
 /// Updates of one kind that wait to be sent.
@@ -121,6 +126,16 @@
         self.leaving.updates.borrow_mut().retain(|upstream| !announced.contains(upstream));
     }
 
+    /// Adds a rate that an upstream has named.
+    pub(crate) fn push_rate(&self, rate: NamedRate) {
+        self.rates.push(rate);
+    }
+
+    /// Drops rates that another node has told.
+    pub(crate) fn drop_rates(&self, told: &[NamedRate]) {
+        self.rates.updates.borrow_mut().retain(|rate| !told.contains(rate));
+    }
+
     /// Drops changes that another node has sent.
     fn drop_sent(&self, sent: &[StoreChange]) {
         self.changes.updates.borrow_mut().retain(|change| {
@@ -192,7 +207,8 @@
 /// Sends this node's updates to the other nodes.
 pub(crate) async fn send_updates(gateway: Rc<Gateway>, socket: Rc<DatagramSocket>) {
     let crashes = join(send_crash_notes(&gateway, &socket), repeat_crash_notes(&gateway, &socket));
-    let changes = join(send_changes(&gateway, &socket), send_leaving(&gateway, &socket));
+    let notices = join(send_leaving(&gateway, &socket), send_rates(&gateway, &socket));
+    let changes = join(send_changes(&gateway, &socket), notices);
     join3(send_failures(&gateway, &socket), changes, crashes).await;
 }
 
@@ -278,6 +294,23 @@
     }
 }
 
+/// Tells the rates that upstreams have named after a random delay, unless another node has told them
+/// meanwhile.
+async fn send_rates(gateway: &Rc<Gateway>, socket: &DatagramSocket) {
+    loop {
+        gateway.outbox.rates.wait().await;
+        spread_senders(gateway).await;
+        let mut unsent = 0;
+        for part in gateway.outbox.rates.take().chunks(MAX_RATES_PER_DATAGRAM) {
+            let datagram = Datagram::RateLimits(part.to_vec());
+            unsent += gateway.all_nodes(UPDATE_RELAYS).send(socket, datagram).await;
+        }
+        if unsent > 0 {
+            tracing::debug!(unsent, "rates of upstreams could not be told");
+        }
+    }
+}
+
 /// Waits for a random time, so that one of the nodes that have learned something at the same time
 /// is ahead of the others.
 async fn spread_senders(gateway: &Gateway) {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod path_targets;
 mod pauses;
 mod planner;
+mod rate_limits;
 mod replicas;
 mod retry_budget;
 mod silence;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -117,6 +117,7 @@
             events_before_crash: Rc::default(),
             crashes_last: Rc::default(),
             leaving: Rc::default(),
+            rates: Rc::default(),
             pausing: Rc::default(),
             reports: Rc::default(),
             probes: Rc::default(),
--- a/crates/gateway/tests/gateway/support/scripted_upstreams.rs
+++ b/crates/gateway/tests/gateway/support/scripted_upstreams.rs
@@ -99,6 +99,8 @@
     pub silent_reports: Rc<Cell<bool>>,
     /// Upstreams that say in all their answers that they are leaving.
     pub leaving: Rc<RefCell<Vec<String>>>,
+    /// Upstreams that say in all their answers how many requests a second they take.
+    pub rates: Rc<RefCell<BTreeMap<String, f64>>>,
     /// Upstreams that refuse all calls and requests for reports and ask for a pause.
     pub pausing: Rc<RefCell<BTreeMap<String, PauseRequest>>>,
     /// Engines whose report was requested.
@@ -124,6 +126,9 @@
         if self.upstreams.leaving.borrow().contains(&self.name) {
             self.observer.is_leaving();
         }
+        if let Some(rate) = self.upstreams.rates.borrow().get(&self.name) {
+            self.observer.limits_rate(*rate);
+        }
     }
 
     /// Whether the upstream refuses requests now, which asks for a pause.
@@ -156,6 +161,7 @@
             events_before_crash: self.events_before_crash.clone(),
             crashes_last: self.crashes_last.clone(),
             leaving: self.leaving.clone(),
+            rates: self.rates.clone(),
             pausing: self.pausing.clone(),
             reports: self.reports.clone(),
             probes: self.probes.clone(),
@@ -199,6 +205,7 @@
                 headers: HeaderMap::new(),
                 signed,
                 not_run,
+                names_no_rate: !self.upstreams.rates.borrow().contains_key(&self.name),
                 refusing_engine: None,
                 body: Box::new(ScriptedBody {
                     parts: parts.into(),
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -59,6 +59,17 @@
     pub token_layers: u64,
 }
 
+/// The requests a second that an upstream takes from all nodes together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NamedRate {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Requests a second.
+    pub rate: f64,
+}
+
 /// A change in the key-value service that the sender has just read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreChange {
@@ -113,6 +124,11 @@
     /// A report of [`Demand`](Datagram::Demand) that the receiver passes on to the nodes of its
     /// failure domain.
     RelayDemand(DemandReport),
+    /// Rates that upstreams have named to the sender.
+    RateLimits(Vec<NamedRate>),
+    /// [`RateLimits`](Datagram::RateLimits) that the receiver passes on to the nodes of its failure
+    /// domain.
+    RelayRateLimits(Vec<NamedRate>),
 }
 
 impl Datagram {
@@ -125,6 +141,7 @@
             Datagram::Leaving(upstreams) => Datagram::RelayLeaving(upstreams),
             Datagram::LoadPart(part) => Datagram::RelayLoadPart(part),
             Datagram::Demand(report) => Datagram::RelayDemand(report),
+            Datagram::RateLimits(rates) => Datagram::RelayRateLimits(rates),
             other => other,
         }
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use datagram::{
     Beacon, BeaconLoad, Datagram, DatagramSocket, MAX_BEACON_ENTRIES, MAX_DATAGRAM_BYTES,
-    StoreChange,
+    NamedRate, StoreChange,
 };
 pub use demand_report::{DemandReport, RequestCount, ServiceReport};
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -53,6 +53,8 @@
     pub signed: bool,
     /// Whether the upstream states that it did not run the call.
     pub not_run: bool,
+    /// Whether it comes from the upstream that was called, and does not limit the rate of requests.
+    pub names_no_rate: bool,
     /// Address of the engine that refused, if a call that several engines run was refused.
     pub refusing_engine: Option<SocketAddr>,
     /// The body.
@@ -135,6 +137,9 @@
     /// the answer names the engine that refused, `refusing_engine` is its address.
     fn wants_pause(&self, length: Duration, refusing_engine: Option<SocketAddr>);
 
+    /// The upstream has said how many requests a second it takes from all nodes together.
+    fn limits_rate(&self, rate: f64);
+
     /// The upstream has sent a notice that is not valid, and that has no effect.
     fn sent_invalid_notice(&self, notice: Notice);
 }
@@ -147,6 +152,8 @@
     Leaving,
     /// It asks for a pause.
     Pause,
+    /// It limits the rate of requests.
+    RateLimit,
 }
 
 /// Creates clients of upstreams.
