--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -11,6 +11,7 @@
 //! neither on their order nor on repetitions.
 //! This crate must not know how requests are served or how notes are sent between nodes.
 
+mod decision;
 mod event;
 mod note;
 mod part_cause;
--- a/crates/gateway/tests/gateway/datagrams.rs
+++ b/crates/gateway/tests/gateway/datagrams.rs
@@ -1,34 +1,16 @@
 //! Updates that nodes send one another: changes in the key-value service, new versions of the
 //! routing table, and failed upstreams.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use crashes::{CrashNote, PlacedPart, SuspectNote};
-use peers::{Beacon, Datagram, DatagramSocket, StoreChange};
+use peers::{Datagram, DatagramSocket, StoreChange};
 use types::Digest;
 
-use crate::support::{Fixture, Step, body, event};
+use crate::support::{Fixture, Step, bind, body, event, fixture_with_peer, idle_beacon};
 
 /// Time within which a datagram arrives and is applied.
 const DATAGRAM_TIME: Duration = Duration::from_millis(60);
-const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
-
-async fn bind() -> DatagramSocket {
-    DatagramSocket::bind(SocketAddr::from(LOOPBACK)).await.expect("a port is free")
-}
-
-/// A gateway that exchanges datagrams with the returned socket, and the address of the gateway's
-/// own socket.
-async fn fixture_with_peer() -> (Fixture, DatagramSocket, SocketAddr) {
-    let (own, peer) = (bind().await, bind().await);
-    let addr = own.local_addr().expect("the socket is bound");
-    let fixture = Fixture::ready().await;
-    let peer_addr = peer.local_addr().expect("the socket is bound");
-    fixture.store.write("gypsumrack/nodes/peer", Some(&format!("{peer_addr} b")));
-    compio::runtime::spawn(gateway::exchange_datagrams(fixture.gateway.clone(), own)).detach();
-    compio::time::sleep(Duration::from_millis(750)).await;
-    (fixture, peer, addr)
-}
 
 /// The next datagram that is not a beacon.
 async fn next_update(peer: &DatagramSocket) -> Datagram {
@@ -168,15 +150,7 @@
     fixture.store.write("upstreams/r1", Some("registry 10.0.0.1:80 a up -"));
     compio::time::sleep(DATAGRAM_TIME).await;
     fixture.store.write("table", Some("2"));
-    let beacon = Beacon {
-        node: "peer".into(),
-        table_version: 2,
-        loads: Vec::new(),
-        failing: Vec::new(),
-        slow: Vec::new(),
-        loaded: Vec::new(),
-    };
-    peer.send(&Datagram::Beacon(beacon), &[addr]).await;
+    peer.send(&Datagram::Beacon(idle_beacon(2)), &[addr]).await;
     compio::time::sleep(DATAGRAM_TIME).await;
     let metrics = String::from_utf8(callers::Router::metrics(&*fixture.gateway).to_vec());
     let metrics = metrics.expect("metrics are text");
--- a/crates/gateway/tests/gateway/fleet_load.rs
+++ b/crates/gateway/tests/gateway/fleet_load.rs
@@ -7,9 +7,8 @@
     RequestCount, ServiceReport,
 };
 
-use crate::support::{Fixture, Step, request};
+use crate::support::{Fixture, Step, bind, request};
 
-const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 /// Time for a few rounds of beacons in a small fleet.
 const ROUNDS_TIME: Duration = Duration::from_millis(900);
 
@@ -24,10 +23,6 @@
 /// Time after which a request has reached its deadline.
 const REQUEST_TIME: Duration = Duration::from_millis(1600);
 
-async fn bind() -> DatagramSocket {
-    DatagramSocket::bind(SocketAddr::from(LOOPBACK)).await.expect("a port is free")
-}
-
 /// Registers a node of `domain` that only receives.
 async fn register_peer(fixture: &Fixture, domain: &str) -> DatagramSocket {
     let peer = bind().await;
--- a/crates/gateway/tests/gateway/leaving.rs
+++ b/crates/gateway/tests/gateway/leaving.rs
@@ -6,7 +6,7 @@
 use peers::{Datagram, DatagramSocket};
 use types::Verdict;
 
-use crate::support::{Fixture, Step, body, event};
+use crate::support::{Fixture, Step, bind, body, event};
 
 /// Longer than the time for which an upstream that has said that it is leaving may still be used if
 /// there is no other one: half of the shortest change limit.
@@ -226,10 +226,6 @@
     assert_eq!(fixture.called_upstreams(), Vec::<String>::new());
 }
 
-async fn bind() -> DatagramSocket {
-    DatagramSocket::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a port is free")
-}
-
 /// A gateway that exchanges datagrams with sockets that are registered as nodes of the given
 /// domains, and the address of the gateway's own socket.
 async fn fixture_with_peers(domains: &[&str]) -> (Fixture, Vec<DatagramSocket>, SocketAddr) {
--- a/crates/gateway/tests/gateway/rate_limits.rs
+++ b/crates/gateway/tests/gateway/rate_limits.rs
@@ -1,12 +1,12 @@
 //! Guards against upstreams that get more requests than the rate that they name in their answers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use clock::{Clock, RuntimeClock};
-use peers::{Datagram, DatagramSocket, NamedRate};
+use peers::{Datagram, NamedRate};
 use types::{FailureKind, Verdict};
 
-use crate::support::{Fixture, Step, body, run_for};
+use crate::support::{Fixture, Step, body, fixture_with_peer, run_for};
 
 /// Time within which a datagram arrives and is applied.
 const DATAGRAM_TIME: Duration = Duration::from_millis(60);
@@ -89,15 +89,7 @@
 /// Guards against nodes that each learn of a limit only from an answer of their own.
 #[compio::test]
 async fn a_rate_is_told_to_the_other_nodes_and_holds_there() {
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let bind = || async { DatagramSocket::bind(any_port).await.expect("a port is free") };
-    let (own, peer) = (bind().await, bind().await);
-    let addr = own.local_addr().expect("the socket is bound");
-    let fixture = Fixture::ready().await;
-    let peer_addr = peer.local_addr().expect("the socket is bound");
-    fixture.store.write("gypsumrack/nodes/peer", Some(&format!("{peer_addr} b")));
-    compio::runtime::spawn(gateway::exchange_datagrams(fixture.gateway.clone(), own)).detach();
-    run_for(Duration::from_millis(750)).await;
+    let (fixture, peer, addr) = fixture_with_peer().await;
     fixture.limit_rate("r1", 5.0);
     while fixture.count_calls("/any/x", "r1").await == 0 {}
     let told = async {
--- a/crates/gateway/tests/gateway/silent_store.rs
+++ b/crates/gateway/tests/gateway/silent_store.rs
@@ -2,13 +2,13 @@
 //! and the others that wait on such connections learned nothing of it. The node with the planner's lease
 //! went on for seconds with a configuration that had been replaced.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use callers::RoutedFailure;
-use peers::{Beacon, Datagram, DatagramSocket};
+use peers::Datagram;
 use types::FailureKind;
 
-use crate::support::{Fixture, run_for};
+use crate::support::{Fixture, fixture_with_peer, idle_beacon, run_for};
 
 /// Time within which the planner has acquired its lease.
 const ACQUIRE_TIME: Duration = Duration::from_millis(700);
@@ -41,25 +41,12 @@
 /// had been replaced, although the others announced the new one.
 #[compio::test]
 async fn a_watch_that_shows_nothing_of_an_announced_configuration_is_opened_anew() {
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let bind = || async { DatagramSocket::bind(any_port).await.expect("a port is free") };
-    let (own, peer) = (bind().await, bind().await);
-    let addr = own.local_addr().expect("the socket is bound");
-    let fixture = Fixture::ready().await;
-    compio::runtime::spawn(gateway::exchange_datagrams(fixture.gateway.clone(), own)).detach();
+    let (fixture, peer, addr) = fixture_with_peer().await;
     fixture.store.is_silent.set(true);
     compio::time::sleep(SILENCE_TIME).await;
     fixture.store.is_silent.set(false);
     fixture.store.write("table", Some("2 empty"));
-    let beacon = Beacon {
-        node: "peer".into(),
-        table_version: 2,
-        loads: Vec::new(),
-        failing: Vec::new(),
-        slow: Vec::new(),
-        loaded: Vec::new(),
-    };
-    assert_eq!(peer.send(&Datagram::Beacon(beacon), &[addr]).await, 0);
+    assert_eq!(peer.send(&Datagram::Beacon(idle_beacon(2)), &[addr]).await, 0);
     run_for(SILENCE_TIME).await;
     let failure: RoutedFailure = fixture.send("/any/x").await.err().expect("the key is gone");
     assert_eq!(failure.failure.kind, FailureKind::NotFound, "{failure:?}");
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -3,6 +3,8 @@
 
 mod codec;
 mod log;
+mod peers;
+mod scripted_body;
 mod scripted_upstreams;
 mod store;
 
@@ -20,6 +22,7 @@
 
 use codec::TextCodec;
 pub use log::LogCapture;
+pub use peers::{bind, fixture_with_peer, idle_beacon};
 pub use scripted_upstreams::{PauseRequest, ScriptedUpstreams, Step};
 pub use store::MemoryStore;
 
