Read the change as a newcomer: names, and one decision in steps

A watch that reports nothing is called stalled; the end of refusals by chance is split into two functions; the table of the nodes gives names and values.

--- a/crates/crashes/src/decision.rs
+++ b/crates/crashes/src/decision.rs
@@ -40,33 +40,38 @@
         notes
     }
 
-    /// Ends the refusals of other parts whose crashes a cause explains too. They were refused since their
-    /// requests ran on the same engines. Returns the notes on them.
+    /// Ends the refusals of parts whose crashes a cause explains too: their requests only ran on the same
+    /// engines. Returns the notes on them.
     fn withdraw_explained(&mut self, cause: Cause, evidence: Evidence) -> Vec<CrashNote> {
-        let is_explained = |refused: &RefusedPart| {
-            let Some(organisation) = refused.organisation else { return false };
-            let other = Cause { organisation, part: refused.part };
-            let mut crashes = self
-                .events
-                .values()
-                .filter(|event| {
-                    other.explains(event, Evidence::All)
-                        && self.refusals.explains(other.part, organisation, event.at)
-                })
-                .peekable();
-            other != cause
-                && crashes.peek().is_some()
-                && crashes.all(|event| cause.explains(event, evidence))
-        };
-        let others: Vec<RefusedPart> = self.refusals.iter().map(|(refused, _)| *refused).collect();
-        let wrong: Vec<RefusedPart> = others.into_iter().filter(is_explained).collect();
-        wrong
-            .into_iter()
-            .filter(|refused| self.refusals.withdraw_one(refused))
-            .collect::<Vec<_>>()
-            .iter()
-            .filter_map(|refused| self.refusal_note(refused))
-            .collect()
+        let refused: Vec<RefusedPart> = self.refusals.iter().map(|(refused, _)| *refused).collect();
+        let mut notes = Vec::new();
+        for other in refused {
+            if self.is_refused_by_chance(&other, cause, evidence)
+                && self.refusals.withdraw_one(&other)
+            {
+                notes.extend(self.refusal_note(&other));
+            }
+        }
+        notes
+    }
+
+    /// Whether a cause explains all crashes for which another part is refused.
+    fn is_refused_by_chance(
+        &self,
+        refused: &RefusedPart,
+        cause: Cause,
+        evidence: Evidence,
+    ) -> bool {
+        let Some(organisation) = refused.organisation else { return false };
+        let other = Cause { organisation, part: refused.part };
+        let mut crashes = self.events.values().filter(|event| {
+            other.explains(event, Evidence::All)
+                && self.refusals.explains(other.part, organisation, event.at)
+        });
+        let Some(first) = crashes.next() else { return false };
+        other != cause
+            && cause.explains(first, evidence)
+            && crashes.all(|event| cause.explains(event, evidence))
     }
 
     /// Whether a refused part, or a refused request, explains a crash.
@@ -77,8 +82,8 @@
             })
     }
 
-    /// Whether a refused part explains a crash. A single request that is refused explains none of those
-    /// that show a part: it may have been running by chance.
+    /// Whether a refused part explains a crash. Refused single requests are left out: one may have run on
+    /// the engine by chance, and would hide the part that crashed it.
     fn is_explained_by_part(&self, event: &CrashEvent) -> bool {
         event.suspects(Evidence::All).any(|suspect| {
             let mut parts = suspect.parts();
--- a/crates/gateway/src/audience.rs
+++ b/crates/gateway/src/audience.rs
@@ -51,8 +51,7 @@
         let mut audience = self.own_domain();
         let members = self.members.borrow();
         let mut domains: BTreeMap<&Domain, Vec<SocketAddr>> = BTreeMap::new();
-        let members = members.iter().map(|(_, member)| member);
-        for member in members.filter(|member| member.domain != self.settings.domain) {
+        for member in members.values().filter(|member| member.domain != self.settings.domain) {
             domains.entry(&member.domain).or_default().push(member.addr);
         }
         for addrs in domains.into_values() {
@@ -69,7 +68,7 @@
     pub(crate) fn all_nodes_directly(&self) -> Audience {
         let members = self.members.borrow();
         Audience {
-            direct: members.iter().map(|(_, member)| member.addr).collect(),
+            direct: members.values().map(|member| member.addr).collect(),
             relays: Vec::new(),
         }
     }
@@ -77,15 +76,14 @@
     /// Up to `count` other nodes, chosen at random.
     pub(crate) fn random_nodes(&self, count: usize) -> Audience {
         let members = self.members.borrow();
-        let addrs = members.iter().map(|(_, member)| member.addr);
+        let addrs = members.values().map(|member| member.addr);
         Audience { direct: addrs.choose_multiple(&mut rand::rng(), count), relays: Vec::new() }
     }
 
     /// The other nodes of this node's failure domain.
     pub(crate) fn own_domain(&self) -> Audience {
         let members = self.members.borrow();
-        let members = members.iter().map(|(_, member)| member);
-        let own = members.filter(|member| member.domain == self.settings.domain);
+        let own = members.values().filter(|member| member.domain == self.settings.domain);
         Audience { direct: own.map(|member| member.addr).collect(), relays: Vec::new() }
     }
 }
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -108,7 +108,7 @@
         if members.len() == 0 {
             return 1.0;
         }
-        let heard = members.iter().filter(|(name, _)| load.knows_peer(name)).count();
+        let heard = members.names().filter(|name| load.knows_peer(name)).count();
         heard as f64 / members.len() as f64
     }
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -36,6 +36,8 @@
 }
 
 /// The other nodes that this node knows.
+///
+/// Datagrams go to those with an entry. The others only count among the nodes that share a budget.
 #[derive(Default)]
 pub(crate) struct MemberTable {
     registered: BTreeMap<NodeName, RegisteredMember>,
@@ -50,9 +52,14 @@
 }
 
 impl MemberTable {
+    /// Names of the nodes with an entry.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &NodeName> {
+        self.registered.keys()
+    }
+
     /// The nodes with an entry.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&NodeName, &Member)> {
-        self.registered.iter().map(|(name, registered)| (name, &registered.member))
+    pub(crate) fn values(&self) -> impl Iterator<Item = &Member> {
+        self.registered.values().map(|registered| &registered.member)
     }
 
     /// Number of nodes with an entry.
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -6,7 +6,6 @@
 use peers::NamedRate;
 use pipelines::{NodeShare, RateSource};
 use types::UpstreamName;
-
 use upstreams::UpstreamResponse;
 
 use crate::{Gateway, lifecycle::ActiveRequest, selection::Selection};
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -25,9 +25,10 @@
 pub(crate) const LAPSE_GRACE: Duration = Duration::from_millis(2000);
 
 /// Time for which a watch may show nothing of a configuration that another node has announced, as a
-/// share of the shortest time within which a change must be in force. The watch may be deaf: it stays
-/// open and reports no changes. The time doubles with each watch, as a long reply takes time too.
-const WATCH_PATIENCE_SHARE: f64 = 0.25;
+/// share of the shortest time within which a change must be in force. After it, the watch counts as
+/// stalled: it stays open and reports no changes. The time doubles with each watch, since a long reply
+/// takes time too.
+const WATCH_STALL_SHARE: f64 = 0.25;
 
 /// Keeps the catalog of this node up to date with the key-value service.
 pub async fn watch_store(gateway: Rc<Gateway>) {
@@ -115,13 +116,13 @@
 /// Watches for changes after revision `at`. Returns why the watch ended; `None` means that the
 /// service no longer has the history since `at`, so that all keys have to be read again.
 async fn watch(gateway: &Rc<Gateway>, mut at: u64) -> Option<KvError> {
-    let mut patience = gateway.watch_patience();
+    let mut stall_limit = gateway.watch_stall_limit();
     loop {
         let started = gateway.clock.now();
         let (lost, silent) = (gateway.store_lost.arm(), gateway.store_silent.arm());
         let (lost, silent) = (pin!(lost.raised()), pin!(silent.raised()));
-        let deaf = pin!(gateway.misses_announced_table(patience));
-        let interrupted = select(select(lost, silent), deaf);
+        let stalled = pin!(gateway.misses_announced_table(stall_limit));
+        let interrupted = select(select(lost, silent), stalled);
         let changes = match select(gateway.store.changes("", at), interrupted).await {
             Either::Left((changes, _)) => changes,
             Either::Right((Either::Left((Either::Left(_), _)), _)) => Err(KvError::Unavailable),
@@ -129,11 +130,11 @@
                 tracing::info!(
                     revision = at,
                     announced_version = gateway.announced_version.get(),
-                    waited_ms = patience.as_millis() as u64,
+                    waited_ms = stall_limit.as_millis() as u64,
                     "the watch shows nothing of a configuration that another node has announced; it \
                      is opened anew"
                 );
-                patience *= 2;
+                stall_limit *= 2;
                 continue;
             }
             Either::Right((Either::Left((Either::Right(_), _)), _)) => {
@@ -152,7 +153,7 @@
                     }
                 }
                 at = at.max(next);
-                patience = gateway.watch_patience();
+                stall_limit = gateway.watch_stall_limit();
             }
             Ok(Changes::HistoryGone) => {
                 tracing::info!(revision = at, "history of the key-value service is gone");
@@ -169,19 +170,20 @@
 }
 
 impl Gateway {
-    fn watch_patience(&self) -> Duration {
-        self.change_limit().mul_f64(WATCH_PATIENCE_SHARE)
+    /// Time for which the first watch may show nothing of an announced configuration.
+    fn watch_stall_limit(&self) -> Duration {
+        self.change_limit().mul_f64(WATCH_STALL_SHARE)
     }
 
     /// Waits until another node has announced a newer configuration and this one has lacked it for
-    /// `patience`.
-    async fn misses_announced_table(&self, patience: Duration) {
+    /// `limit`.
+    async fn misses_announced_table(&self, limit: Duration) {
         loop {
             let announced = self.reread.arm();
             if !self.lacks_announced_table() {
                 announced.raised().await;
             }
-            self.clock.sleep(patience).await;
+            self.clock.sleep(limit).await;
             if self.lacks_announced_table() {
                 return;
             }
