Give the refusals of the soak's workers that ask for a pause their identifier

Cause, from the log of node-1: "malformed response: the answer has no request identifier". The stand-in refused without the identifier of the attempt. On a connection that has carried other requests such an answer belongs to none, so its request for a pause was not heard, and the node went on to send. The platform's workers return the identifier in their answers, so the stand-in was wrong. The check of the pauses stays as it is.

--- a/crates/standins/src/platform/worker.rs
+++ b/crates/standins/src/platform/worker.rs
@@ -237,6 +237,8 @@
         if let Some(pause) = pause {
             let mut refusal = not_executed(StatusCode::SERVICE_UNAVAILABLE, self.worker.addr.get());
             notices::ask_for_pause(refusal.headers_mut(), pause);
+            // On a connection that has carried other requests, an answer without it belongs to none.
+            add_id(refusal.headers_mut(), &id);
             return refusal;
         }
         if self.worker.is_leaving.get() && rand::rng().random_bool(0.5) {
@@ -321,6 +323,11 @@
 /// Adds the headers that prove that a worker answered the attempt.
 pub(super) fn sign(headers: &mut HeaderMap, id: &str) {
     headers.insert("worker-signature", HeaderValue::from_static("signed"));
+    add_id(headers, id);
+}
+
+/// Adds the identifier of the attempt that an answer belongs to.
+fn add_id(headers: &mut HeaderMap, id: &str) {
     if let Ok(id) = HeaderValue::try_from(id) {
         headers.insert("attempt-id", id);
     }
