--- a/crates/gateway/tests/gateway/silent_store.rs
+++ b/crates/gateway/tests/gateway/silent_store.rs
@@ -37,8 +37,8 @@
 }
 
 /// Guards against a watch that stays open and reports no changes, while all other calls are answered. On a
-/// day of fault-injection tests, a third of the nodes went on for ten seconds with a configuration that
-/// had been replaced, although the others announced the new one.
+/// day of fault-injection tests, three nodes went on for eleven seconds with a configuration that had been
+/// replaced, although the others announced newer ones.
 #[compio::test]
 async fn a_watch_that_shows_nothing_of_an_announced_configuration_is_opened_anew() {
     let (fixture, peer, addr) = fixture_with_peer().await;
