--- a/crates/edge/tests/limits/main.rs
+++ b/crates/edge/tests/limits/main.rs
@@ -5,6 +5,8 @@
 #[path = "../loopback/mod.rs"]
 mod loopback;
 mod node;
+#[path = "../process/mod.rs"]
+mod process;
 
 use std::{
     io::{Read, Write},
@@ -40,7 +42,7 @@
 /// Runs a crowd, with a script for each number, and checks the node while the crowd is still there.
 fn check_crowd(test: &str, count: usize, script: impl Fn(usize) -> Script) {
     let mut node = Node::start(test);
-    let mut crowd = Crowd::connect(node.callers, (0..count).map(script));
+    let mut crowd = Crowd::connect(node.process.callers, (0..count).map(script));
     crowd.send(&mut node);
     node.check();
 }
@@ -159,7 +161,7 @@
 #[ignore = "one at a time: the check `limits` of cargo xtask ci"]
 fn a_changed_configuration_takes_effect_beside_a_crowd() {
     let mut node = Node::start("change");
-    let mut crowd = Crowd::connect(node.callers, (0..CALLERS).map(chunked));
+    let mut crowd = Crowd::connect(node.process.callers, (0..CALLERS).map(chunked));
     crowd.send(&mut node);
     node.configure();
     assert!(node.answers("/extra3/x"), "the new route is not served");
@@ -176,10 +178,10 @@
         let length = if number.is_multiple_of(2) { LONG_HEAD_BYTES } else { 1 };
         Box::new(std::iter::once(start).chain(pieces(vec![b'a'; length], PIECE_BYTES))) as Script
     };
-    let mut crowd = Crowd::connect(node.health, (0..3 * CALLERS).map(script));
+    let mut crowd = Crowd::connect(node.process.health, (0..3 * CALLERS).map(script));
     crowd.send(&mut node);
     node.check();
-    assert!(node.is_ready(), "the health check is not answered");
+    assert!(node.process.is_ready(), "the health check is not answered");
 }
 
 /// Guards against limits that refuse a single body of the largest size.
@@ -208,7 +210,7 @@
 #[ignore = "one at a time: the check `limits` of cargo xtask ci"]
 fn a_connection_is_used_again_after_it_was_idle() {
     let mut node = Node::start("reuse");
-    let mut stream = TcpStream::connect(node.callers).unwrap();
+    let mut stream = TcpStream::connect(node.process.callers).unwrap();
     stream.set_read_timeout(Some(ANSWER_WAIT)).unwrap();
     let first = exchange(&mut stream, "reuse-1");
     assert!(first.starts_with("HTTP/1.1 200"), "{first}");
