Treat a response whose connection was reset as broken

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a body without a length ends with its connection, and a reset is reported only once per socket. While an upload is under way, a read and a write are pending. If the client is busy when the reset arrives, the write gets the error, and the next read returns an end. The same happens if the peer ends its side before it resets the connection: reads then report only the end.

Change: a read that returns an end asks poll(2) whether the connection has failed. That state stays, whoever got the error.

--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -7,7 +7,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    Body, CallError, IdleLimit, ResponseStream, connect, connect::http_stream, idle::Pool,
+    Body, CallError, IdleLimit, ResponseStream, connect, connect::checked_http_stream, idle::Pool,
     metered::InputMeter, response::error_text, write_timeout::WriteTimeout,
 };
 
@@ -185,7 +185,7 @@
     async fn open(&self, limit: Duration) -> Result<Connection, CallError> {
         let stream = connect(&*self.clock, self.addr, limit).await?;
         let meter = Rc::new(InputMeter::default());
-        let io = WriteTimeout::new(self.clock.clone(), http_stream(stream, &meter));
+        let io = WriteTimeout::new(self.clock.clone(), checked_http_stream(stream, &meter));
         let handshake = http1::handshake(io);
         let (sender, connection) = timeout(&*self.clock, limit, handshake)
             .await
--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -7,7 +7,7 @@
 
 use rustix::net::sockopt;
 
-use crate::{CallError, MeteredReader, metered::InputMeter};
+use crate::{CallError, MeteredReader, metered::InputMeter, peer_end::EndCheckedReader};
 
 /// Time without traffic after which the kernel sends a keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -51,12 +51,25 @@
 /// A TCP connection whose reads are limited.
 pub(crate) type MeteredStream = HyperStream<(MeteredReader<TcpStream>, TcpStream)>;
 
-/// Wraps a TCP stream for HTTP. `meter` counts what the peer sends.
+/// Wraps a TCP stream for an HTTP server. `meter` counts what the peer sends.
 pub(crate) fn http_stream(stream: TcpStream, meter: &Rc<InputMeter>) -> MeteredStream {
     let (reader, writer) = stream.into_split();
     HyperStream::new_plain((MeteredReader::new(reader).with_meter(meter.clone()), writer))
 }
 
+/// A TCP connection whose reads are limited, and whose end is checked.
+pub(crate) type CheckedStream =
+    HyperStream<(EndCheckedReader<MeteredReader<TcpStream>>, TcpStream)>;
+
+/// Wraps a TCP stream for an HTTP client. `meter` counts what the peer sends.
+pub(crate) fn checked_http_stream(stream: TcpStream, meter: &Rc<InputMeter>) -> CheckedStream {
+    let socket = stream.clone();
+    let (reader, writer) = stream.into_split();
+    let reader = MeteredReader::new(reader).with_meter(meter.clone());
+    let reader = EndCheckedReader::new(reader, socket);
+    HyperStream::new_plain((reader, writer))
+}
+
 /// Wraps a TCP stream for libraries that read and write through tokio's traits, such as h2.
 pub fn tokio_stream(stream: TcpStream) -> TokioIo<MeteredStream> {
     let (reader, writer) = stream.into_split();
