Treat a response that ends before its request has arrived as broken

What callers saw: a worker answered a long upload before it had read it, with a 200 without a length, ended its side of the connection, and reset the connection 30 ms later. Callers got the part of the body as a complete answer, on streamed routes too.

Cause: the end of the connection was taken as the end of the body, whatever became of the request. At that moment there is no error to see. What can be seen is that the peer has not received the request: a peer that has read it acknowledges all of it with the segment that ends the connection at the latest.

Change: the end of a connection is an error if the HTTP library still holds a part of the request, or if the kernel counts bytes that the peer has not acknowledged (SIOCOUTQ, which no crate in use wraps, so this is the one call with unsafe code). An early answer with a length or in chunks stays complete.

For the tests, the stand-in of the platform gains workers whose answers are sent byte for byte.

--- /dev/null
+++ b/crates/edge/tests/broken_answers.rs
@@ -0,0 +1,126 @@
+//! Tests of broken answers that must not reach callers, with the daemon as a process before workers
+//! whose answers are sent byte for byte.
+
+mod loopback;
+mod process;
+
+use std::{cell::Cell, thread, time::Duration};
+
+use process::NodeProcess;
+use standins::platform::{PROOF, PlatformFault, RawAnswer, RawWorker, caller_headers};
+use types::LayerRange;
+
+/// Descriptors that the node may have.
+const MAX_FDS: usize = 320;
+/// Size of an upload, just within the limit of the configuration.
+const UPLOAD_BYTES: usize = 1_000_000;
+/// Requests with an upload on each route.
+const UPLOADS: usize = 8;
+/// Attempts at a request until it reaches a worker. A node avoids a worker for a while after a
+/// broken answer.
+const ATTEMPTS: usize = 40;
+/// Pause between two attempts.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Path of a route whose answers are streams.
+const STREAM_PATH: &str = "/drafts/x";
+/// Paths of an idempotent and a non-idempotent route to the plain service, and of one to the engines.
+const PATHS: [&str; 3] = ["/look/x", "/file/x", STREAM_PATH];
+/// Media type of the answers, so that they are also valid as streams.
+const TYPE: &str = "content-type: text/event-stream";
+/// Two whole events.
+const EVENTS: &str = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+/// The end of a body in chunks.
+const LAST_CHUNK: &str = "\r\n0\r\n\r\n";
+
+/// An answer whose body ends with its connection.
+fn unframed_answer() -> RawAnswer {
+    let text = format!("HTTP/1.1 200 OK\r\n{PROOF}\r\n{TYPE}\r\n\r\n{EVENTS}");
+    RawAnswer { text, ignores_body: false }
+}
+
+/// A node before workers that all give the same answer: two replicas of the plain service, and three
+/// engines that hold the model together.
+struct Deployment {
+    node: NodeProcess,
+    workers: Vec<RawWorker>,
+    requests: Cell<usize>,
+}
+
+impl Deployment {
+    fn start(test: &str) -> Deployment {
+        let node = NodeProcess::start(test, 0, MAX_FDS, "");
+        let engine = |(start, end)| Some(LayerRange { start, end });
+        let [first, second, third] = [(0, 4), (4, 8), (8, 12)].map(engine);
+        let start = |layers| {
+            let worker = RawWorker::start(layers, unframed_answer()).unwrap();
+            node.control(&PlatformFault::Register { addr: worker.addr, layers });
+            worker
+        };
+        let workers = [None, None, first, second, third].map(start).into();
+        Deployment { node, workers, requests: Cell::new(0) }
+    }
+
+    /// Sets the answer to all further requests.
+    fn set_answer(&self, answer: &RawAnswer) {
+        for worker in &self.workers {
+            worker.set_answer(answer.clone());
+        }
+    }
+
+    /// Sends one request. Returns the status and everything that was received.
+    fn send(&self, path: &str, body_bytes: usize) -> (u16, String) {
+        let number = self.requests.replace(self.requests.get() + 1);
+        let body = format!("{number} {}", "x".repeat(body_bytes));
+        let length = body.len();
+        let headers = caller_headers(&format!("request-{number}"));
+        let rest = format!("{headers}content-length: {length}\r\n\r\n{body}");
+        let answer = self.node.call(self.node.callers, "POST", path, &rest);
+        answer.expect("the node answers or closes the connection")
+    }
+
+    /// Sends requests until one reaches a worker. Returns what its caller got.
+    fn send_to_worker(&self, path: &str, body_bytes: usize) -> (u16, String) {
+        let reached = || self.workers.iter().map(RawWorker::requests).sum::<usize>();
+        for _ in 0..ATTEMPTS {
+            let before = reached();
+            let answer = self.send(path, body_bytes);
+            if reached() > before {
+                return answer;
+            }
+            assert_ne!(answer.0, 200, "an answer without a worker: {answer:?}");
+            thread::sleep(ATTEMPT_PAUSE);
+        }
+        panic!("no request for {path} reaches a worker");
+    }
+
+    /// Checks that callers get the whole of this answer.
+    fn check_passed_on(&self, path: &str, answer: &RawAnswer, body_bytes: usize) {
+        self.set_answer(answer);
+        let (status, text) = self.send_to_worker(path, body_bytes);
+        assert_eq!(status, 200, "{path}: {text:?}");
+        assert!(is_complete(path, &text), "{path}: {text:?}");
+    }
+}
+
+/// Whether a caller takes what it got for a whole answer. Streams come in chunks, other answers have a
+/// length.
+fn is_complete(path: &str, text: &str) -> bool {
+    text.ends_with(if path == STREAM_PATH { LAST_CHUNK } else { EVENTS })
+}
+
+/// Guards against the start of an answer that reaches the caller as a whole one: a worker answers a
+/// long upload before it has read it, ends the connection, and resets it afterwards.
+#[test]
+fn an_answer_that_ends_during_the_upload_is_broken() {
+    let deployment = Deployment::start("early-end");
+    let sound = unframed_answer();
+    let broken = RawAnswer { ignores_body: true, ..sound.clone() };
+    let complete = PATHS.map(|path| {
+        deployment.check_passed_on(path, &sound, UPLOAD_BYTES);
+        deployment.set_answer(&broken);
+        let answers = (0..UPLOADS).map(|_| deployment.send_to_worker(path, UPLOAD_BYTES));
+        answers.filter(|(status, text)| *status == 200 && is_complete(path, text)).count()
+    });
+    assert_eq!(complete, [0, 0, 0], "complete of {UPLOADS} answers each on {PATHS:?}");
+}
--- a/crates/edge/tests/limits/node.rs
+++ b/crates/edge/tests/limits/node.rs
@@ -2,7 +2,7 @@
 
 use std::{thread, time::Duration};
 
-use standins::platform::caller_headers;
+use standins::platform::{PlatformFault, caller_headers};
 
 use crate::process::NodeProcess;
 
@@ -74,7 +74,7 @@
 
     /// Lets the operator write a new version of the configuration, with one more route.
     pub(crate) fn configure(&self) {
-        self.process.control(r#"{"fault":"configure"}"#);
+        self.process.control(&PlatformFault::Configure);
     }
 
     /// Largest resident memory of the process since its start.
--- a/crates/edge/tests/process/mod.rs
+++ b/crates/edge/tests/process/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use clock::RuntimeClock;
-use standins::platform::{self, PlatformArgs, READY_PATH};
+use standins::platform::{self, PlatformArgs, PlatformFault, READY_PATH};
 
 use crate::loopback::free_addrs;
 
@@ -96,11 +96,12 @@
         Some((status, answer))
     }
 
-    /// Tells the platform to do something, which is encoded in JSON.
-    pub(crate) fn control(&self, body: &str) {
+    /// Tells the platform to do something.
+    pub(crate) fn control(&self, fault: &PlatformFault) {
+        let body = serde_json::to_string(fault).unwrap();
         let head = format!("content-length: {}\r\n\r\n{body}", body.len());
         let answer = self.call(self.store, "POST", "/control", &head);
-        assert_eq!(answer.map(|(status, _)| status), Some(200), "the platform does {body}");
+        assert_eq!(answer.map(|(status, _)| status), Some(200), "the platform does {fault:?}");
     }
 }
 
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod drafts;
 mod notices;
 mod poison;
+mod raw_worker;
 mod store;
 mod worker;
 
@@ -25,11 +26,13 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use transport::{Body, Handler, RequestBody, json_response};
+use types::LayerRange;
 
 use crate::server::{self, bad_request, reply};
 pub use caller::{READY_PATH, caller_headers, caller_request, is_signed};
 pub use notices::leaving_worker;
 pub use poison::{poison_call, poison_prompt};
+pub use raw_worker::{PROOF, RawAnswer, RawWorker};
 use store::Store;
 use worker::Worker;
 
@@ -120,6 +123,14 @@
     StoreForgets,
     /// The operator writes a new version of the configuration, with one more route.
     Configure,
+    /// A worker that the platform did not start registers as a replica of the plain service, or as
+    /// an engine.
+    Register {
+        /// Address of the worker.
+        addr: SocketAddr,
+        /// Layers that it holds, if it is an engine.
+        layers: Option<LayerRange>,
+    },
 }
 
 /// What the workers recorded, for the checks at the end of a run.
@@ -226,6 +237,16 @@
         self.store.borrow_mut().write("op/config", config.to_string().into_bytes(), 0);
     }
 
+    /// Writes the entry of a worker that this process did not start.
+    fn register(&self, addr: SocketAddr, layers: Option<LayerRange>) {
+        let number = self.workers.borrow().len();
+        let (service, domain) = (if layers.is_some() { DRAFTS } else { REGISTRY }, "a");
+        let worker = Worker::new(number, service, domain);
+        worker.adopt(addr, self.clock.unix_millis(), layers);
+        worker.register(self);
+        self.workers.borrow_mut().push(worker);
+    }
+
     /// Injects a fault, or changes the configuration.
     fn inject(self: &Rc<Self>, fault: PlatformFault) -> Result<(), String> {
         let later = |millis| self.clock.now() + Duration::from_millis(millis);
@@ -263,6 +284,7 @@
             }
             PlatformFault::StoreForgets => self.store.borrow_mut().discard_history(),
             PlatformFault::Configure => self.configure(),
+            PlatformFault::Register { addr, layers } => self.register(addr, layers),
         }
         Ok(())
     }
--- a/crates/standins/src/platform/worker.rs
+++ b/crates/standins/src/platform/worker.rs
@@ -97,8 +97,15 @@
         json!(layers.map(|layers| json!({"source": layers.start, "to": layers.end, "version": 1})))
     }
 
+    /// Takes over the state of a worker that another part of the test runs.
+    pub(super) fn adopt(&self, addr: SocketAddr, start_millis: u64, layers: Option<LayerRange>) {
+        self.addr.set(Some(addr));
+        self.start_millis.set(start_millis);
+        self.layers.set(layers);
+    }
+
     /// Writes the worker's entry to the key-value service.
-    fn register(&self, platform: &Platform) {
+    pub(super) fn register(&self, platform: &Platform) {
         let Some(addr) = self.addr.get() else { return };
         let phase =
             if self.is_leaving.get() && !self.leaves_quietly.get() { "draining" } else { "up" };
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -7,8 +7,13 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    Body, CallError, IdleLimit, ResponseStream, connect, connect::checked_http_stream, idle::Pool,
-    metered::InputMeter, response::error_text, write_timeout::WriteTimeout,
+    Body, CallError, IdleLimit, ResponseStream, connect,
+    connect::checked_http_stream,
+    idle::Pool,
+    metered::InputMeter,
+    request_progress::{RequestProgress, TrackedBody, TrackedIo},
+    response::error_text,
+    write_timeout::WriteTimeout,
 };
 
 /// Time after which an idle connection is no longer used, because a device on the way, such as a
@@ -48,7 +53,8 @@
 
 /// An open connection to the peer.
 pub(crate) struct Connection {
-    sender: SendRequest<Body>,
+    sender: SendRequest<TrackedBody>,
+    progress: Rc<RequestProgress>,
     pub(crate) meter: Rc<InputMeter>,
 }
 
@@ -185,7 +191,10 @@
     async fn open(&self, limit: Duration) -> Result<Connection, CallError> {
         let stream = connect(&*self.clock, self.addr, limit).await?;
         let meter = Rc::new(InputMeter::default());
-        let io = WriteTimeout::new(self.clock.clone(), checked_http_stream(stream, &meter));
+        let progress = Rc::new(RequestProgress::default());
+        let io = checked_http_stream(stream, &meter, &progress);
+        let io = TrackedIo::new(io, progress.clone());
+        let io = WriteTimeout::new(self.clock.clone(), io);
         let handshake = http1::handshake(io);
         let (sender, connection) = timeout(&*self.clock, limit, handshake)
             .await
@@ -197,16 +206,17 @@
             }
         })
         .detach();
-        Ok(Connection { sender, meter })
+        Ok(Connection { sender, progress, meter })
     }
 
     async fn dispatch(
         &self,
         mut connection: Connection,
-        mut request: Request<Body>,
+        request: Request<Body>,
         timeouts: Timeouts,
     ) -> Result<ResponseStream, DispatchError> {
         let mut pending = PendingRequest { pool: &self.pool, answered: false };
+        let mut request = request.map(|body| connection.progress.track(body));
         connection.meter.watch_interim_responses(&mut request);
         let sending = connection.sender.try_send_request(request);
         let head = timeout(&*self.clock, timeouts.progress, sending).await;
@@ -227,7 +237,9 @@
                 })
             }
             Ok(Err(mut error)) => match error.take_message() {
-                Some(unsent) => Err(DispatchError::Unsent(Box::new(unsent))),
+                Some(unsent) => {
+                    Err(DispatchError::Unsent(Box::new(unsent.map(TrackedBody::into_inner))))
+                }
                 None => {
                     Err(DispatchError::Failed(CallError::Broken(error_text(&error.into_error()))))
                 }
--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -7,7 +7,10 @@
 
 use rustix::net::sockopt;
 
-use crate::{CallError, MeteredReader, metered::InputMeter, peer_end::EndCheckedReader};
+use crate::{
+    CallError, MeteredReader, metered::InputMeter, peer_end::EndCheckedReader,
+    request_progress::RequestProgress,
+};
 
 /// Time without traffic after which the kernel sends a keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -61,12 +64,17 @@
 pub(crate) type CheckedStream =
     HyperStream<(EndCheckedReader<MeteredReader<TcpStream>>, TcpStream)>;
 
-/// Wraps a TCP stream for an HTTP client. `meter` counts what the peer sends.
-pub(crate) fn checked_http_stream(stream: TcpStream, meter: &Rc<InputMeter>) -> CheckedStream {
+/// Wraps a TCP stream for an HTTP client. `meter` counts what the peer sends, and `progress` says
+/// whether the peer may end the connection.
+pub(crate) fn checked_http_stream(
+    stream: TcpStream,
+    meter: &Rc<InputMeter>,
+    progress: &Rc<RequestProgress>,
+) -> CheckedStream {
     let socket = stream.clone();
     let (reader, writer) = stream.into_split();
     let reader = MeteredReader::new(reader).with_meter(meter.clone());
-    let reader = EndCheckedReader::new(reader, socket);
+    let reader = EndCheckedReader::new(reader, socket, progress.clone());
     HyperStream::new_plain((reader, writer))
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -24,6 +24,7 @@
 mod open_connections;
 mod peer_end;
 mod request_body;
+mod request_progress;
 mod response;
 mod server;
 mod signals;
--- a/crates/transport/src/turn.rs
+++ b/crates/transport/src/turn.rs
@@ -25,15 +25,20 @@
             return;
         }
         self.steps.set(0);
-        let mut has_yielded = false;
-        poll_fn(|context| {
-            if has_yielded {
-                return Poll::Ready(());
-            }
-            has_yielded = true;
-            context.waker().wake_by_ref();
-            Poll::Pending
-        })
-        .await;
+        yield_now().await;
     }
 }
+
+/// Ends this poll of the task. It is polled again once others have run.
+pub(crate) async fn yield_now() {
+    let mut has_yielded = false;
+    poll_fn(|context| {
+        if has_yielded {
+            return Poll::Ready(());
+        }
+        has_yielded = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
