Test that answers with an invalid status do not reach callers

Here callers get 502: the HTTP library rejects the head, and so does every path behind it. The test pins that down for 000, 099, 1000 and other statuses that are none, on whole answers and streams, with a length, in chunks and until the end of the connection.

--- a/crates/edge/tests/broken_answers.rs
+++ b/crates/edge/tests/broken_answers.rs
@@ -14,6 +14,8 @@
 const MAX_FDS: usize = 320;
 /// Size of an upload, just within the limit of the configuration.
 const UPLOAD_BYTES: usize = 1_000_000;
+/// Size of any other body.
+const SMALL_BYTES: usize = 100;
 /// Requests with an upload on each route.
 const UPLOADS: usize = 8;
 /// Attempts at a request until it reaches a worker. A node avoids a worker for a while after a
@@ -33,9 +35,29 @@
 /// The end of a body in chunks.
 const LAST_CHUNK: &str = "\r\n0\r\n\r\n";
 
-/// An answer whose body ends with its connection.
-fn unframed_answer() -> RawAnswer {
-    let text = format!("HTTP/1.1 200 OK\r\n{PROOF}\r\n{TYPE}\r\n\r\n{EVENTS}");
+/// How a body is delimited.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunks,
+    Connection,
+}
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
+
+/// An answer with this status and this additional line in its head.
+fn answer(status: &str, line: &str, framing: Framing) -> RawAnswer {
+    let length = EVENTS.len();
+    let (field, body) = match framing {
+        Framing::Length => (format!("content-length: {length}\r\n"), EVENTS.to_owned()),
+        Framing::Chunks => (
+            "transfer-encoding: chunked\r\n".to_owned(),
+            format!("{length:x}\r\n{EVENTS}{LAST_CHUNK}"),
+        ),
+        Framing::Connection => (String::new(), EVENTS.to_owned()),
+    };
+    let line = if line.is_empty() { String::new() } else { format!("{line}\r\n") };
+    let text = format!("HTTP/1.1 {status} X\r\n{PROOF}\r\n{TYPE}\r\n{line}{field}\r\n{body}");
     RawAnswer { text, ignores_body: false }
 }
 
@@ -53,7 +75,7 @@
         let engine = |(start, end)| Some(LayerRange { start, end });
         let [first, second, third] = [(0, 4), (4, 8), (8, 12)].map(engine);
         let start = |layers| {
-            let worker = RawWorker::start(layers, unframed_answer()).unwrap();
+            let worker = RawWorker::start(layers, answer("200", "", Framing::Length)).unwrap();
             node.control(&PlatformFault::Register { addr: worker.addr, layers });
             worker
         };
@@ -94,6 +116,13 @@
         panic!("no request for {path} reaches a worker");
     }
 
+    /// Checks that callers get a failure in place of this answer.
+    fn check_rejected(&self, path: &str, answer: &RawAnswer) {
+        self.set_answer(answer);
+        let (status, text) = self.send_to_worker(path, SMALL_BYTES);
+        assert_eq!(status, 502, "{path}: {answer:?} became {text:?}");
+    }
+
     /// Checks that callers get the whole of this answer.
     fn check_passed_on(&self, path: &str, answer: &RawAnswer, body_bytes: usize) {
         self.set_answer(answer);
@@ -114,7 +143,7 @@
 #[test]
 fn an_answer_that_ends_during_the_upload_is_broken() {
     let deployment = Deployment::start("early-end");
-    let sound = unframed_answer();
+    let sound = answer("200", "", Framing::Connection);
     let broken = RawAnswer { ignores_body: true, ..sound.clone() };
     let complete = PATHS.map(|path| {
         deployment.check_passed_on(path, &sound, UPLOAD_BYTES);
@@ -124,3 +153,17 @@
     });
     assert_eq!(complete, [0, 0, 0], "complete of {UPLOADS} answers each on {PATHS:?}");
 }
+
+/// Guards against an answer whose status is none that reaches the caller.
+#[test]
+fn an_answer_with_an_invalid_status_is_broken() {
+    let deployment = Deployment::start("status");
+    for path in PATHS {
+        for framing in FRAMINGS {
+            for status in ["000", "099", "1000", "20", "2x0", "-200"] {
+                deployment.check_rejected(path, &answer(status, "", framing));
+            }
+            deployment.check_passed_on(path, &answer("200", "", framing), SMALL_BYTES);
+        }
+    }
+}
