Test that answers with an invalid field name do not reach callers

Here callers get 502, since the HTTP library rejects the head. The test pins that down for blanks, tabs, control bytes, missing names and colons, and for a blank behind the name of a field that delimits the body, on whole answers and streams with each kind of framing.

--- a/crates/edge/tests/broken_answers.rs
+++ b/crates/edge/tests/broken_answers.rs
@@ -167,3 +167,31 @@
         }
     }
 }
+
+/// Guards against an answer whose head has a field with an invalid name: the line might be passed on,
+/// or change where the body begins or ends.
+#[test]
+fn an_answer_with_an_invalid_field_name_is_broken() {
+    let deployment = Deployment::start("fields");
+    let lines = [
+        "x note: 1",
+        "x\tnote: 1",
+        "x\u{1}note: 1",
+        "x\u{0}note: 1",
+        "x\u{7f}note: 1",
+        "x-note : 1",
+        "content-length : 3",
+        "transfer-encoding : chunked",
+        "x\rnote: 1",
+        "note",
+        ": 1",
+    ];
+    for path in PATHS {
+        for framing in FRAMINGS {
+            for line in lines {
+                deployment.check_rejected(path, &answer("200", line, framing));
+            }
+            deployment.check_passed_on(path, &answer("200", "x-note: 1", framing), SMALL_BYTES);
+        }
+    }
+}
