Test that a JSON response that is cut off cannot be decoded

The key-value service, engines and operators answer with JSON. The test passes without a change of the product.

--- a/crates/transport/tests/cut_responses.rs
+++ b/crates/transport/tests/cut_responses.rs
@@ -9,15 +9,17 @@
     BufResult,
     io::{AsyncRead, AsyncWriteExt},
     net::TcpListener,
+    runtime::JoinHandle,
 };
 use http::Request;
+use serde::Deserialize;
 use transport::{Body, CallError, HttpClient, Timeouts};
 
 const TIMEOUTS: Timeouts = Timeouts::from_millis(1000, 2000);
 const MAX_BYTES: usize = 1 << 16;
 
-/// Calls a peer that sends `response` and closes the connection. Returns the whole body.
-async fn call_peer(response: String) -> Result<Bytes, CallError> {
+/// Starts a peer that sends `response` and closes the connection.
+async fn start_peer(response: String) -> (SocketAddr, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let addr: SocketAddr = listener.local_addr().expect("the socket is bound");
     let peer = compio::runtime::spawn(async move {
@@ -26,6 +28,12 @@
         let BufResult(result, _) = stream.write_all(response).await;
         result.expect("the client reads the response");
     });
+    (addr, peer)
+}
+
+/// Calls a peer that sends `response` and closes the connection. Returns the whole body.
+async fn call_peer(response: String) -> Result<Bytes, CallError> {
+    let (addr, peer) = start_peer(response).await;
     let client = HttpClient::new(Rc::new(RuntimeClock::new()), addr);
     let request = Request::get("/").header("host", "x").body(Body::empty());
     let request = request.expect("the request is valid");
@@ -73,3 +81,29 @@
         assert!(matches!(result, Err(CallError::Broken(_))), "{result:?} after {length} bytes");
     }
 }
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    at: u64,
+}
+
+/// Calls a peer like [`call_peer`], and decodes the response.
+async fn call_peer_for_json(response: String) -> Result<Message, CallError> {
+    let (addr, peer) = start_peer(response).await;
+    let client = HttpClient::new(Rc::new(RuntimeClock::new()), addr);
+    let result = client.get_json("/", TIMEOUTS).await;
+    peer.await.expect("the peer does not panic");
+    result
+}
+
+/// Guards against a message of the key-value service or of a node that is cut off and decoded.
+#[compio::test]
+async fn a_json_response_without_a_length_is_an_error_wherever_it_is_cut_off() {
+    let response = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"at\":12}";
+    let whole = call_peer_for_json(response.into()).await.expect("the whole response is read");
+    assert_eq!(whole.at, 12);
+    for length in 0..response.len() {
+        let result = call_peer_for_json(response[..length].into()).await;
+        assert!(result.is_err(), "{result:?} after {length} bytes");
+    }
+}
