Reset connections of HTTP/1.0 callers whose response is given up

What callers saw: to a caller of HTTP/1.0 a stream goes without chunks and ends with its connection. One that was given up, because its upstream failed or the node stopped, ended like a whole one.

Closing the socket ends the connection.

Change: while a response without a length and without chunks is written, the socket is set so that closing it resets the connection (SO_LINGER 0), and it is not shut down. Once the response is written, the setting is taken back. As the kernel acts on it, it also covers the end of the process, which no test shows.

Callers of HTTP/1.1 get chunks and are not affected.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -12,6 +12,7 @@
 };
 
 use bytes::Bytes;
+use compio::net::TcpStream;
 use hyper::{
     body::{Frame, SizeHint},
     rt::{Read, ReadBufCursor, Write},
@@ -21,6 +22,7 @@
 
 use crate::{
     Body, BodyAborted, Refusal,
+    abortive_close::AbortiveClose,
     activity::{Activity, Phase},
 };
 
@@ -89,6 +91,8 @@
     is_discarding: Cell<bool>,
     /// Whether the body of the open request's response has ended or was aborted.
     body_end: Cell<Option<Result<(), BodyAborted>>>,
+    /// Whether only the end of the connection ends the open request's response.
+    is_unframed: Cell<bool>,
     /// Number of times that everything the connection had to write was written.
     flushes: Cell<u64>,
     write_failed: Cell<bool>,
@@ -109,6 +113,7 @@
             has_carried: Cell::default(),
             is_discarding: Cell::default(),
             body_end: Cell::default(),
+            is_unframed: Cell::default(),
             flushes: Cell::default(),
             write_failed: Cell::default(),
         })
@@ -124,9 +129,21 @@
         self.head_begun.set(false);
         self.has_carried.set(true);
         self.body_end.set(None);
+        self.is_unframed.set(false);
         self.activity.set_reserved(false);
     }
 
+    /// Records that the response to the open request has neither a length nor chunks.
+    pub(crate) fn begin_unframed_response(&self) {
+        self.is_unframed.set(true);
+    }
+
+    /// Whether a caller would take the end of the connection for that of a response which is not
+    /// completely written.
+    fn must_not_end(&self) -> bool {
+        self.is_unframed.get() && self.open_request.borrow().is_some()
+    }
+
     /// Whether the head of a request may be arriving.
     pub(crate) fn has_partial_head(&self) -> bool {
         self.head_begun.get()
@@ -313,15 +330,18 @@
     }
 }
 
-/// The bytes of a connection, which tell the connection's state what was written.
+/// The bytes of a connection, which tell the connection's state what was written. While a response is
+/// written that only the end of the connection ends, closing the connection resets it.
 pub(crate) struct ObservedIo<S> {
     inner: S,
     state: Rc<ConnectionState>,
+    abortive_close: AbortiveClose,
 }
 
 impl<S> ObservedIo<S> {
-    pub(crate) fn new(inner: S, state: Rc<ConnectionState>) -> ObservedIo<S> {
-        ObservedIo { inner, state }
+    /// Creates the bytes of a connection over `socket`.
+    pub(crate) fn new(inner: S, state: Rc<ConnectionState>, socket: TcpStream) -> ObservedIo<S> {
+        ObservedIo { inner, state, abortive_close: AbortiveClose::new(socket) }
     }
 
     fn check_write<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
@@ -353,6 +373,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let must_not_end = self.state.must_not_end();
+        self.abortive_close.set(must_not_end);
         let result = Pin::new(&mut self.inner).poll_write(context, bytes);
         self.check_write(result)
     }
@@ -361,11 +383,17 @@
         let result = Pin::new(&mut self.inner).poll_flush(context);
         if matches!(result, Poll::Ready(Ok(()))) {
             self.state.record_flush();
+            let must_not_end = self.state.must_not_end();
+            self.abortive_close.set(must_not_end);
         }
         self.check_write(result)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The end would reach the caller before the reset.
+        if self.abortive_close.is_set() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.inner).poll_shutdown(context)
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,6 +8,7 @@
 //! task and no timer of the thread from running; a connection on which a call timed out is never used
 //! again. This crate must not know what the messages mean.
 
+mod abortive_close;
 mod activity;
 mod body;
 mod client;
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -11,8 +11,12 @@
 };
 use cyper_core::CompioTimer;
 use futures_util::future::{Either, LocalBoxFuture, select};
-use http::{HeaderMap, Request, Response, header};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use http::{HeaderMap, Request, Response, Version, header};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use rustix::net::sockopt;
 use serde::Serialize;
 use types::MAX_HEADERS;
@@ -244,7 +248,7 @@
         let socket = stream.clone();
         let meter = Rc::new(InputMeter::default());
         let io = WriteTimeout::new(self.clock.clone(), http_stream(stream, &meter));
-        let io = ObservedIo::new(io, self.state.clone());
+        let io = ObservedIo::new(io, self.state.clone(), socket.clone());
         let mut builder = http1::Builder::new();
         builder
             .timer(CompioTimer)
@@ -340,6 +344,7 @@
     ) -> Response<ObservedBody> {
         let (head, incoming) = request.into_parts();
         // A caller that waits for permission to send its body does not send it after a refusal.
+        let knows_chunks = head.version >= Version::HTTP_11;
         let awaits_permission = head.headers.contains_key(header::EXPECT);
         let unread = UnreadBody::new(incoming, self.meter.clone(), self.memory.clone());
         let body = RequestBody::from_connection(unread.clone(), self.clock.clone());
@@ -365,6 +370,9 @@
                 .detach();
             }
         }
+        if !knows_chunks && response.body().size_hint().exact().is_none() {
+            self.state.begin_unframed_response();
+        }
         response.map(|body| ObservedBody::new(body, self.state.clone()))
     }
 }
