Move the observed body and bytes of a connection into a file of their own

It keeps the state of a connection and why it ended; what the HTTP library reads and writes is in observed.rs, which reports to that state by named calls.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -5,24 +5,16 @@
     cell::{Cell, RefCell},
     io,
     net::IpAddr,
-    pin::Pin,
     rc::Rc,
     sync::{Arc, OnceLock},
-    task::{Context, Poll},
+    task::Poll,
 };
 
-use bytes::Bytes;
-use compio::net::TcpStream;
-use hyper::{
-    body::{Frame, SizeHint},
-    rt::{Read, ReadBufCursor, Write},
-};
 use strum::IntoStaticStr;
 use types::RequestId;
 
 use crate::{
-    Body, BodyAborted, Refusal,
-    abortive_close::AbortiveClose,
+    BodyAborted, Refusal,
     activity::{Activity, Phase},
 };
 
@@ -140,7 +132,7 @@
 
     /// Whether a caller would take the end of the connection for that of a response which is not
     /// completely written.
-    fn must_not_end(&self) -> bool {
+    pub(crate) fn must_not_end(&self) -> bool {
         self.is_unframed.get() && self.open_request.borrow().is_some()
     }
 
@@ -174,7 +166,8 @@
         }
     }
 
-    fn record_read(&self) {
+    /// Records that bytes were read.
+    pub(crate) fn record_read(&self) {
         self.activity.record_step();
         if self.open_request.borrow().is_none() && !self.is_discarding.get() {
             self.head_begun.set(true);
@@ -203,8 +196,31 @@
         }
     }
 
+    /// Records that the body of the open request's response has ended or was aborted.
+    pub(crate) fn record_body_end(&self, end: Result<(), BodyAborted>) {
+        self.body_end.set(Some(end));
+    }
+
+    /// Whether the body of the open request's response has ended or was aborted.
+    pub(crate) fn has_body_ended(&self) -> bool {
+        self.body_end.get().is_some()
+    }
+
+    /// Number of times that everything the connection had to write was written.
+    pub(crate) fn flushes(&self) -> u64 {
+        self.flushes.get()
+    }
+
+    /// Records a write, which may still be pending.
+    pub(crate) fn record_write<T>(&self, result: &Poll<io::Result<T>>) {
+        self.activity.record_write(result.is_pending());
+        if matches!(result, Poll::Ready(Err(_))) {
+            self.write_failed.set(true);
+        }
+    }
+
     /// Records that everything the connection had to write was written.
-    fn record_flush(&self) {
+    pub(crate) fn record_flush(&self) {
         self.flushes.set(self.flushes.get() + 1);
         if self.body_end.get() == Some(Ok(())) {
             self.open_request.take();
@@ -254,146 +270,3 @@
         self.state.is_discarding.set(false);
     }
 }
-
-/// The body of a response, which tells the connection's state how it ended.
-pub(crate) struct ObservedBody {
-    inner: Body,
-    state: Rc<ConnectionState>,
-    /// Number of flushes of the connection when the body was aborted.
-    aborted_at: Option<u64>,
-}
-
-impl ObservedBody {
-    pub(crate) fn new(inner: Body, state: Rc<ConnectionState>) -> ObservedBody {
-        let body = ObservedBody { inner, state, aborted_at: None };
-        body.check_end();
-        body
-    }
-
-    /// Reports the abort once the head and the chunks before it are written: the connection closes
-    /// at the report, and discards what it has not written by then. The connection polls the body
-    /// again after each flush.
-    fn poll_abort(&self, aborted_at: u64) -> Poll<BodyAborted> {
-        if self.state.flushes.get() == aborted_at {
-            return Poll::Pending;
-        }
-        self.state.body_end.set(Some(Err(BodyAborted)));
-        Poll::Ready(BodyAborted)
-    }
-
-    fn check_end(&self) {
-        if hyper::body::Body::is_end_stream(&self.inner) {
-            self.state.body_end.set(Some(Ok(())));
-        }
-    }
-}
-
-impl Drop for ObservedBody {
-    fn drop(&mut self) {
-        // The response to a HEAD request ends without its body.
-        if self.state.body_end.get().is_none() {
-            self.state.body_end.set(Some(Ok(())));
-        }
-    }
-}
-
-impl hyper::body::Body for ObservedBody {
-    type Data = Bytes;
-    type Error = BodyAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        let frame = match self.aborted_at {
-            Some(_) => Some(Err(BodyAborted)),
-            None => std::task::ready!(Pin::new(&mut self.inner).poll_frame(context)),
-        };
-        match &frame {
-            Some(Ok(_)) => self.check_end(),
-            Some(Err(BodyAborted)) => {
-                let flushes = self.state.flushes.get();
-                let aborted_at = *self.aborted_at.get_or_insert(flushes);
-                return self.poll_abort(aborted_at).map(|error| Some(Err(error)));
-            }
-            None => self.state.body_end.set(Some(Ok(()))),
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
-/// The bytes of a connection, which tell the connection's state what was written. While a response is
-/// written that only the end of the connection ends, closing the connection resets it.
-pub(crate) struct ObservedIo<S> {
-    inner: S,
-    state: Rc<ConnectionState>,
-    abortive_close: AbortiveClose,
-}
-
-impl<S> ObservedIo<S> {
-    /// Creates the bytes of a connection over `socket`.
-    pub(crate) fn new(inner: S, state: Rc<ConnectionState>, socket: TcpStream) -> ObservedIo<S> {
-        ObservedIo { inner, state, abortive_close: AbortiveClose::new(socket) }
-    }
-
-    fn check_write<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        self.state.activity.record_write(result.is_pending());
-        if matches!(result, Poll::Ready(Err(_))) {
-            self.state.write_failed.set(true);
-        }
-        result
-    }
-}
-
-impl<S: Read + Unpin> Read for ObservedIo<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if matches!(result, Poll::Ready(Ok(()))) {
-            self.state.record_read();
-        }
-        result
-    }
-}
-
-impl<S: Write + Unpin> Write for ObservedIo<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let must_not_end = self.state.must_not_end();
-        self.abortive_close.set(must_not_end);
-        let result = Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.check_write(result)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut self.inner).poll_flush(context);
-        if matches!(result, Poll::Ready(Ok(()))) {
-            self.state.record_flush();
-            let must_not_end = self.state.must_not_end();
-            self.abortive_close.set(must_not_end);
-        }
-        self.check_write(result)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // The end would reach the caller before the reset.
-        if self.abortive_close.is_set() {
-            return Poll::Ready(Ok(()));
-        }
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -22,6 +22,7 @@
 mod limits;
 mod memory;
 mod metered;
+mod observed;
 mod open_connections;
 mod peer_end;
 mod request_body;
