Do not write a request to a connection that has ended

If a kept connection ends at the moment at which a request is handed to it, the request was thereby written, failed, and counted as one that may have run; before, the library handed it back and it went over another connection. Found on reading the change; no caller saw it.

Change: the progress of a request tells a request of which nothing was written from one that is being written. In the first case the end is passed on at once.

--- a/crates/transport/src/peer_end.rs
+++ b/crates/transport/src/peer_end.rs
@@ -33,6 +33,10 @@
     }
 
     async fn check_end(&self) -> io::Result<()> {
+        if self.progress.is_unsent() {
+            // The HTTP library hands the request back, to be sent over another connection.
+            return Ok(());
+        }
         if !self.progress.is_written() {
             // The HTTP library, which reads before it writes, may not have noticed yet that the
             // last part is written.
--- a/crates/transport/src/request_progress.rs
+++ b/crates/transport/src/request_progress.rs
@@ -20,6 +20,8 @@
 #[derive(Default)]
 pub(crate) struct RequestProgress {
     stage: Cell<Stage>,
+    /// Whether the HTTP library has taken the whole body, of which it may still hold a part.
+    body_taken: Cell<bool>,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -27,19 +29,23 @@
     /// The whole request was passed to the socket, or there is none.
     #[default]
     Written,
-    /// The HTTP library has not taken the whole body.
+    /// Nothing of the request was passed to the socket.
+    Unsent,
+    /// A part of the request may have been passed to the socket.
     Sending,
-    /// The HTTP library has taken the whole body, and may still hold a part of it.
-    Taken,
 }
 
 impl RequestProgress {
     /// Wraps the body of a request that is sent next.
     pub(crate) fn track(self: &Rc<Self>, body: Body) -> TrackedBody {
-        self.stage.set(Stage::Sending);
-        let body = TrackedBody { inner: body, progress: self.clone() };
-        body.check_end();
-        body
+        self.stage.set(Stage::Unsent);
+        self.body_taken.set(hyper::body::Body::is_end_stream(&body));
+        TrackedBody { inner: body, progress: self.clone() }
+    }
+
+    /// Whether nothing of the request was passed to the socket.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.stage.get() == Stage::Unsent
     }
 
     /// Whether the whole request was passed to the socket.
@@ -47,9 +53,16 @@
         self.stage.get() == Stage::Written
     }
 
+    /// Records that the HTTP library writes.
+    fn record_write(&self) {
+        if self.stage.get() == Stage::Unsent {
+            self.stage.set(Stage::Sending);
+        }
+    }
+
     /// Records that the HTTP library has written all that it held.
     fn record_flush(&self) {
-        if self.stage.get() == Stage::Taken {
+        if self.stage.get() == Stage::Sending && self.body_taken.get() {
             self.stage.set(Stage::Written);
         }
     }
@@ -65,12 +78,6 @@
     pub(crate) fn into_inner(self) -> Body {
         self.inner
     }
-
-    fn check_end(&self) {
-        if hyper::body::Body::is_end_stream(&self.inner) {
-            self.progress.stage.set(Stage::Taken);
-        }
-    }
 }
 
 impl hyper::body::Body for TrackedBody {
@@ -82,11 +89,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         let frame = std::task::ready!(Pin::new(&mut self.inner).poll_frame(context));
-        match &frame {
-            Some(Ok(_)) => self.check_end(),
-            Some(Err(BodyAborted)) => {}
-            None => self.progress.stage.set(Stage::Taken),
-        }
+        self.progress.body_taken.set(frame.is_none() || self.inner.is_end_stream());
         Poll::Ready(frame)
     }
 
@@ -127,6 +130,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.progress.record_write();
         Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
