--- a/crates/edge/tests/broken_answers.rs
+++ b/crates/edge/tests/broken_answers.rs
@@ -1,4 +1,4 @@
-//! Tests of broken answers that must not reach callers, with the daemon as a process before workers
+//! Tests of broken answers that must not reach callers, with the daemon as a process before upstreams
 //! whose answers are sent byte for byte.
 
 mod loopback;
@@ -18,7 +18,7 @@
 const SMALL_BYTES: usize = 100;
 /// Requests with an upload on each route.
 const UPLOADS: usize = 8;
-/// Attempts at a request until it reaches a worker. A node avoids a worker for a while after a
+/// Attempts at a request until it reaches an upstream. A node avoids one for a while after a
 /// broken answer.
 const ATTEMPTS: usize = 40;
 /// Pause between two attempts.
@@ -61,11 +61,11 @@
     RawAnswer { text, ignores_body: false }
 }
 
-/// A node before workers that all give the same answer: two replicas of the plain service, and three
+/// A node before upstreams that all give the same answer: two replicas of the plain service, and three
 /// engines that hold the model together.
 struct Deployment {
     node: NodeProcess,
-    workers: Vec<RawWorker>,
+    upstreams: Vec<RawWorker>,
     requests: Cell<usize>,
 }
 
@@ -79,14 +79,14 @@
             node.control(&PlatformFault::Register { addr: worker.addr, layers });
             worker
         };
-        let workers = [None, None, first, second, third].map(start).into();
-        Deployment { node, workers, requests: Cell::new(0) }
+        let upstreams = [None, None, first, second, third].map(start).into();
+        Deployment { node, upstreams, requests: Cell::new(0) }
     }
 
     /// Sets the answer to all further requests.
     fn set_answer(&self, answer: &RawAnswer) {
-        for worker in &self.workers {
-            worker.set_answer(answer.clone());
+        for upstream in &self.upstreams {
+            upstream.set_answer(answer.clone());
         }
     }
 
@@ -101,32 +101,32 @@
         answer.expect("the node answers or closes the connection")
     }
 
-    /// Sends requests until one reaches a worker. Returns what its caller got.
-    fn send_to_worker(&self, path: &str, body_bytes: usize) -> (u16, String) {
-        let reached = || self.workers.iter().map(RawWorker::requests).sum::<usize>();
+    /// Sends requests until one reaches an upstream. Returns what its caller got.
+    fn send_to_upstream(&self, path: &str, body_bytes: usize) -> (u16, String) {
+        let reached = || self.upstreams.iter().map(RawWorker::requests).sum::<usize>();
         for _ in 0..ATTEMPTS {
             let before = reached();
             let answer = self.send(path, body_bytes);
             if reached() > before {
                 return answer;
             }
-            assert_ne!(answer.0, 200, "an answer without a worker: {answer:?}");
+            assert_ne!(answer.0, 200, "an answer without an upstream: {answer:?}");
             thread::sleep(ATTEMPT_PAUSE);
         }
-        panic!("no request for {path} reaches a worker");
+        panic!("no request for {path} reaches an upstream");
     }
 
     /// Checks that callers get a failure in place of this answer.
     fn check_rejected(&self, path: &str, answer: &RawAnswer) {
         self.set_answer(answer);
-        let (status, text) = self.send_to_worker(path, SMALL_BYTES);
+        let (status, text) = self.send_to_upstream(path, SMALL_BYTES);
         assert_eq!(status, 502, "{path}: {answer:?} became {text:?}");
     }
 
     /// Checks that callers get the whole of this answer.
     fn check_passed_on(&self, path: &str, answer: &RawAnswer, body_bytes: usize) {
         self.set_answer(answer);
-        let (status, text) = self.send_to_worker(path, body_bytes);
+        let (status, text) = self.send_to_upstream(path, body_bytes);
         assert_eq!(status, 200, "{path}: {text:?}");
         assert!(is_complete(path, &text), "{path}: {text:?}");
     }
@@ -138,7 +138,7 @@
     text.ends_with(if path == STREAM_PATH { LAST_CHUNK } else { EVENTS })
 }
 
-/// Guards against the start of an answer that reaches the caller as a whole one: a worker answers a
+/// Guards against the start of an answer that reaches the caller as a whole one: an upstream answers a
 /// long upload before it has read it, ends the connection, and resets it afterwards.
 #[test]
 fn an_answer_that_ends_during_the_upload_is_broken() {
@@ -148,7 +148,7 @@
     let complete = PATHS.map(|path| {
         deployment.check_passed_on(path, &sound, UPLOAD_BYTES);
         deployment.set_answer(&broken);
-        let answers = (0..UPLOADS).map(|_| deployment.send_to_worker(path, UPLOAD_BYTES));
+        let answers = (0..UPLOADS).map(|_| deployment.send_to_upstream(path, UPLOAD_BYTES));
         answers.filter(|(status, text)| *status == 200 && is_complete(path, text)).count()
     });
     assert_eq!(complete, [0, 0, 0], "complete of {UPLOADS} answers each on {PATHS:?}");
