--- a/crates/crashes/src/decision.rs
+++ b/crates/crashes/src/decision.rs
@@ -1,93 +1,158 @@
-//! Decides which parts are refused for the crashes that are known, and which refusals end for that.
+//! Decides which requests are refused for the crashes that are known, and which refusals end for that.
 
 use clock::Timestamp;
+use types::Digest;
 
 use crate::{
-    CrashNote, CrashTable, RefusedPart,
+    CrashNote, CrashTable, RefusalKey,
     event::{CrashEvent, Evidence},
-    part_cause::{Cause, find_cause},
+    part_cause::{Cause, find_cause, find_cause_among},
 };
 
+/// The kinds of evidence, in the order in which they are looked at.
+const EVIDENCE: [Evidence; 2] = [Evidence::Silent, Evidence::All];
+
 impl CrashTable {
-    /// Refuses the parts that explain the crashes. Returns the notes on those that were not refused
+    /// Refuses the requests that explain the crashes. Returns the notes on those that were not refused
     /// before.
     pub fn decide(&mut self, now: Timestamp) -> Vec<CrashNote> {
         self.expire(now);
-        let mut notes = Vec::new();
+        let mut notes = self.leave_out_answered(now);
+        notes.extend(self.narrow_combinations(now));
         let mut explained: Vec<(Cause, Evidence)> = Vec::new();
         loop {
-            let mut events: Vec<&CrashEvent> = self.events.values().collect();
+            let mut events = self.unexplained_events();
             events.retain(|event| {
-                let is_explained =
-                    explained.iter().any(|(cause, evidence)| cause.explains(event, *evidence));
-                !is_explained && !self.is_explained_by_part(event)
+                !explained.iter().any(|(cause, evidence)| cause.explains(event, *evidence))
             });
-            events.sort_by_key(|event| event.at);
-            let found = [Evidence::Silent, Evidence::All].into_iter().find_map(|evidence| {
+            let found = EVIDENCE.into_iter().find_map(|evidence| {
                 find_cause(&events, evidence).map(|(cause, crashes)| (cause, crashes, evidence))
             });
             let Some((cause, crashes, evidence)) = found else { break };
+            notes.extend(self.refuse_cause(&cause, crashes, evidence, now));
             explained.push((cause, evidence));
-            let Some(part) = cause.refused_part() else { continue };
-            let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
-            let refused = RefusedPart { part, organisation: Some(cause.organisation) };
-            notes.extend(self.refuse(refused, crashes, now));
-            notes.extend(self.withdraw_explained(cause, evidence));
         }
-        for (part, crashes) in self.refusals.shared_parts() {
-            notes.extend(self.refuse(RefusedPart { part, organisation: None }, crashes, now));
+        for (parts, crashes) in self.refusals.shared_parts() {
+            notes.extend(self.refuse(&parts, None, crashes, now));
+        }
+        notes
+    }
+
+    /// Leaves out of the refusals the parts that were answered since the last crash which each explains.
+    /// Other nodes may have seen the answers, and may not have known the refusal.
+    fn leave_out_answered(&mut self, now: Timestamp) -> Vec<CrashNote> {
+        let mut notes = Vec::new();
+        for (key, parts) in self.refusals.all_in_force() {
+            let crashes = self.explained_events(&key);
+            let is_answered = |part: &&Digest| {
+                !crashes.is_empty() && crashes.iter().all(|event| event.is_answered(**part))
+            };
+            let answered: Vec<Digest> = parts.iter().filter(is_answered).copied().collect();
+            if !answered.is_empty() {
+                notes.extend(self.narrow_refusal(&key, &answered, now));
+            }
         }
         notes
     }
 
-    /// Ends the refusals of parts whose crashes a cause explains too: their requests only ran on the same
-    /// engines. Returns the notes on them.
-    fn withdraw_explained(&mut self, cause: Cause, evidence: Evidence) -> Vec<CrashNote> {
-        let refused: Vec<RefusedPart> = self.refusals.iter().map(|(refused, _)| *refused).collect();
+    /// Refuses what further crashes have in common with a refused combination of parts. That leaves out
+    /// parts which requests that crash engines do not need to have. Returns the notes on it.
+    fn narrow_combinations(&mut self, now: Timestamp) -> Vec<CrashNote> {
         let mut notes = Vec::new();
-        for other in refused {
-            if self.is_refused_by_chance(&other, cause, evidence)
-                && self.refusals.withdraw_one(&other)
-            {
-                notes.extend(self.refusal_note(&other));
+        for (key, parts) in self.refusals.all_in_force() {
+            if let Some((cause, crashes, evidence)) = self.find_narrower_cause(&key, &parts) {
+                notes.extend(self.refuse_cause(&cause, crashes, evidence, now));
             }
         }
         notes
     }
 
-    /// Whether a cause explains all crashes for which another part is refused.
-    fn is_refused_by_chance(
+    /// The cause, with some of the parts of a refused combination, that explains further crashes beside
+    /// those for which the combination is refused.
+    fn find_narrower_cause(
         &self,
-        refused: &RefusedPart,
-        cause: Cause,
+        key: &RefusalKey,
+        parts: &[Digest],
+    ) -> Option<(Cause, usize, Evidence)> {
+        let organisation = key.organisation.filter(|_| parts.len() > 1)?;
+        let mut events = self.unexplained_events();
+        if events.is_empty() {
+            return None;
+        }
+        events.extend(self.explained_events(key));
+        events.sort_by_key(|event| event.at);
+        EVIDENCE.into_iter().find_map(|evidence| {
+            let (cause, crashes) = find_cause_among(&events, evidence, organisation, parts)?;
+            let is_narrower = cause.parts().len() < parts.len();
+            is_narrower.then_some((cause, crashes, evidence))
+        })
+    }
+
+    /// The crashes that a refusal explains.
+    fn explained_events(&self, key: &RefusalKey) -> Vec<&CrashEvent> {
+        let Some(state) = self.refusals.get(key) else { return Vec::new() };
+        self.events.values().filter(|event| key.explains(state, event)).collect()
+    }
+
+    /// Refuses the requests that have all parts of a cause, and ends the refusals that it shows to be
+    /// wrong. Returns the notes on that.
+    fn refuse_cause(
+        &mut self,
+        cause: &Cause,
+        crashes: usize,
         evidence: Evidence,
-    ) -> bool {
-        let Some(organisation) = refused.organisation else { return false };
-        let other = Cause { organisation, part: refused.part };
-        let mut crashes = self.events.values().filter(|event| {
-            other.explains(event, Evidence::All)
-                && self.refusals.explains(other.part, organisation, event.at)
-        });
-        let Some(first) = crashes.next() else { return false };
-        other != cause
-            && cause.explains(first, evidence)
-            && crashes.all(|event| cause.explains(event, evidence))
+        now: Timestamp,
+    ) -> Vec<CrashNote> {
+        if cause.is_organisation() {
+            return Vec::new();
+        }
+        let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
+        let refused = self.refuse(cause.parts(), Some(cause.organisation()), crashes, now);
+        let mut notes: Vec<CrashNote> = refused.into_iter().collect();
+        notes.extend(self.withdraw_explained(cause, evidence));
+        notes
     }
 
-    /// Whether a refused part, or a refused request, explains a crash.
-    pub(crate) fn is_explained(&self, event: &CrashEvent) -> bool {
-        self.is_explained_by_part(event)
-            || event.suspects(Evidence::All).any(|suspect| {
-                self.refusals.explains(suspect.fingerprint, suspect.organisation, event.at)
-            })
+    /// The crashes that no refusal explains, by time.
+    fn unexplained_events(&self) -> Vec<&CrashEvent> {
+        let mut events: Vec<&CrashEvent> =
+            self.events.values().filter(|event| !self.refusals.explains(event)).collect();
+        events.sort_by_key(|event| event.at);
+        events
     }
 
-    /// Whether a refused part explains a crash. Refused single requests are left out: one may have run on
-    /// the engine by chance, and would hide the part that crashed it.
-    fn is_explained_by_part(&self, event: &CrashEvent) -> bool {
-        event.suspects(Evidence::All).any(|suspect| {
-            let mut parts = suspect.parts();
-            parts.any(|part| self.refusals.explains(part, suspect.organisation, event.at))
-        })
+    /// Ends the refusals whose crashes a cause explains too: their requests only ran on the same
+    /// engines, or did so with parts that do not matter. Returns the notes on them.
+    fn withdraw_explained(&mut self, cause: &Cause, evidence: Evidence) -> Vec<CrashNote> {
+        let keys: Vec<RefusalKey> = self.refusals.iter().map(|(key, _)| *key).collect();
+        let mut notes = Vec::new();
+        for key in keys {
+            if self.is_refused_by_chance(&key, cause, evidence) {
+                notes.extend(self.withdraw(&key));
+            }
+        }
+        notes
+    }
+
+    /// Whether a cause explains all crashes for which other requests are refused.
+    fn is_refused_by_chance(&self, key: &RefusalKey, cause: &Cause, evidence: Evidence) -> bool {
+        let Some((organisation, state)) = key.organisation.zip(self.refusals.get(key)) else {
+            return false;
+        };
+        let other = Cause::new(organisation, &state.parts);
+        let mut crashes = self.explained_events(key);
+        crashes.retain(|event| other.explains(event, Evidence::All));
+        other != *cause
+            && !crashes.is_empty()
+            && crashes.iter().all(|event| cause.explains(event, evidence))
+    }
+
+    /// Whether refused parts, or a refused request, explain a crash. Elsewhere refused requests are left
+    /// out: one may have run on the engine by chance, and would hide the part that crashed it.
+    pub(crate) fn is_explained(&self, event: &CrashEvent) -> bool {
+        self.refusals.explains(event)
+            || event
+                .suspects(Evidence::All)
+                .any(|suspect| self.refusals.explains_request(suspect, event.at))
     }
 }
--- a/crates/crashes/src/event.rs
+++ b/crates/crashes/src/event.rs
@@ -91,6 +91,11 @@
         self.shared.iter().map(|placed| placed.part)
     }
 
+    /// Whether the part is one of those that may have caused the crash.
+    pub(crate) fn has_part(&self, part: Digest) -> bool {
+        self.shared.iter().any(|placed| placed.part == part)
+    }
+
     /// The organisation, the shared parts and the fingerprint.
     pub(crate) fn subjects(&self) -> impl Iterator<Item = Digest> + '_ {
         [self.organisation].into_iter().chain(self.parts()).chain([self.fingerprint])
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -23,6 +23,6 @@
 
 pub use event::{EngineProcess, MAX_SUSPECTS, PlacedPart, RequestParts, Suspect};
 pub use note::{CrashNote, SuspectNote};
-pub use refusal::{RefusalSource, RefusedPart};
+pub use refusal::{RefusalKey, RefusalSource};
 pub use request_cause::{CrashedRuns, is_poison, shares_crash};
 pub use table::{Applied, CrashTable, MAX_EVENTS, MAX_REFUSALS, Refusal};
--- a/crates/crashes/src/note.rs
+++ b/crates/crashes/src/note.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use types::Digest;
 
-use crate::{EngineProcess, PlacedPart};
+use crate::{EngineProcess, PlacedPart, RefusalKey};
 
 /// Something that a node knows about crashes and tells the other nodes. Times are given as ages, so
 /// that the nodes' clocks need not agree.
@@ -30,18 +30,22 @@
         /// The parts.
         parts: Vec<Digest>,
     },
-    /// A part is refused.
+    /// Requests are refused: those with a part of a prompt, with several parts together, or with a
+    /// whole content.
     Refused {
-        /// The part.
-        part: Digest,
-        /// The organisation for which it is refused; `None` for all.
-        organisation: Option<Digest>,
+        /// The refusal.
+        key: RefusalKey,
+        /// The parts that a request must have to be refused, all of them. A long list comes in several
+        /// notes.
+        parts: Vec<Digest>,
+        /// Number of these parts in all notes; zero if only the end of the refusal is known.
+        part_count: u32,
         /// Crashes that led to the refusal.
         crashes: u32,
         /// How often the refusal has ended and begun again: odd if it has ended because a request
-        /// with the part was answered.
+        /// with one of the parts was answered.
         revision: u32,
-        /// Time since a request with the part last arrived, in milliseconds.
+        /// Time since such a request last arrived, in milliseconds.
         age_ms: u32,
     },
 }
@@ -97,6 +101,19 @@
                     parts: parts.to_vec(),
                 })
                 .collect(),
+            CrashNote::Refused { key, parts, part_count, crashes, revision, age_ms }
+                if parts.len() > max_parts =>
+            {
+                let piece = |parts: &[Digest]| CrashNote::Refused {
+                    key,
+                    parts: parts.to_vec(),
+                    part_count,
+                    crashes,
+                    revision,
+                    age_ms,
+                };
+                parts.chunks(max_parts).map(piece).collect()
+            }
             note => vec![note],
         }
     }
--- a/crates/crashes/src/part_cause.rs
+++ b/crates/crashes/src/part_cause.rs
@@ -1,6 +1,6 @@
 //! Finds the part of a prompt that explains crashes of engines.
 
-use std::{cmp::Reverse, collections::HashMap};
+use std::{cmp::Reverse, collections::HashMap, slice};
 
 use clock::Timestamp;
 use types::Digest;
@@ -27,38 +27,66 @@
 /// The same if answers had begun.
 const BEGUN_TIE_CHAIN: usize = 6;
 
-/// Bits of the events of one cause.
+/// Bits of the events of one subject.
 type EventMask = u64;
 const _: () = assert!(MAX_EVENTS <= EventMask::BITS as usize);
 
-/// What may explain crashes: a part of the requests of one organisation. The digest of the
-/// organisation's name stands for all of its requests, and a fingerprint for a single one.
+/// What requests of one organisation may have in common: a part. The digest of the organisation's name
+/// stands for all of its requests, and a fingerprint for a single one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(crate) struct Cause {
-    pub(crate) organisation: Digest,
-    pub(crate) part: Digest,
+struct Subject {
+    organisation: Digest,
+    part: Digest,
 }
 
-impl Cause {
-    /// Whether the cause is a part that can be refused, and not all requests of an organisation.
+impl Subject {
+    /// Whether the subject is a part or a single request, and not all requests of an organisation.
     fn is_part(self) -> bool {
         self.part != self.organisation
     }
+}
+
+/// What explains crashes: the requests of one organisation that have certain parts, all of them. If
+/// there are several, no crash and no answer has shown which of them it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Cause {
+    organisation: Digest,
+    /// In ascending order. Empty for all requests of the organisation.
+    parts: Vec<Digest>,
+}
+
+impl Cause {
+    /// The requests that have all of `parts`, which are in ascending order.
+    pub(crate) fn new(organisation: Digest, parts: &[Digest]) -> Cause {
+        Cause { organisation, parts: parts.to_vec() }
+    }
+
+    pub(crate) fn organisation(&self) -> Digest {
+        self.organisation
+    }
+
+    pub(crate) fn parts(&self) -> &[Digest] {
+        &self.parts
+    }
+
+    /// Whether the cause is all requests of an organisation, which are not refused.
+    pub(crate) fn is_organisation(&self) -> bool {
+        self.parts.is_empty()
+    }
 
     /// Whether the cause explains a crash.
-    pub(crate) fn explains(self, event: &CrashEvent, evidence: Evidence) -> bool {
-        event.contains(self.part)
+    pub(crate) fn explains(&self, event: &CrashEvent, evidence: Evidence) -> bool {
+        let subjects =
+            if self.is_organisation() { slice::from_ref(&self.organisation) } else { &self.parts };
+        subjects.iter().all(|subject| event.contains(*subject))
             && event.suspects(evidence).any(|suspect| {
+                let has = |subject| subject == self.organisation || suspect.has_part(subject);
                 suspect.organisation == self.organisation
-                    && !event.is_cleared(self.part, suspect)
-                    && suspect.subjects().any(|subject| subject == self.part)
+                    && subjects
+                        .iter()
+                        .all(|subject| has(*subject) && !event.is_cleared(*subject, suspect))
             })
     }
-
-    /// The part, if the cause is one that can be refused.
-    pub(crate) fn refused_part(self) -> Option<Digest> {
-        self.is_part().then_some(self.part)
-    }
 }
 
 /// A crash in which requests with one part took part.
@@ -73,10 +101,10 @@
     progress: Timestamp,
 }
 
-/// The crashes that a cause explains.
+/// The crashes that a subject explains.
 struct Record {
-    cause: Cause,
-    /// Whether the cause is a single request. Those are judged by themselves.
+    subject: Subject,
+    /// Whether the subject is a single request. Those are judged by themselves.
     is_request: bool,
     sightings: Vec<Sighting>,
     events: EventMask,
@@ -96,40 +124,22 @@
 ///
 /// Crashes count as successive if a request had started after the crash before it. Engines that
 /// are lost together are thus one crash, however long it takes to notice all of them. Of the parts
-/// that explain the same crashes, the most specific one is chosen.
+/// that explain crashes, the most specific one is chosen, with those that all requests with it have.
 pub(crate) fn find_cause(events: &[&CrashEvent], evidence: Evidence) -> Option<(Cause, usize)> {
-    let crashes = Crashes::index(events, evidence);
-    let mut candidates: Vec<(Weight, &Record)> = crashes
-        .records
-        .iter()
-        .filter(|record| {
-            !record.is_request
-                && is_suspicious(record, evidence)
-                && !crashes.has_specific_cause(record, evidence)
-        })
-        .map(|record| (weigh(record, evidence), record))
-        .collect();
-    candidates.sort_by_key(|(weight, record)| {
-        (Reverse(*weight), !record.cause.is_part(), record.suspects, record.cause)
-    });
-    let (_, Record { cause, .. }) = *candidates.first()?;
-    if !cause.is_part() {
-        // The requests of an organisation explain the crashes better than any part of another one.
-        // A part of its own is better still.
-        candidates.retain(|(_, other)| {
-            other.cause.organisation == cause.organisation
-                && (other.cause.is_part() || other.cause == *cause)
-        });
-        candidates.sort_by_key(|(weight, record)| (!record.cause.is_part(), Reverse(*weight)));
-    }
-    let (weight, Record { cause, .. }) = *candidates.first()?;
-    let rivals = candidates.iter().skip(1).filter(|(other, _)| *other == weight);
-    let tie_chain = match evidence {
-        Evidence::Silent => TIE_CHAIN,
-        Evidence::All => BEGUN_TIE_CHAIN,
+    Crashes::index(events, evidence, |_| true).find_cause(evidence)
+}
+
+/// The cause among some parts of the requests of one organisation.
+pub(crate) fn find_cause_among(
+    events: &[&CrashEvent],
+    evidence: Evidence,
+    organisation: Digest,
+    parts: &[Digest],
+) -> Option<(Cause, usize)> {
+    let is_candidate = |subject: Subject| {
+        subject.organisation == organisation && parts.binary_search(&subject.part).is_ok()
     };
-    let is_open = rivals.count() > 0 && weight.chain < tie_chain;
-    (!is_open).then_some((*cause, weight.crashes))
+    Crashes::index(events, evidence, is_candidate).find_cause(evidence)
 }
 
 /// The crashes and what may explain them.
@@ -142,27 +152,32 @@
 }
 
 impl Crashes {
-    fn index(events: &[&CrashEvent], evidence: Evidence) -> Crashes {
+    /// Collects what takes part in the crashes, as far as it may explain them.
+    fn index(
+        events: &[&CrashEvent],
+        evidence: Evidence,
+        is_candidate: impl Fn(Subject) -> bool,
+    ) -> Crashes {
         let mut event_counts: HashMap<Digest, usize> = HashMap::new();
         for subject in events.iter().flat_map(|event| event.subjects()) {
             *event_counts.entry(subject).or_default() += 1;
         }
         let is_repeated =
             |subject: &Digest| event_counts.get(subject).is_some_and(|count| *count > 1);
-        let mut indices: HashMap<Cause, usize> = HashMap::new();
+        let mut indices: HashMap<Subject, usize> = HashMap::new();
         let mut crashes = Crashes { records: Vec::new(), suspects: vec![Vec::new(); events.len()] };
         for (number, event) in events.iter().enumerate() {
             for suspect in event.suspects(evidence) {
                 let organisation = suspect.organisation;
                 let mut subjects = Vec::new();
                 for part in suspect.subjects().filter(is_repeated) {
-                    if event.is_cleared(part, suspect) {
+                    let subject = Subject { organisation, part };
+                    if event.is_cleared(part, suspect) || !is_candidate(subject) {
                         continue;
                     }
-                    let cause = Cause { organisation, part };
-                    let index = *indices.entry(cause).or_insert_with(|| {
+                    let index = *indices.entry(subject).or_insert_with(|| {
                         let is_request = part == suspect.fingerprint;
-                        crashes.records.push(Record::new(cause, is_request));
+                        crashes.records.push(Record::new(subject, is_request));
                         crashes.records.len() - 1
                     });
                     crashes.records[index].add(number, event.at, suspect);
@@ -174,40 +189,106 @@
         crashes
     }
 
-    /// Whether something more specific than a cause explains its crashes, but for a coincidence:
+    /// The cause that explains most of the crashes.
+    fn find_cause(&self, evidence: Evidence) -> Option<(Cause, usize)> {
+        let mut candidates: Vec<(Weight, &Record)> = self
+            .records
+            .iter()
+            .filter(|record| {
+                !record.is_request
+                    && is_suspicious(record, evidence)
+                    && !self.has_specific_cause(record, evidence)
+            })
+            .map(|record| (weigh(record, evidence), record))
+            .collect();
+        candidates.sort_by_key(|(weight, record)| {
+            (Reverse(*weight), !record.subject.is_part(), record.suspects, record.subject)
+        });
+        let (_, Record { subject, .. }) = *candidates.first()?;
+        if !subject.is_part() {
+            // The requests of an organisation explain the crashes better than any part of another one.
+            // A part of its own is better still.
+            candidates.retain(|(_, other)| {
+                other.subject.organisation == subject.organisation
+                    && (other.subject.is_part() || other.subject == *subject)
+            });
+            candidates
+                .sort_by_key(|(weight, record)| (!record.subject.is_part(), Reverse(*weight)));
+        }
+        let (weight, chosen) = *candidates.first()?;
+        let cause = self.cause_of(chosen.subject);
+        // The other parts of the cause explain the same crashes.
+        let is_rival = |other: &Record| {
+            other.subject.organisation != chosen.subject.organisation
+                || !cause.parts.contains(&other.subject.part)
+        };
+        let mut rivals = candidates.iter().skip(1);
+        let has_rival = rivals.any(|(other, record)| *other == weight && is_rival(record));
+        let tie_chain = match evidence {
+            Evidence::Silent => TIE_CHAIN,
+            Evidence::All => BEGUN_TIE_CHAIN,
+        };
+        let is_open = has_rival && weight.chain < tie_chain;
+        (!is_open).then_some((cause, weight.crashes))
+    }
+
+    /// The requests that have the subject, by all that they have in common. Which of these parts crashes
+    /// engines is open, so that one of them alone says nothing about a request.
+    fn cause_of(&self, subject: Subject) -> Cause {
+        let organisation = subject.organisation;
+        if !subject.is_part() {
+            return Cause::new(organisation, &[]);
+        }
+        let suspects = self.suspects.iter().flatten();
+        let mut with_subject =
+            suspects.filter(|subjects| self.place_of(subject, subjects).is_some());
+        let mut common: Vec<usize> = with_subject.next().cloned().unwrap_or_default();
+        for subjects in with_subject {
+            common.retain(|index| subjects.contains(index));
+        }
+        let records = common.into_iter().map(|index| &self.records[index]);
+        let parts = records.filter(|record| record.subject.is_part() && !record.is_request);
+        let mut parts: Vec<Digest> = parts.map(|record| record.subject.part).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        Cause { organisation, parts }
+    }
+
+    /// Whether something more specific than a subject explains its crashes, but for a coincidence:
     /// another part of the same prompts that fewer requests have, or a single request that was sent
     /// repeatedly.
     fn has_specific_cause(&self, record: &Record, evidence: Evidence) -> bool {
         let suspects = record.sightings.iter().flat_map(|one| &self.suspects[one.event]);
-        suspects.filter_map(|subjects| Some((subjects, self.place_of(record, subjects)?))).any(
-            |(subjects, place)| {
+        suspects
+            .filter_map(|subjects| Some((subjects, self.place_of(record.subject, subjects)?)))
+            .any(|(subjects, place)| {
                 subjects.iter().enumerate().any(|(other_place, index)| {
                     let rival = &self.records[*index];
                     is_more_specific(rival, record, other_place > place, evidence)
                         && !has_remaining_chain(record, rival, evidence)
                 })
-            },
-        )
+            })
     }
 
-    /// Place of the cause among the subjects of a suspect.
-    fn place_of(&self, record: &Record, subjects: &[usize]) -> Option<usize> {
-        subjects.iter().position(|index| self.records[*index].cause == record.cause)
+    /// Place of a subject among those of a suspect.
+    fn place_of(&self, subject: Subject, subjects: &[usize]) -> Option<usize> {
+        subjects.iter().position(|index| self.records[*index].subject == subject)
     }
 }
 
-/// Whether a rival from the same request is more specific than a cause: fewer requests have it. Of
+/// Whether a rival from the same request is more specific than a subject: fewer requests have it. Of
 /// parts that as many requests have, the later one is, while no answer has begun: prompts are alike
-/// from their start on. Later, it is open which of the two it is.
+/// from their start on. Later, it is open which of the two it is. If the same requests have them, they
+/// are parts of one cause whichever is chosen.
 fn is_more_specific(rival: &Record, record: &Record, is_later: bool, evidence: Evidence) -> bool {
-    let breaks_tie = evidence == Evidence::Silent || rival.is_request || !record.cause.is_part();
+    let breaks_tie = evidence == Evidence::Silent || rival.is_request || !record.subject.is_part();
     rival.suspects < record.suspects
         || (rival.suspects == record.suspects && is_later && breaks_tie)
 }
 
 impl Record {
-    fn new(cause: Cause, is_request: bool) -> Record {
-        Record { cause, is_request, sightings: Vec::new(), events: 0, suspects: 0 }
+    fn new(subject: Subject, is_request: bool) -> Record {
+        Record { subject, is_request, sightings: Vec::new(), events: 0, suspects: 0 }
     }
 
     /// Adds a suspect of the event with this index. Events are added in their order.
@@ -225,7 +306,7 @@
     }
 }
 
-/// Whether enough crashes speak against a cause.
+/// Whether enough crashes speak against a subject.
 fn is_suspicious(record: &Record, evidence: Evidence) -> bool {
     let started_chain = started_chain(&record.sightings);
     match evidence {
@@ -259,7 +340,7 @@
     chain_length(sightings.iter().map(|sighting| (sighting.crashed_at, sighting.started)))
 }
 
-/// Whether enough crashes of a cause remain without those that a rival explains.
+/// Whether enough crashes of a subject remain without those that a rival explains.
 fn has_remaining_chain(record: &Record, rival: &Record, evidence: Evidence) -> bool {
     let remaining = record.sightings.iter().filter(|one| rival.events & (1 << one.event) == 0);
     let remaining: Vec<Sighting> = remaining.copied().collect();
--- a/crates/crashes/src/requests.rs
+++ b/crates/crashes/src/requests.rs
@@ -6,7 +6,7 @@
 use types::Digest;
 
 use crate::{
-    CrashNote, CrashTable, CrashedRuns, RefusedPart, RequestParts,
+    CrashNote, CrashTable, CrashedRuns, RequestParts,
     event::CrashEvent,
     request_cause,
     table::{EVENT_LIFETIME, chain_length},
@@ -36,8 +36,8 @@
             return None;
         }
         let organisation = Some(request.organisation);
-        let refused = RefusedPart { part: request.fingerprint, organisation };
-        self.refuse(refused, u32::try_from(runs.len()).unwrap_or(u32::MAX), now)
+        let crashes = u32::try_from(runs.len()).unwrap_or(u32::MAX);
+        self.refuse(&[request.fingerprint], organisation, crashes, now)
     }
 
     /// Number of crashes for which a request is refused; zero if it is not refused.
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -1,10 +1,10 @@
-use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc, time::Duration};
 
 use clock::Timestamp;
 use types::Digest;
 
 use crate::{
-    CrashNote, EngineProcess, RefusalSource, RefusedPart, RequestParts, Suspect,
+    CrashNote, EngineProcess, RefusalKey, RefusalSource, RequestParts, Suspect,
     event::{CrashEvent, Evidence},
     note::SuspectNote,
     refusal::{RefusalState, RefusalTable},
@@ -25,19 +25,23 @@
 /// Most refusals that are repeated to another node at once: those whose requests arrived last. A node
 /// that starts reads all of them in the key-value service.
 const MAX_REPEATED_REFUSALS: usize = 32;
+/// Most parts of these refusals. One refusal is repeated whatever its number of parts.
+const MAX_REPEATED_PARTS: usize = 128;
 
 /// Why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refusal {
     /// Engines crashed while they ran the same request.
     Request {
         /// Number of the crashes.
         crashes: usize,
     },
-    /// Engines crash when they answer a prompt with one of the request's parts.
+    /// Engines crash when they answer a prompt with certain parts of the request.
     Part {
-        /// The part.
-        refused: RefusedPart,
+        /// The refusal that applies.
+        key: RefusalKey,
+        /// The parts. Which of them crashes engines is open if there are several.
+        parts: Arc<[Digest]>,
         /// Crashes that led to the refusal.
         crashes: u32,
         /// From where this node knows it.
@@ -56,13 +60,13 @@
     Crash(EngineProcess, Timestamp),
     /// Requests have begun an answer, or were answered, after a crash.
     Cleared,
-    /// A part is refused.
-    Refused(RefusedPart),
-    /// A part is no longer refused.
-    Withdrawn(RefusedPart),
+    /// Requests are refused.
+    Refused(RefusalKey),
+    /// A refusal has ended.
+    Withdrawn(RefusalKey),
 }
 
-/// What a node knows about crashes and the parts that are refused for them.
+/// What a node knows about crashes and the requests that are refused for them.
 #[derive(Debug, Default)]
 pub struct CrashTable {
     pub(crate) events: BTreeMap<EngineProcess, CrashEvent>,
@@ -106,7 +110,8 @@
     }
 
     /// Records that one engine has answered a request from its start to its end, which clears the
-    /// request and its parts and ends their refusal. Returns the notes for the other nodes.
+    /// request and its parts: a refusal goes on without them, and ends if none is left. Returns the
+    /// notes for the other nodes.
     pub fn record_answer(&mut self, request: &RequestParts, now: Timestamp) -> Vec<CrashNote> {
         self.sound.add(&request.shared, now);
         let subjects: Vec<Digest> = request.subjects().collect();
@@ -114,23 +119,53 @@
         notes.extend(self.clear_answered(&subjects));
         let mut parts = request.shared.to_vec();
         parts.push(request.fingerprint);
-        notes.extend(self.withdraw(&parts));
+        notes.extend(self.narrow_refusals(&parts, now));
         notes
     }
 
     /// Records that an engine has written the rest of an answer that others had begun. That clears
     /// the request, but not its parts: they may crash engines later in an answer. Returns the notes
     /// for the other nodes.
-    pub fn record_resumed_answer(&mut self, request: &RequestParts) -> Vec<CrashNote> {
+    pub fn record_resumed_answer(
+        &mut self,
+        request: &RequestParts,
+        now: Timestamp,
+    ) -> Vec<CrashNote> {
         let mut notes = self.clear_begun(&request.subjects().collect::<Vec<_>>());
         notes.extend(self.clear_answered(&[request.fingerprint]));
-        notes.extend(self.withdraw(&[request.fingerprint]));
+        notes.extend(self.narrow_refusals(&[request.fingerprint], now));
+        notes
+    }
+
+    /// Leaves parts that were answered out of the refusals. Returns the notes on those that have begun
+    /// or ended by this.
+    fn narrow_refusals(&mut self, answered: &[Digest], now: Timestamp) -> Vec<CrashNote> {
+        let keys = self.refusals.of_parts(answered);
+        keys.into_iter().flat_map(|key| self.narrow_refusal(&key, answered, now)).collect()
+    }
+
+    /// Leaves parts that were answered out of one refusal. It goes on under the key of the others.
+    pub(crate) fn narrow_refusal(
+        &mut self,
+        key: &RefusalKey,
+        answered: &[Digest],
+        now: Timestamp,
+    ) -> Vec<CrashNote> {
+        let Some(state) = self.refusals.get(key) else { return Vec::new() };
+        let crashes = state.crashes;
+        let is_left = |part: &&Digest| !answered.contains(*part);
+        let left: Vec<Digest> = state.parts.iter().filter(is_left).copied().collect();
+        let mut notes = Vec::new();
+        if !left.is_empty() {
+            notes.extend(self.refuse(&left, key.organisation, crashes, now));
+        }
+        notes.extend(self.withdraw(key));
         notes
     }
 
-    fn withdraw(&mut self, parts: &[Digest]) -> Vec<CrashNote> {
-        let withdrawn = self.refusals.withdraw(parts);
-        withdrawn.iter().filter_map(|refused| self.refusal_note(refused)).collect()
+    /// Ends a refusal. Returns the note on it if it was in force.
+    pub(crate) fn withdraw(&mut self, key: &RefusalKey) -> Option<CrashNote> {
+        if self.refusals.withdraw_one(key) { self.refusal_note(key) } else { None }
     }
 
     fn clear_begun(&mut self, subjects: &[Digest]) -> Vec<CrashNote> {
@@ -176,48 +211,66 @@
                 let new = event.map(|event| event.clear_answered(&parts)).unwrap_or_default();
                 if new.is_empty() { Applied::Known } else { Applied::Cleared }
             }
-            CrashNote::Refused { part, organisation, crashes, revision, age_ms } => {
+            CrashNote::Refused { key, parts, part_count, crashes, revision, age_ms } => {
                 let last_seen = before(now, age_ms);
-                let state = RefusalState { crashes, source, since: now, last_seen, revision };
-                let refused = RefusedPart { part, organisation };
-                if !self.refusals.merge(refused, state, MAX_REFUSALS) {
+                let state = RefusalState {
+                    parts: sorted(parts),
+                    part_count: part_count as usize,
+                    crashes,
+                    source,
+                    since: now,
+                    last_seen,
+                    revision,
+                };
+                if !self.refusals.merge(key, state, MAX_REFUSALS) {
                     return Applied::Known;
                 }
-                if state.is_withdrawn() {
-                    Applied::Withdrawn(refused)
-                } else {
-                    Applied::Refused(refused)
+                match self.refusals.get(&key) {
+                    Some(state) if state.is_in_force() => Applied::Refused(key),
+                    Some(state) if state.is_withdrawn() => Applied::Withdrawn(key),
+                    _ => Applied::Known,
                 }
             }
         }
     }
 
-    /// Refuses a part. Returns the note on it if it was not refused before.
+    /// Refuses requests that have all of `parts`. Returns the note on that if they were not refused
+    /// before.
     pub(crate) fn refuse(
         &mut self,
-        refused: RefusedPart,
+        parts: &[Digest],
+        organisation: Option<Digest>,
         crashes: u32,
         now: Timestamp,
     ) -> Option<CrashNote> {
-        let source = RefusalSource::Decision;
+        let parts = sorted(parts.to_vec());
+        let key = RefusalKey::new(&parts, organisation);
         // Crashes since the refusal ended begin it again.
-        let known = self.refusals.get(&refused);
+        let known = self.refusals.get(&key);
         let revision = known.map_or(0, |known| known.revision.next_multiple_of(2));
-        let state = RefusalState { crashes, source, since: now, last_seen: now, revision };
-        let is_new = self.refusals.merge(refused, state, MAX_REFUSALS);
-        if is_new { self.refusal_note(&refused) } else { None }
+        let state = RefusalState {
+            part_count: parts.len(),
+            parts,
+            crashes,
+            source: RefusalSource::Decision,
+            since: now,
+            last_seen: now,
+            revision,
+        };
+        let is_new = self.refusals.merge(key, state, MAX_REFUSALS);
+        if is_new { self.refusal_note(&key) } else { None }
     }
 
     /// Why a request must not be sent, if so.
     pub fn check(&mut self, request: &RequestParts, now: Timestamp) -> Option<Refusal> {
         self.refusals.expire(now);
-        if let Some((refused, state)) = self.refusals.check(request, now) {
-            let RefusalState { crashes, source, since, .. } = state;
-            if refused.part == request.fingerprint {
+        if let Some((key, state)) = self.refusals.check(request, now) {
+            let RefusalState { parts, crashes, source, since, .. } = state;
+            if key.id == request.fingerprint {
                 return Some(Refusal::Request { crashes: crashes as usize });
             }
             let age = now.since(since);
-            return Some(Refusal::Part { refused, crashes, source, age });
+            return Some(Refusal::Part { key, parts, crashes, source, age });
         }
         let crashes = self.request_crashes(request, now);
         (crashes > 0).then_some(Refusal::Request { crashes })
@@ -226,10 +279,7 @@
     /// Notes on what the other nodes may not know yet: recent crashes, and refusals.
     pub fn notes(&self, now: Timestamp) -> Vec<CrashNote> {
         let mut notes: Vec<CrashNote> = Vec::new();
-        let mut refusals: Vec<_> = self.refusals.iter().collect();
-        refusals.sort_by_key(|(refused, state)| (Reverse(state.last_seen), **refused));
-        let repeated = refusals.into_iter().take(MAX_REPEATED_REFUSALS);
-        notes.extend(repeated.filter_map(|(refused, _)| self.refusal_note_at(refused, now)));
+        notes.extend(self.repeated_refusals(now));
         for (process, event) in &self.events {
             if now.since(event.at) < REPEAT_TIME {
                 let suspects = event.suspects(Evidence::All);
@@ -247,33 +297,56 @@
         notes
     }
 
-    /// Crashes that led to the refusal of a part; `None` if it is not refused.
-    pub fn refused_crashes(&self, refused: &RefusedPart) -> Option<u32> {
-        let state = self.refusals.get(refused)?;
-        (!state.is_withdrawn()).then_some(state.crashes)
+    /// The refusals that are repeated to another node: those whose requests arrived last.
+    fn repeated_refusals(&self, now: Timestamp) -> Vec<CrashNote> {
+        let mut refusals: Vec<_> = self.refusals.iter().collect();
+        refusals.sort_by_key(|(key, state)| (Reverse(state.last_seen), **key));
+        let mut part_count = 0;
+        let notes = refusals.into_iter().take(MAX_REPEATED_REFUSALS).filter_map(|(key, state)| {
+            part_count += if state.is_in_force() { state.parts.len() } else { 0 };
+            Some((self.refusal_note_at(key, now)?, part_count))
+        });
+        let mut repeated = Vec::new();
+        for (note, part_count) in notes {
+            if part_count > MAX_REPEATED_PARTS && !repeated.is_empty() {
+                break;
+            }
+            repeated.push(note);
+        }
+        repeated
+    }
+
+    /// The parts that a request must have to be refused, and the crashes that led to the refusal;
+    /// `None` if it is not in force.
+    pub fn refused_parts(&self, key: &RefusalKey) -> Option<(Arc<[Digest]>, u32)> {
+        let state = self.refusals.get(key).filter(|state| state.is_in_force())?;
+        Some((state.parts.clone(), state.crashes))
     }
 
-    /// Whether a part is refused and a request with it has arrived lately.
-    pub fn is_in_use(&self, refused: &RefusedPart, now: Timestamp) -> bool {
-        let state = self.refusals.get(refused);
-        state.is_some_and(|state| !state.is_withdrawn() && now.since(state.last_seen) < IN_USE_TIME)
+    /// Whether a refusal is in force and a request that it applies to has arrived lately.
+    pub fn is_in_use(&self, key: &RefusalKey, now: Timestamp) -> bool {
+        let state = self.refusals.get(key);
+        state.is_some_and(|state| state.is_in_force() && now.since(state.last_seen) < IN_USE_TIME)
     }
 
-    /// The note on a refused part.
-    pub fn refusal_note(&self, refused: &RefusedPart) -> Option<CrashNote> {
-        let state = self.refusals.get(refused)?;
+    /// The note on a refusal.
+    pub fn refusal_note(&self, key: &RefusalKey) -> Option<CrashNote> {
+        let state = self.refusals.get(key)?;
+        let has_parts = state.is_in_force();
+        let parts = if has_parts { state.parts.to_vec() } else { Vec::new() };
         Some(CrashNote::Refused {
-            part: refused.part,
-            organisation: refused.organisation,
+            key: *key,
+            part_count: u32::try_from(parts.len()).unwrap_or(u32::MAX),
+            parts,
             crashes: state.crashes,
             revision: state.revision,
             age_ms: 0,
         })
     }
 
-    fn refusal_note_at(&self, refused: &RefusedPart, now: Timestamp) -> Option<CrashNote> {
-        let last_seen = self.refusals.get(refused)?.last_seen;
-        let mut note = self.refusal_note(refused)?;
+    fn refusal_note_at(&self, key: &RefusalKey, now: Timestamp) -> Option<CrashNote> {
+        let last_seen = self.refusals.get(key)?.last_seen;
+        let mut note = self.refusal_note(key)?;
         if let CrashNote::Refused { age_ms, .. } = &mut note {
             *age_ms = millis(now.since(last_seen));
         }
@@ -346,6 +419,12 @@
     Suspect { organisation, shared, fingerprint, started, progress, has_begun }
 }
 
+fn sorted(mut parts: Vec<Digest>) -> Arc<[Digest]> {
+    parts.sort_unstable();
+    parts.dedup();
+    parts.into()
+}
+
 fn millis(age: Duration) -> u32 {
     u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/crashes/tests/begun_answers.rs
+++ b/crates/crashes/tests/begun_answers.rs
@@ -105,7 +105,7 @@
         history.table.record_begin(&crashing);
         let suspect = Suspect::begun(&crashing, at_ms(start), at_ms(start + 300));
         history.crash(start + 320, vec![suspect]);
-        history.table.record_resumed_answer(&crashing);
+        history.table.record_resumed_answer(&crashing, at_ms(start + 330));
     }
     assert!(history.is_refused(5000, &[CRASHING]));
 }
--- a/crates/crashes/tests/parts.rs
+++ b/crates/crashes/tests/parts.rs
@@ -5,7 +5,7 @@
 
 use clock::Timestamp;
 use crashes::{
-    Applied, CrashNote, CrashTable, MAX_EVENTS, MAX_SUSPECTS, Refusal, RefusalSource, RefusedPart,
+    Applied, CrashNote, CrashTable, MAX_EVENTS, MAX_SUSPECTS, Refusal, RefusalKey, RefusalSource,
     RequestParts, Suspect,
 };
 use proptest::{prelude::*, sample::subsequence};
@@ -131,7 +131,8 @@
         history.crash(&[request(ACME, &[PREAMBLE, SOUND], number)]);
     }
     let now = at_ms(history.now_ms);
-    for note in history.table.notes(now) {
+    let stale = history.table.notes(now);
+    for note in stale.clone() {
         other.apply(note, RefusalSource::Peer, now);
     }
     let sound = request(ACME, &[PREAMBLE, SOUND], 9);
@@ -145,15 +146,12 @@
         other.apply(note, RefusalSource::Peer, now);
     }
     assert_eq!((history.refusal(&sound), other.check(&sound, now)), (None, None));
-    // An older note of a third node does not refuse it again.
-    let stale = CrashNote::Refused {
-        part: Digest(SOUND),
-        organisation: Some(Digest(ACME)),
-        crashes: 3,
-        revision: 0,
-        age_ms: 0,
-    };
-    assert_eq!(other.apply(stale, RefusalSource::Store, now), Applied::Known);
+    // Older notes of a third node do not refuse it again.
+    assert!(stale.iter().any(|note| matches!(note, CrashNote::Refused { .. })));
+    for note in stale {
+        assert_eq!(other.apply(note, RefusalSource::Store, now), Applied::Known);
+    }
+    assert_eq!(other.check(&sound, now), None);
 }
 
 #[test]
@@ -297,12 +295,17 @@
 }
 
 /// The refused parts and the refused requests according to a table.
-fn verdicts(table: &mut CrashTable, now: Timestamp) -> Vec<Option<RefusedPart>> {
+fn verdicts(table: &mut CrashTable, now: Timestamp) -> Vec<Option<RefusalKey>> {
     let requests = (1..4).flat_map(|organisation| {
-        [PREAMBLE, CRASHING, SOUND, 103, 104].map(|part| request(organisation, &[part], 0))
+        let parts = [PREAMBLE, CRASHING, SOUND, 103, 104];
+        let combinations = (1..1 << parts.len()).map(move |mask: u32| {
+            let chosen = parts.iter().zip(0..).filter(|(_, bit)| mask & (1 << bit) != 0);
+            chosen.map(|(part, _)| *part).collect::<Vec<u128>>()
+        });
+        combinations.map(move |shared| request(organisation, &shared, 0))
     });
     let verdict = |request: RequestParts| match table.check(&request, now) {
-        Some(Refusal::Part { refused, .. }) => Some(refused),
+        Some(Refusal::Part { key, .. }) => Some(key),
         _ => None,
     };
     requests.map(verdict).collect()
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -8,9 +8,7 @@
 use callers::RoutedFailure;
 use catalog::{Phase, Upstream};
 use clock::Timestamp;
-use crashes::{
-    Applied, CrashNote, EngineProcess, Refusal, RefusalSource, RefusedPart, RequestParts, Suspect,
-};
+use crashes::{Applied, CrashNote, EngineProcess, Refusal, RefusalSource, RequestParts, Suspect};
 use futures_util::future::{Either, select};
 use transport::{CallError, StopSignal};
 use types::{Digest, Failure, FailureKind, Organisation, UpstreamName, Verdict};
@@ -20,7 +18,7 @@
     attempt::Attempts,
     lifecycle::ActiveRequest,
     node::FailureEvidence,
-    refused_parts::{describe, log_refusal, log_withdrawal},
+    refusals::describe,
     selection::{NoSelection, Selection},
 };
 
@@ -70,11 +68,12 @@
     pub(crate) fn record_answer(&self, selection: &Selection) {
         selection.run.remove();
         let gateway = &self.gateway;
+        let now = gateway.clock.now();
         let mut crashes = gateway.crashes.borrow_mut();
         let notes = if selection.run.is_resumed() {
-            crashes.record_resumed_answer(&self.parts)
+            crashes.record_resumed_answer(&self.parts, now)
         } else {
-            crashes.record_answer(&self.parts, gateway.clock.now())
+            crashes.record_answer(&self.parts, now)
         };
         drop(crashes);
         gateway.tell_crash_notes(notes);
@@ -280,15 +279,10 @@
     /// Logs what this node has found out, and tells the other nodes.
     fn tell_crash_notes(&self, notes: Vec<CrashNote>) {
         for note in &notes {
-            if let CrashNote::Refused { part, organisation, crashes, .. } = *note {
-                let refused = RefusedPart { part, organisation };
-                if self.crashes.borrow().refused_crashes(&refused).is_some() {
-                    log_refusal(&refused, crashes, RefusalSource::Decision);
-                } else {
-                    log_withdrawal(&refused);
-                }
+            if let CrashNote::Refused { key, .. } = note {
+                self.log_refusal(key, RefusalSource::Decision);
                 self.metrics.refused_parts.inc();
-                self.outbox.push_refused_part(refused);
+                self.outbox.push_refusal(*key);
             }
         }
         self.outbox.push_crash_notes(notes);
@@ -303,11 +297,9 @@
             has_new |= applied != Applied::Known;
             match applied {
                 Applied::Crash(process, _) => self.report_suspects(process),
-                Applied::Refused(refused) => {
-                    let crashes = self.crashes.borrow().refused_crashes(&refused);
-                    log_refusal(&refused, crashes.unwrap_or_default(), RefusalSource::Peer);
+                Applied::Refused(key) | Applied::Withdrawn(key) => {
+                    self.log_refusal(&key, RefusalSource::Peer);
                 }
-                Applied::Withdrawn(refused) => log_withdrawal(&refused),
                 Applied::Known | Applied::Cleared => {}
             }
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,7 +9,7 @@
     Gateway,
     caller_limits::{caller_limits, health_limits},
     lifecycle::EXIT_MARGIN,
-    peering, planner, refused_parts, store,
+    peering, planner, refusals, store,
 };
 
 /// Time after the stop signal for which new connections are still accepted. The balancer probes
@@ -62,7 +62,7 @@
     spawn(peering::register(gateway.clone())).detach();
     spawn(peering::exchange_datagrams(gateway.clone(), socket)).detach();
     spawn(planner::run_planner(gateway.clone())).detach();
-    spawn(refused_parts::store_refused_parts(gateway.clone())).detach();
+    spawn(refusals::store_refusals(gateway.clone())).detach();
     spawn(stop_on_signal(gateway.clone(), stop, signals.terminate)).detach();
     spawn(log_reloads(signals.hang_up)).detach();
     let serving = async {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Gateway, caller_limits::check_table, peering::NODE_PREFIX, planner::PLANNER_KEY,
-    refused_parts::REFUSED_PREFIX,
+    refusals::REFUSED_PREFIX,
 };
 
 /// Delay before the next read after a failed one. It doubles with each further failure, up to
@@ -203,7 +203,7 @@
     } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
         gateway.apply_member(name, item.value.as_deref(), item.revision);
     } else if let Some(rest) = item.key.strip_prefix(REFUSED_PREFIX) {
-        gateway.apply_refused_part(rest, item.value.as_deref());
+        gateway.apply_refusal_entry(rest, item.value.as_deref());
     } else if item.key == PLANNER_KEY {
         gateway.planner_active.set(item.value.is_some());
     }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, ops::Range, rc::Rc, time::Duration};
 
-use crashes::{CrashNote, RefusedPart};
+use crashes::{CrashNote, RefusalKey};
 use futures_util::future::{join, join3};
 use keyvalue::Item;
 use peers::{Datagram, DatagramSocket, NamedRate, StoreChange};
@@ -54,8 +54,8 @@
     /// Failed upstreams, each with the incarnation that failed.
     failed: UpdateQueue<(UpstreamName, u64)>,
     crash_notes: UpdateQueue<CrashNote>,
-    /// Parts of prompts whose entries in the key-value service may have to be written.
-    refused_parts: UpdateQueue<RefusedPart>,
+    /// Refusals whose entries in the key-value service may have to be written.
+    refusals: UpdateQueue<RefusalKey>,
     /// Upstreams that have said to this node that they are leaving, each with its incarnation.
     leaving: UpdateQueue<(UpstreamName, u64)>,
     /// Rates that upstreams have named to this node.
@@ -105,15 +105,15 @@
         notes.into_iter().for_each(|note| self.crash_notes.push(note));
     }
 
-    /// Adds a part of prompts whose refusal has begun or ended.
-    pub(crate) fn push_refused_part(&self, refused: RefusedPart) {
-        self.refused_parts.push(refused);
+    /// Adds a refusal that has begun or ended.
+    pub(crate) fn push_refusal(&self, key: RefusalKey) {
+        self.refusals.push(key);
     }
 
-    /// Waits for parts whose refusal has begun or ended.
-    pub(crate) async fn refused_parts(&self) -> Vec<RefusedPart> {
-        self.refused_parts.wait().await;
-        self.refused_parts.take()
+    /// Waits for refusals that have begun or ended.
+    pub(crate) async fn refusals(&self) -> Vec<RefusalKey> {
+        self.refusals.wait().await;
+        self.refusals.take()
     }
 
     /// Adds a leaving upstream.
--- a/crates/gateway/tests/gateway/crashing_parts.rs
+++ b/crates/gateway/tests/gateway/crashing_parts.rs
@@ -23,6 +23,8 @@
 const SOUND_PART: Digest = Digest(0x12);
 /// Crashes after which the part must be refused.
 const MAX_CRASHES: usize = 5;
+/// Crashes beyond these that are allowed in the worst case.
+const MAX_LATE_CRASHES: usize = 3;
 /// Most attempts at a stream.
 const MAX_ATTEMPTS: usize = 6;
 /// Time within which a node learns of a crash from another one.
@@ -30,11 +32,15 @@
 
 /// A request for a stream, with a body of its own.
 fn prompt(part: Digest, content: String) -> RoutedRequest {
+    prompt_with(&[PREAMBLE, part], content)
+}
+
+fn prompt_with(shared: &[Digest], content: String) -> RoutedRequest {
     let clock: Rc<dyn Clock> = Rc::new(RuntimeClock::new());
     RoutedRequest {
         id: content.as_str().into(),
         body: RequestBody::from_bytes(Bytes::from(content), clock),
-        shared_parts: vec![PREAMBLE, part].into(),
+        shared_parts: shared.into(),
         ..request("/drafts/x")
     }
 }
@@ -58,7 +64,7 @@
 async fn start_node(store: &Rc<MemoryStore>) -> Fixture {
     let node = Fixture::ready_with_store(store.clone()).await;
     node.upstreams.crashing_body.set(Some(CRASHING_BODY));
-    compio::runtime::spawn(gateway::store_refused_parts(node.gateway.clone())).detach();
+    compio::runtime::spawn(gateway::store_refusals(node.gateway.clone())).detach();
     node
 }
 
@@ -77,12 +83,20 @@
 /// Sends crashing requests, no two alike, to the nodes in turn. Returns how many calls reached
 /// engines, and the last failure.
 async fn send_crashing(nodes: &[Fixture], count: usize) -> (usize, Option<RoutedFailure>) {
+    send_crashing_with(nodes, count, &[PREAMBLE, CRASHING_PART]).await
+}
+
+async fn send_crashing_with(
+    nodes: &[Fixture],
+    count: usize,
+    shared: &[Digest],
+) -> (usize, Option<RoutedFailure>) {
     let calls = || nodes.iter().map(|node| node.called_upstreams().len()).sum::<usize>();
     let before = calls();
     let mut last = None;
     for number in 0..count {
         let node = &nodes[number % nodes.len()];
-        let crashing = prompt(CRASHING_PART, format!("{CRASHING_BODY} {number} {before}"));
+        let crashing = prompt_with(shared, format!("{CRASHING_BODY} {number} {before}"));
         last = match node.gateway.clone().route(crashing).await {
             Ok(response) => {
                 body(response).await;
@@ -96,8 +110,16 @@
 }
 
 async fn send_sound(node: &Fixture, content: &str) -> Result<RoutedResponse, RoutedFailure> {
+    send_sound_with(node, content, &[PREAMBLE, SOUND_PART]).await
+}
+
+async fn send_sound_with(
+    node: &Fixture,
+    content: &str,
+    shared: &[Digest],
+) -> Result<RoutedResponse, RoutedFailure> {
     node.push_steps([Step::Events(vec![0])]);
-    node.gateway.clone().route(prompt(SOUND_PART, content.into())).await
+    node.gateway.clone().route(prompt_with(shared, content.into())).await
 }
 
 #[compio::test]
@@ -157,6 +179,34 @@
     assert!(failure.is_some_and(|failure| failure.failure.kind == FailureKind::Poison));
 }
 
+/// Guards against sound requests that are refused for good because none of their caller was answered
+/// while another part of its prompts crashed engines: the part behind that one was refused. Also after
+/// a restart, which reads the refusal.
+#[compio::test]
+async fn sound_requests_of_a_quiet_caller_are_served_after_the_crashes() {
+    let (crashing, sound) = ([CRASHING_PART, PREAMBLE], [SOUND_PART, PREAMBLE]);
+    for begun_events in [0, 1] {
+        let mut nodes = nodes(3).await;
+        connect(&nodes).await;
+        nodes.iter().for_each(|node| node.upstreams.events_before_crash.set(begun_events));
+        let (calls, failure) = send_crashing_with(&nodes, 15, &crashing).await;
+        assert!(failure.is_some_and(|failure| failure.failure.kind == FailureKind::Poison));
+        assert!(calls <= MAX_CRASHES + MAX_LATE_CRASHES, "{calls} engines crashed");
+        run_for(Duration::from_secs(1)).await;
+        let store = nodes[0].store.clone();
+        nodes.push(start_node(&store).await);
+        for node in &nodes {
+            let node_alone = std::slice::from_ref(node);
+            assert_eq!(send_crashing_with(node_alone, 1, &crashing).await.0, 0);
+            for number in 0..3 {
+                let response = send_sound_with(node, &format!("sound {number}"), &sound).await;
+                assert!(response.is_ok(), "{begun_events} events before each crash");
+            }
+            assert_eq!(send_crashing_with(node_alone, 1, &crashing).await.0, 0);
+        }
+    }
+}
+
 #[compio::test]
 async fn a_part_is_refused_while_the_store_cannot_be_reached() {
     let nodes = nodes(2).await;
--- a/crates/gateway/tests/gateway/crashing_requests.rs
+++ b/crates/gateway/tests/gateway/crashing_requests.rs
@@ -31,7 +31,7 @@
 async fn start_node(store: &Rc<MemoryStore>) -> Fixture {
     let node = Fixture::ready_with_store(store.clone()).await;
     node.upstreams.crashing_body.set(Some(CRASHING_BODY));
-    compio::runtime::spawn(gateway::store_refused_parts(node.gateway.clone())).detach();
+    compio::runtime::spawn(gateway::store_refusals(node.gateway.clone())).detach();
     node
 }
 
