End every wait of a request before a stopping node exits

Cause: time was checked once, when the head of a request arrived. The queue, pauses, a body on its way, and the waits before an attempt went by the request's own deadline; only the drain limit of the server knew of the exit, and it closes connections.

Change: one module, stopping.rs, gives the latest start of a request and the time by which all are answered, and every wait asks it. What cannot be started is refused as not run when that is known; what is at work is answered as one that may have run. The bound on the queue is optimistic, so that nothing that is served today is lost. The service of a request is now drawn before its body is read, since its usual time is needed for that wait.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -174,6 +174,14 @@
         })
     }
 
+    /// Number of requests that are granted before this one.
+    pub fn position(&self, ticket: Ticket, now: Timestamp) -> usize {
+        let Some(own) = self.entries.get(&ticket).map(|entry| entry.key(ticket, now)) else {
+            return 0;
+        };
+        self.entries.iter().filter(|(other, entry)| entry.key(**other, now) < own).count()
+    }
+
     /// The request to be tried next, if there is one that is not known not to fit.
     pub fn next(&self, now: Timestamp) -> Option<Ticket> {
         let order = self.order(now);
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -48,6 +48,18 @@
     .collect()
 }
 
+/// Guards against a request that takes itself for further back or ahead than it is granted.
+#[test]
+fn the_position_of_a_request_is_its_place_in_the_order_of_grants() {
+    let mut queue = AdmissionQueue::new(STRICT);
+    let requests = [request(1, "a"), request(0, "b"), request(1, "b"), request(0, "a")];
+    let tickets = requests.map(|waiting| push(&mut queue, waiting));
+    let positions = tickets.map(|ticket| queue.position(ticket, start()));
+    let order = drain(&mut queue, start());
+    let places = tickets.map(|ticket| order.iter().position(|other| *other == ticket).unwrap());
+    assert_eq!(positions, places);
+}
+
 /// Guards against urgent requests that can no longer be in time and are served before others that
 /// can, and against resumed requests that wait behind new ones.
 #[test]
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -37,8 +37,15 @@
 pub(crate) const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(700);
 
 impl ActiveRequest {
-    /// Chooses the upstreams for an attempt, and waits for capacity if there is none.
+    /// Chooses the upstreams for an attempt, and waits for capacity if there is none, for as long as
+    /// this node may start it.
     pub(crate) async fn admit(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
+        let admitting = self.admit_in_time(query);
+        let admitted = self.gateway.until_end(|| self.attempt_end(query), admitting).await;
+        admitted.unwrap_or(Err(NoSelection::Stopping))
+    }
+
+    async fn admit_in_time(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         self.wait_for_crash_check().await;
         if self.refusal().is_some() {
             return Err(NoSelection::Poison);
@@ -71,6 +78,7 @@
                 let _waiting = self.count_waiting();
                 self.wait_for_capacity(&entry, query, end).await
             }
+            Err(NoSelection::Late) if self.has_time_elsewhere(wait) => Err(NoSelection::Stopping),
             Err(reason) => {
                 self.record_queue_refusal(reason, wait);
                 Err(reason)
@@ -169,7 +177,7 @@
         } else {
             self.route.latency_target.mul_f64(self.gateway.wait_share())
         };
-        (self.gateway.clock.now() + limit).min(self.deadline)
+        (self.gateway.clock.now() + limit).min(self.end())
     }
 
     /// Fails if pauses of upstreams keep the request from being served until after `end`.
@@ -192,6 +200,9 @@
     ) -> Result<Selection, NoSelection> {
         let clock = &self.gateway.clock;
         loop {
+            if self.waits_too_long(entry, query) {
+                return Err(NoSelection::Stopping);
+            }
             self.check_pauses(query, end)?;
             if entry.is_shed() {
                 return Err(NoSelection::QueueFull);
@@ -284,6 +295,7 @@
         Some(NoSelection::Full) => "expired",
         Some(NoSelection::QueueFull) => "queue-full",
         Some(NoSelection::Late) => "late",
+        Some(NoSelection::Stopping) => "stopping",
         Some(_) => "failed",
     }
 }
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -15,6 +15,7 @@
     attempt::Attempts,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection},
+    stopping::SHUTDOWN_RETRY_AFTER,
 };
 
 /// Least time that an upstream has for its response before an idempotent request may be sent to
@@ -60,9 +61,12 @@
             };
             attempts.count += 1;
             self.log.record_attempt(&selection.upstream.name);
-            let buffered = match self.send_buffered(&attempts, &selection).await {
-                Ok(buffered) => buffered,
-                Err(AttemptFailure { kind, verdict, cause }) => {
+            let sending = self.send_buffered(&attempts, &selection);
+            let sent = self.gateway.until_end(|| self.gateway.answer_end(), sending).await;
+            let buffered = match sent {
+                None => return Err(self.give_up_running(&mut attempts)),
+                Some(Ok(buffered)) => buffered,
+                Some(Err(AttemptFailure { kind, verdict, cause })) => {
                     if !self.record_failure(&mut attempts, &selection, &cause, verdict) {
                         return Err(self.give_up(&attempts, kind, &cause));
                     }
@@ -205,6 +209,9 @@
                 self.give_up(attempts, kind, message)
             }
             NoSelection::NoUpstream => self.give_up(attempts, kind, message),
+            NoSelection::Stopping => {
+                self.give_up_for(attempts, kind, message, SHUTDOWN_RETRY_AFTER)
+            }
         }
     }
 
@@ -224,6 +231,13 @@
         self.give_up_for(attempts, kind, message, delay)
     }
 
+    /// The failure of a request whose attempt still runs when a stopping node has to answer it.
+    pub(crate) fn give_up_running(&self, attempts: &mut Attempts) -> RoutedFailure {
+        attempts.possibly_run += 1;
+        let (kind, message) = NoSelection::Stopping.failure();
+        self.give_up(attempts, kind, message)
+    }
+
     /// Like [`give_up`](Self::give_up). The caller may retry after `delay` if the request has not
     /// run.
     fn give_up_for(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,6 +60,7 @@
 mod run;
 mod runs;
 mod selection;
+mod stopping;
 mod store;
 mod stream;
 mod stream_attempt;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -23,8 +23,12 @@
 use upstreams::Call;
 
 use crate::{
-    Gateway, admission::START_SHARE, crashes::request_parts, outcome::OutcomeLog,
-    selection::Selection,
+    Gateway,
+    admission::START_SHARE,
+    crashes::request_parts,
+    outcome::OutcomeLog,
+    selection::{NoSelection, Selection},
+    stopping::SHUTDOWN_RETRY_AFTER,
 };
 
 /// Longest time for a request that states no deadline, if the timeout of its route is longer.
@@ -36,13 +40,6 @@
 /// Time after which a caller may retry when there was no memory for its request. Bodies that make no
 /// progress are ended within that time.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Time after which a caller may retry when the node is shutting down. It is short since the retry
-/// goes to another node.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Share of the grace period during which a stopping node still starts streams.
-const STREAM_GRACE_SHARE: f64 = 0.35;
-/// Last part of the grace period, reserved for the process to exit.
-pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// Time reserved before the caller's deadline, so that a final response still arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 /// Largest number, and thus lowest priority, that upstreams accept.
@@ -92,11 +89,6 @@
         self.table.service(&self.service)?.model_profile.clone()
     }
 
-    /// Time until the deadline.
-    pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.since(self.gateway.clock.now())
-    }
-
     /// The call that is sent to the entry upstream of `selection`. The caller already has the
     /// events up to `resume_after`.
     pub(crate) fn call(&self, selection: &Selection, resume_after: Option<u64>) -> Call {
@@ -131,27 +123,6 @@
 }
 
 impl Gateway {
-    /// Whether a request of `route` that arrives now can be answered before the process exits. The
-    /// balancer may send connections to a stopping node until it exits, if other nodes are stopping
-    /// too.
-    fn has_time_for(&self, route: &Route) -> bool {
-        if !self.stop.is_raised() {
-            return true;
-        }
-        let now = self.clock.now();
-        let stopped_at = self.stopped_at.get().unwrap_or_else(|| {
-            self.stopped_at.set(Some(now));
-            now
-        });
-        let grace = Duration::from_secs_f64(self.settings.grace_s);
-        let limit = if route.retry.is_stream() {
-            grace.mul_f64(STREAM_GRACE_SHARE)
-        } else {
-            grace.saturating_sub(route.timeout + EXIT_MARGIN)
-        };
-        now.since(stopped_at) < limit
-    }
-
     /// The configuration in force, and the route of a request in it.
     pub(crate) fn find_route(
         &self,
@@ -241,8 +212,7 @@
         let reject = |failure: RoutedFailure| (id.clone(), failure);
         let (table, route) = self.find_route(&request.host, &request.target).map_err(reject)?;
         if !self.has_time_for(&route) {
-            let failure = Failure::not_run(FailureKind::Draining, "the node is shutting down");
-            return Err(reject(RoutedFailure::retry_after(failure, SHUTDOWN_RETRY_AFTER)));
+            return Err(reject(shutdown_refusal()));
         }
         let access = check_key(&table, &route, request.key.as_deref()).map_err(reject)?;
         if request.head_bytes > table.max_head_bytes {
@@ -254,14 +224,15 @@
         let (limit, usable) = time_limits(&route, request.deadline);
         let deadline = arrived + usable;
         let start_by = arrived + route.latency_target.mul_f64(START_SHARE);
-        let memory = request.body.memory();
-        let body = read_body(request.body, &request.headers, table.max_body_bytes, limit).await;
-        let body = body.map_err(reject)?;
         let roll = rand::rng().random::<f64>();
         let Some(service) = route.service(roll).cloned() else {
             let failure = Failure::not_run(FailureKind::Unavailable, "the route has no service");
             return Err(reject(RoutedFailure::retry_after(failure, UNCONFIGURED_RETRY_AFTER)));
         };
+        let memory = request.body.memory();
+        let reading = read_body(request.body, &request.headers, table.max_body_bytes, limit);
+        let body = self.until_end(|| self.start_end(&route, &service), reading).await;
+        let body = body.unwrap_or_else(|| Err(shutdown_refusal())).map_err(reject)?;
         let organisation = access.as_ref().map(|access| access.organisation.clone());
         let shared = request.shared_parts;
         let parts = request_parts(organisation.as_ref(), shared, &request.target, &body);
@@ -343,6 +314,12 @@
     })
 }
 
+/// The failure of a request that a stopping node does not start.
+fn shutdown_refusal() -> RoutedFailure {
+    let (kind, message) = NoSelection::Stopping.failure();
+    RoutedFailure::retry_after(Failure::not_run(kind, message), SHUTDOWN_RETRY_AFTER)
+}
+
 /// A failure with the given status for a request that has not run.
 fn rejection(status: StatusCode, message: &str) -> RoutedFailure {
     RoutedFailure {
--- a/crates/gateway/src/replica_limits.rs
+++ b/crates/gateway/src/replica_limits.rs
@@ -24,7 +24,7 @@
             return None;
         }
         let hold = self.gateway.replica_hold(&self.service);
-        Some(self.deadline - hold.unwrap_or_default())
+        Some(self.end() - hold.unwrap_or_default())
     }
 
     /// Records that the queue did not take this request, which was expected to wait for `wait`.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,7 +8,6 @@
 use crate::{
     Gateway,
     caller_limits::{caller_limits, health_limits},
-    lifecycle::EXIT_MARGIN,
     peering, planner, refusals, store,
 };
 
@@ -51,7 +50,7 @@
         .observer(gateway.clone())
         .limits(caller_limits(&settings.limits))
         .lame_duck_time(REFUSE_DELAY.min(grace / 2))
-        .drain_limit(grace.saturating_sub(EXIT_MARGIN));
+        .drain_limit(gateway.drain_limit());
     let health = Server::bind(clock.clone(), settings.health, drained.clone())
         .await?
         .limits(health_limits(&settings.limits));
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -78,6 +78,8 @@
     Poison,
     /// No upstream can serve the request before this time, since some have asked for a pause.
     Paused(Timestamp),
+    /// The request cannot be answered before this node exits.
+    Stopping,
 }
 
 impl NoSelection {
@@ -91,6 +93,7 @@
             NoSelection::NoUpstream => {
                 (FailureKind::Unavailable, "no upstream can serve the request")
             }
+            NoSelection::Stopping => (FailureKind::Draining, "the node is shutting down"),
             NoSelection::Paused(_) => (
                 FailureKind::Overloaded,
                 "the upstreams that can serve the request ask for a pause",
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -141,10 +141,13 @@
             selection.has_refused = attempts.refusing_entries.contains(&selection.upstream.name);
             attempts.count += 1;
             self.log.record_attempt(&selection.upstream.name);
-            let sent = self.send(attempts, selection, resume_after).await;
+            let answer_end = || self.gateway.answer_end();
+            let sending = self.send(attempts, selection, resume_after);
+            let sent = self.gateway.until_end(answer_end, sending).await;
             let (selection, response) = match sent {
-                Ok(sent) => sent,
-                Err((selection, cause)) => {
+                None => return Err(self.give_up_running(attempts)),
+                Some(Ok(sent)) => sent,
+                Some(Err((selection, cause))) => {
                     self.retry_or_give_up(attempts, &selection, cause)?;
                     continue;
                 }
@@ -182,15 +185,17 @@
             if continued.is_none() && stream.status >= StatusCode::BAD_REQUEST.as_u16() {
                 return Ok(stream);
             }
-            match self.first_events(attempts, &mut stream, continued).await {
-                Ok(()) => {
+            let reading = self.first_events(attempts, &mut stream, continued);
+            match self.gateway.until_end(answer_end, reading).await {
+                None => return Err(self.give_up_running(attempts)),
+                Some(Ok(())) => {
                     if stream.unforwarded.is_some() {
                         stream.selection.unread.record_event();
                         self.record_path_acceptance(&stream.selection);
                     }
                     return Ok(stream);
                 }
-                Err(cause) => self.retry_or_give_up(attempts, &stream.selection, cause)?,
+                Some(Err(cause)) => self.retry_or_give_up(attempts, &stream.selection, cause)?,
             }
         }
     }
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -90,6 +90,11 @@
         self.wait_queue.queue.borrow().may_try(self.ticket, self.wait_queue.clock.now())
     }
 
+    /// Number of requests before this one.
+    pub(crate) fn position(&self) -> usize {
+        self.wait_queue.queue.borrow().position(self.ticket, self.wait_queue.clock.now())
+    }
+
     /// Whether the request was shed for another one.
     pub(crate) fn is_shed(&self) -> bool {
         !self.wait_queue.queue.borrow().contains(self.ticket)
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -22,3 +22,4 @@
 mod stopping;
 mod stream_ends;
 mod support;
+mod waiting_at_stop;
--- a/crates/gateway/tests/gateway/support/codec.rs
+++ b/crates/gateway/tests/gateway/support/codec.rs
@@ -13,8 +13,8 @@
 /// Decodes a routing table from `VERSION [CHANGE]`, and an upstream from `SERVICE ADDR DOMAIN PHASE
 /// START-END [INCARNATION]`, whose incarnation else is 1. A change is `empty`, which takes all
 /// routes, services and keys away, `moved`, which sends all routes to a service without upstreams,
-/// `short`, which lets requests take 10 ms, or `timed`,
-/// which states how long engines take. An upstream in the domain `panic` makes the decoder
+/// `short`, which lets requests take 10 ms, `long`, which lets them take 15 s, or `timed`, which
+/// states how long engines take. An upstream in the domain `panic` makes the decoder
 /// panic.
 pub struct TextCodec;
 
@@ -88,7 +88,11 @@
         host: HOST.into(),
         path_prefix: prefix.into(),
         retry,
-        timeout: Duration::from_millis(if change == "short" { 10 } else { 1500 }),
+        timeout: Duration::from_millis(match change {
+            "short" => 10,
+            "long" => 15_000,
+            _ => 1500,
+        }),
         latency_target: Duration::from_millis(200),
         max_gap: Some(Duration::from_millis(50)),
         priority: 1,
