soak: check a caller that is quiet while poison prompts come

The soak's poison prompts had only parts that all callers send all the time, so the sound parts beside the poison one were always known to be sound. They now end with two parts of their own, and a caller that has these sends its sound prompts after the last fault: half have to begin.

--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -31,7 +31,7 @@
 use crate::server::{self, bad_request, reply};
 pub use caller::{READY_PATH, caller_headers, caller_request, is_signed};
 pub use notices::leaving_worker;
-pub use poison::{poison_call, poison_prompt};
+pub use poison::{poison_call, poison_prompt, quiet_prompt};
 pub use raw_worker::{PROOF, RawAnswer, RawWorker};
 use store::Store;
 use worker::Worker;
--- a/crates/standins/src/platform/poison.rs
+++ b/crates/standins/src/platform/poison.rs
@@ -20,10 +20,16 @@
 /// Time from the removal of a crashed worker's entry to its restart.
 const DOWN_TIME: Duration = Duration::from_millis(1500);
 
-/// The parts of a prompt, with `poison` at its place among the shared ones, if there is one.
-fn parts(id: &str, poison: Option<(usize, String)>) -> String {
+/// The parts that only the poison prompts and the sound ones of a quiet caller have. They are the last
+/// shared ones.
+const QUIET_PARTS: [&str; 2] = ["9a1e0001:1", "9a1e0002:1"];
+
+/// The parts of a prompt: those that all prompts share, and `more`. `poison` has its place among them, if
+/// there is one.
+fn parts(id: &str, more: &[&str], poison: Option<(usize, String)>) -> String {
     let mut parts: Vec<String> =
         (0..SHARED_PARTS).map(|part| format!("5a4ed{part:03x}:1")).collect();
+    parts.extend(more.iter().map(|part| (*part).to_owned()));
     if let Some((place, poison)) = poison {
         parts.insert(place.min(SHARED_PARTS), poison);
     }
@@ -34,17 +40,27 @@
 
 /// Adds the parts of a sound prompt to a request.
 pub(super) fn add_sound_parts(headers: &mut HeaderMap, id: &str) {
-    if let Ok(value) = HeaderValue::try_from(parts(id, None)) {
+    if let Ok(value) = HeaderValue::try_from(parts(id, &[], None)) {
         headers.insert(PARTS, value);
     }
 }
 
+/// Builds a request of a caller that is quiet while poison prompts come: a sound prompt with all their
+/// parts but the poison one.
+pub fn quiet_prompt(id: &str, node: &str) -> Request<Body> {
+    let mut request = caller_request("/drafts/x", id, node, 60, 8000);
+    if let Ok(value) = HeaderValue::try_from(parts(id, &QUIET_PARTS, None)) {
+        request.headers_mut().insert(PARTS, value);
+    }
+    request
+}
+
 /// Builds a request with a prompt that crashes its engine after `events` events. The poison part has
 /// the given place.
 pub fn poison_prompt(id: &str, node: &str, place: usize, events: u32) -> Request<Body> {
     let mut request = caller_request("/drafts/x", id, node, 60, 8000);
     let poison = (place, format!("{POISON_PART}:{events}"));
-    if let Ok(value) = HeaderValue::try_from(parts(id, Some(poison))) {
+    if let Ok(value) = HeaderValue::try_from(parts(id, &QUIET_PARTS, Some(poison))) {
         request.headers_mut().insert(PARTS, value);
     }
     request
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -4,8 +4,8 @@
 //! The records of callers and workers are compared at the end: answers are complete, streams have
 //! no gap, no filing runs twice, a request that was refused as not run did not run, each layer runs
 //! once and in order, no request reaches a worker that has said that it is leaving or has asked for
-//! a pause, requests that crash their workers are refused in time, and requests are served again after
-//! the last fault.
+//! a pause, requests that crash their workers are refused in time, sound ones with their other parts are
+//! not, and requests are served again after the last fault.
 
 mod callers;
 mod node;
@@ -152,8 +152,9 @@
         callers.send(&format!("s{seed}-final-{number}"), &mut rng).await;
     }
     let after = callers.tally.take();
+    let quiet = poison::check_quiet_caller(&fleet, seed).await;
     println!("    during: {:?}", during.outcomes);
-    let mut problems = Vec::new();
+    let mut problems: Vec<String> = quiet.into_iter().collect();
     let (served, all) = after.served();
     if served * 100 < all * MIN_SERVED_PERCENT - abandoned_count(&after) * 100 {
         problems.push(format!("RECOVER: {served} of {all} served: {:?}", after.outcomes));
--- a/xtask/src/soak/poison.rs
+++ b/xtask/src/soak/poison.rs
@@ -5,7 +5,7 @@
 
 use clock::Timestamp;
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use standins::platform::{PlatformFault, Seen, poison_call, poison_prompt};
+use standins::platform::{PlatformFault, Seen, poison_call, poison_prompt, quiet_prompt};
 use transport::{HttpClient, Timeouts};
 
 use super::{ENGINES, Fleet, WORKERS};
@@ -30,6 +30,9 @@
 /// Requests that may reach workers later than [`CONTACT_TIME`] after these crashes.
 const ALLOWED: usize = 3;
 
+/// Prompts of the quiet caller. Half of their answers have to begin.
+const QUIET_PROMPTS: usize = 20;
+
 /// Attempts that were sent to a node which had run undisturbed.
 pub(super) type BoundAttempts = Rc<RefCell<BTreeSet<String>>>;
 
@@ -79,6 +82,25 @@
     }
 }
 
+/// Sends the sound prompts of a caller that was quiet while the poison prompts came, to the nodes in
+/// turn. Returns what is wrong if too few of their answers begin.
+pub(super) async fn check_quiet_caller(fleet: &Fleet, seed: u64) -> Option<String> {
+    let mut begun = 0;
+    for count in 0..QUIET_PROMPTS {
+        let node = &fleet.nodes[count % fleet.nodes.len()];
+        let request = quiet_prompt(&format!("s{seed}-quiet-{count}"), &node.name());
+        let client = HttpClient::new(fleet.clock.clone(), node.callers);
+        if let Ok(mut response) = client.send(request, TIMEOUTS).await
+            && response.status().is_success()
+        {
+            begun += usize::from(matches!(response.chunk(TIMEOUTS.progress).await, Ok(Some(_))));
+        }
+    }
+    println!("    quiet caller: {begun} of {QUIET_PROMPTS} begin");
+    (begun * 2 < QUIET_PROMPTS)
+        .then(|| format!("LOST: {begun} of {QUIET_PROMPTS} prompts of a quiet caller begin"))
+}
+
 /// The poison requests that reached workers although their nodes had to refuse them.
 pub(super) fn late_requests(seen: &Seen, bound: &BTreeSet<String>) -> Vec<String> {
     let kinds = [
