--- a/crates/crashes/tests/parts.rs
+++ b/crates/crashes/tests/parts.rs
@@ -1,7 +1,7 @@
 //! Guards against a part of a prompt that crashes one engine after the other, and against the
 //! refusal of sound requests that only share engines, an organisation or other parts with it.
 
-use std::time::Duration;
+mod support;
 
 use clock::Timestamp;
 use crashes::{
@@ -9,7 +9,7 @@
     RequestParts, Suspect,
 };
 use proptest::{prelude::*, sample::subsequence};
-use types::Digest;
+use support::{ACME, OTHER, at_ms, request};
 
 /// First part of all prompts of a service.
 const PREAMBLE: u128 = 100;
@@ -17,21 +17,6 @@
 const CRASHING: u128 = 101;
 /// A sound part.
 const SOUND: u128 = 102;
-const ACME: u128 = 1;
-const OTHER: u128 = 2;
-
-fn at_ms(ms: u64) -> Timestamp {
-    // Long after the origin, so that ages do not reach back before it.
-    Timestamp::from_origin(Duration::from_secs(1000) + Duration::from_millis(ms))
-}
-
-fn request(organisation: u128, shared: &[u128], number: u128) -> RequestParts {
-    RequestParts {
-        organisation: Digest(organisation),
-        shared: shared.iter().map(|part| Digest(*part)).collect(),
-        fingerprint: Digest(1_000_000 * organisation + number),
-    }
-}
 
 /// A table and a history of crashes and answers.
 #[derive(Default)]
--- a/crates/crashes/tests/quiet_callers.rs
+++ b/crates/crashes/tests/quiet_callers.rs
@@ -2,20 +2,17 @@
 //! part of its prompts crashed engines: no answer had shown then which of the parts is sound, one of
 //! them was chosen all the same, and refused requests cannot be answered.
 
-use std::time::Duration;
+mod support;
 
-use clock::Timestamp;
 use crashes::{CrashNote, CrashTable, RefusalSource, RequestParts, Suspect};
 use proptest::{prelude::*, sample::subsequence};
-use types::Digest;
+use support::{ACME, OTHER, at_ms, request};
 
 /// The part that crashes engines.
 const CRASHING: u128 = 101;
 /// First part of all prompts of the caller.
 const PREAMBLE: u128 = 102;
 const DOCUMENT: u128 = 103;
-const ACME: u128 = 1;
-const OTHER: u128 = 2;
 /// Most suspects and parts in one note.
 const NOTE_LIMITS: (usize, usize) = (8, 40);
 /// Parts that the refusals which a node repeats at once may have.
@@ -23,18 +20,6 @@
 /// Crashes with a further combination of parts after which what they have in common is refused.
 const NARROWING_CRASHES: usize = 2;
 
-fn at_ms(ms: u64) -> Timestamp {
-    Timestamp::from_origin(Duration::from_secs(1000) + Duration::from_millis(ms))
-}
-
-fn request(organisation: u128, shared: &[u128], number: u128) -> RequestParts {
-    RequestParts {
-        organisation: Digest(organisation),
-        shared: shared.iter().map(|part| Digest(*part)).collect(),
-        fingerprint: Digest(1_000_000 * organisation + number),
-    }
-}
-
 /// A table, and the crashes so far.
 #[derive(Default)]
 struct History {
