Log which entry upstreams a request used, and why one stopped counting

A request that ran on more upstreams than its route allows could not be found in the logs: the line of its end had the number of sends, which includes those that did not run, and an entry upstream stopped counting without a line.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -75,6 +75,7 @@
         self.log.add_cause(format!("{}: {cause}", selection.upstream.name));
         if verdict != Verdict::NotRun {
             attempts.possibly_run += 1;
+            self.log.record_entry(&selection.upstream);
         }
         attempts.avoided.push(selection.upstream.name.clone());
         let has_attempts_left =
@@ -95,6 +96,7 @@
         let name = &selection.upstream.name;
         self.log.add_cause(format!("{name}: {cause}"));
         attempts.possibly_run += 1;
+        self.log.record_entry(&selection.upstream);
         if entry_failed {
             attempts.avoided.push(name.clone());
         }
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -76,6 +76,7 @@
                     continue;
                 }
             };
+            self.log.record_entry(&selection.upstream);
             let BufferedResponse { status, headers, body } = buffered;
             if status < FIRST_SERVER_ERROR {
                 self.record_success(&selection);
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -21,6 +21,16 @@
 /// Timeout of such a probe: several round trips between failure domains.
 const PROBE_LIMIT: Duration = Duration::from_millis(50);
 
+/// What shows that the process of an entry upstream has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum EndEvidence {
+    /// It refused a connection of this node.
+    Refused,
+    /// Another process that started later is registered at its address.
+    Replaced,
+}
+
 /// The entry upstream of a failed attempt, on which the stream may still run.
 pub(crate) struct LiveEntry {
     upstream: Arc<Upstream>,
@@ -54,7 +64,13 @@
     }
 
     fn drop_ended_entries(&mut self, gateway: &Gateway) {
-        self.live_entries.retain(|entry| !gateway.has_entry_ended(entry));
+        self.live_entries.retain(|entry| {
+            let Some(evidence) = gateway.entry_end(entry) else { return true };
+            let evidence: &str = evidence.into();
+            tracing::info!(upstream = %entry.upstream.name, boot = entry.upstream.incarnation,
+                evidence, "entry upstream no longer counts");
+            false
+        });
     }
 }
 
@@ -68,7 +84,7 @@
         current: Option<&Upstream>,
     ) -> Vec<UpstreamName> {
         let gateway = &self.gateway;
-        let live = attempts.live_entries.iter().filter(|entry| !gateway.has_entry_ended(entry));
+        let live = attempts.live_entries.iter().filter(|entry| gateway.entry_end(entry).is_none());
         let others = live.filter(|entry| !current.is_some_and(|current| entry.is(current)));
         let mut entries: Vec<UpstreamName> =
             others.map(|entry| entry.upstream.name.clone()).collect();
@@ -104,7 +120,7 @@
             for entry in entries {
                 gateway.probe_removed_entry(entry).await;
             }
-            if entries.iter().any(|entry| gateway.has_entry_ended(entry)) {
+            if entries.iter().any(|entry| gateway.entry_end(entry).is_some()) {
                 return;
             }
             gateway.clock.sleep(PROBE_INTERVAL).await;
@@ -113,21 +129,20 @@
 }
 
 impl Gateway {
-    /// Whether the process of an upstream is known to have ended: it has refused a connection, or
-    /// another process that started later is registered at its address. The removal of its entry,
-    /// or a later entry under its name at another address, shows nothing, since it may go on serving
-    /// for its drain time.
-    fn has_entry_ended(&self, entry: &LiveEntry) -> bool {
+    /// What shows that the process of an upstream has ended; `None` if it may still run. The
+    /// removal of its entry, or a later entry under its name at another address, shows nothing,
+    /// since it may go on serving for its drain time.
+    fn entry_end(&self, entry: &LiveEntry) -> Option<EndEvidence> {
         let Upstream { name, addr, incarnation, .. } = &*entry.upstream;
-        if entry.has_ended.get() {
-            return true;
-        }
         let now = self.clock.now();
-        if self.health.borrow().has_ended(name, *incarnation, now) {
-            return true;
+        if entry.has_ended.get() || self.health.borrow().has_ended(name, *incarnation, now) {
+            return Some(EndEvidence::Refused);
         }
         let catalog = self.catalog.borrow();
-        catalog.upstreams().any(|other| other.addr == *addr && other.incarnation > *incarnation)
+        let mut upstreams = catalog.upstreams();
+        let is_replaced =
+            upstreams.any(|other| other.addr == *addr && other.incarnation > *incarnation);
+        is_replaced.then_some(EndEvidence::Replaced)
     }
 
     /// Whether the process of an upstream has an entry in the registry.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,8 @@
     /// Retries by the verdict of the failed attempt, and retries that the retry budget did not
     /// allow.
     pub(crate) resends: IntCounterVec,
+    /// Requests that more entry upstreams may have run than their route allows.
+    pub(crate) excess_entries: IntCounter,
     /// Events forwarded to callers.
     pub(crate) events: IntCounter,
     /// Times that an upstream was marked as failing.
@@ -91,6 +93,11 @@
                 "Sends beyond the first one",
                 &["cause"],
             ),
+            excess_entries: IntCounter::new(
+                "gypsumrack_excess_entries_total",
+                "Requests that more upstreams may have run than their route allows",
+            )
+            .expect("counter is valid"),
             events: IntCounter::new("gypsumrack_events_total", "Events forwarded")
                 .expect("counter is valid"),
             suspicions: IntCounter::new(
@@ -211,6 +218,7 @@
             Box::new(self.requests.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.resends.clone()),
+            Box::new(self.excess_entries.clone()),
             Box::new(self.events.clone()),
             Box::new(self.suspicions.clone()),
             Box::new(self.poison.clone()),
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -1,6 +1,6 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
-use catalog::Route;
+use catalog::{Route, Upstream};
 use clock::Timestamp;
 use types::{Organisation, RequestId, UpstreamName, Verdict};
 
@@ -11,7 +11,7 @@
 pub(crate) struct OutcomeLog {
     gateway: Rc<Gateway>,
     id: RequestId,
-    route: Arc<str>,
+    route: Arc<Route>,
     organisation: Option<Organisation>,
     started: Timestamp,
     state: RefCell<State>,
@@ -22,6 +22,9 @@
     is_counted: bool,
     attempts: u32,
     last_upstream: Option<UpstreamName>,
+    /// The entry upstreams of the attempts that are not known to have left the request not run,
+    /// each with its incarnation, without duplicates.
+    entries: Vec<(UpstreamName, u64)>,
     causes: Vec<String>,
     reason: Option<String>,
     first_byte: Option<Timestamp>,
@@ -45,7 +48,7 @@
         OutcomeLog {
             gateway,
             id: id.clone(),
-            route: route.name.clone(),
+            route: route.clone(),
             organisation: organisation.cloned(),
             started,
             state: RefCell::default(),
@@ -71,6 +74,15 @@
         state.last_upstream = Some(upstream.clone());
     }
 
+    /// Records that an entry upstream may have run the request.
+    pub(crate) fn record_entry(&self, upstream: &Upstream) {
+        let entry = (upstream.name.clone(), upstream.incarnation);
+        let mut state = self.state.borrow_mut();
+        if !state.entries.contains(&entry) {
+            state.entries.push(entry);
+        }
+    }
+
     /// Adds the cause of a failed attempt.
     pub(crate) fn add_cause(&self, cause: String) {
         let mut state = self.state.borrow_mut();
@@ -140,16 +152,22 @@
         let since = |time: Timestamp| time.since(self.started).as_millis() as u64;
         if let Some(first) = state.first_byte {
             let seconds = first.since(self.started).as_secs_f64();
-            metrics.first_byte.with_label_values(&[&*self.route]).observe(seconds);
+            metrics.first_byte.with_label_values(&[&*self.route.name]).observe(seconds);
+        }
+        let entries = state.entries.len() as u32;
+        if entries > self.route.max_entries {
+            metrics.excess_entries.inc();
         }
         tracing::info!(
             request = %self.id,
-            route = &*self.route,
+            route = &*self.route.name,
             organisation,
             outcome,
             verdict = %verdict,
             status,
             sends = state.attempts,
+            entries,
+            max_entries = self.route.max_entries,
             upstream = state.last_upstream.as_ref().map(|name| name.as_str()),
             reason = state.reason.as_deref(),
             waited_ms = (!state.waited.is_zero()).then(|| state.waited.as_millis() as u64),
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -173,6 +173,7 @@
                 )?;
                 continue;
             }
+            self.log.record_entry(&selection.upstream);
             let mut stream = OpenStream {
                 selection,
                 status: response.status,
