Count an entry upstream until another process has replaced it

Users saw requests that ran on more upstreams than their routes allow.

Cause: a refused connection was taken for the end of a process, in the count of a stream's entry upstreams and in the state of its path. A process behind a cut that refuses, or one that has closed its listener, goes on with its streams, so that a third upstream could run the request.

Change: only a process that started later and is registered at its address proves the end of an entry upstream. A refused connection is a failure like silence.

Ruled out: a refusal that other nodes confirm, since several nodes may be cut at the same time and a closed listener refuses all of them.

--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -65,7 +65,7 @@
     pub priority: u32,
     /// Largest number of entry upstreams that may run one request; the later engines of a path are
     /// not counted. For a stream that can be resumed, the limit applies to distinct entry upstreams
-    /// that are not known to have ended, whether they are still registered or not, and the stream
+    /// that no other process has replaced, whether they are still registered or not, and the stream
     /// may use each of them more than once. For other requests, it applies to the attempts that may
     /// have run, so refused ones are not counted. After a refused attempt, this second rule also
     /// holds for a stream that can be resumed.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,14 +1,14 @@
 //! The result of an attempt, and whether the request may be retried.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use catalog::Upstream;
 use http::StatusCode;
 use transport::CallError;
 use types::{UpstreamName, Verdict};
 use upstreams::UpstreamResponse;
 
 use crate::{
-    entries::LiveEntry,
     lifecycle::{ActiveRequest, is_retry_safe},
     node::FailureEvidence,
     selection::{Selection, SelectionQuery},
@@ -42,10 +42,9 @@
     /// included.
     pub(crate) avoided: Vec<UpstreamName>,
     /// Entry upstreams on which a resumable stream may still run, without duplicates: those of
-    /// failed attempts that may have run, without the upstreams that were known to have ended at the
-    /// last failure. One whose entry in the registry is removed remains until then. Empty for other
-    /// requests.
-    pub(crate) live_entries: Vec<LiveEntry>,
+    /// failed attempts that may have run, without those that other processes had replaced at the last
+    /// failure. Empty for other requests.
+    pub(crate) live_entries: Vec<Arc<Upstream>>,
     /// Entry upstreams of attempts at a stream that were refused.
     pub(crate) refusing_entries: Vec<UpstreamName>,
 }
@@ -169,7 +168,7 @@
         match error {
             CallError::Refused => {
                 gateway.observe_crash(upstream);
-                let evidence = FailureEvidence::ProcessEnded;
+                let evidence = FailureEvidence::Refused;
                 gateway.report_failure(&upstream.name, evidence, &error.to_string());
             }
             CallError::Connect(_) | CallError::ConnectTimeout => {
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -144,9 +144,6 @@
         }
         let (health, now) = (self.health.borrow(), self.clock.now());
         let (name, incarnation) = (&upstream.name, upstream.incarnation);
-        if health.has_ended(name, incarnation, now) {
-            return Some("its process has ended");
-        }
         if health.failing_for(name, incarnation, now).is_some() {
             return Some("it has failed");
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,12 +26,13 @@
     wakeup::Wakeup,
 };
 
-/// What a failure of an upstream shows about its process.
+/// How an upstream failed. Neither proves that its process has ended: the fault may lie on this
+/// node's links.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub(crate) enum FailureEvidence {
-    /// Nothing listens at its address: the process has ended, with all work that it ran.
-    ProcessEnded,
+    /// It refused a connection. It may have ended, or go on with its open connections.
+    Refused,
     /// It does not respond. It may have ended, or fall silent for a while and then go on.
     NoResponse,
 }
@@ -40,7 +41,7 @@
     /// The evidence that a failed call, probe or request for a report gives.
     pub(crate) fn of_error(error: &CallError) -> FailureEvidence {
         match error {
-            CallError::Refused => FailureEvidence::ProcessEnded,
+            CallError::Refused => FailureEvidence::Refused,
             _ => FailureEvidence::NoResponse,
         }
     }
@@ -185,10 +186,7 @@
         let Some(upstream) = catalog.upstream(name) else { return };
         let now = self.clock.now();
         let mut health = self.health.borrow_mut();
-        let pause = match evidence {
-            FailureEvidence::ProcessEnded => health.record_end(name, upstream.incarnation, now),
-            FailureEvidence::NoResponse => health.record_failure(name, upstream.incarnation, now),
-        };
+        let pause = health.record_failure(name, upstream.incarnation, now);
         drop(health);
         self.metrics.suspicions.inc();
         let evidence: &str = evidence.into();
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -55,10 +55,10 @@
 pub(crate) enum PathState {
     /// Nothing speaks against the path.
     Working,
-    /// An engine does not respond or is no longer registered, or it is so slow that a better path
-    /// exists. The call may still go on.
+    /// An engine does not respond, refuses connections or is no longer registered, or it is so slow
+    /// that a better path exists. The call may still go on.
     Doubtful,
-    /// The process of an engine has ended, so that the call cannot go on.
+    /// Another process is registered under the name of an engine, so that the call cannot go on.
     Lost,
 }
 
@@ -155,7 +155,7 @@
                 return PathState::Doubtful;
             };
             let incarnation = upstream.incarnation;
-            if upstream.addr != stage.addr || health.has_ended(&stage.engine, incarnation, now) {
+            if upstream.addr != stage.addr {
                 PathState::Lost
             } else if health.failing_for(&stage.engine, incarnation, now).is_some() {
                 PathState::Doubtful
@@ -178,7 +178,7 @@
     for (name, probe) in names.iter().zip(outcomes) {
         match probe {
             Some(ProbeOutcome::Refused) => {
-                let evidence = FailureEvidence::ProcessEnded;
+                let evidence = FailureEvidence::Refused;
                 gateway.report_failure(name, evidence, "connection refused");
             }
             Some(ProbeOutcome::Silent) if has_connectivity => {
@@ -316,7 +316,7 @@
             return;
         }
         let evidence = match self.probe(&name).await {
-            Some(ProbeOutcome::Refused) => FailureEvidence::ProcessEnded,
+            Some(ProbeOutcome::Refused) => FailureEvidence::Refused,
             Some(ProbeOutcome::Silent) => FailureEvidence::NoResponse,
             Some(ProbeOutcome::Open) | None => return,
         };
--- a/crates/pipelines/src/health.rs
+++ b/crates/pipelines/src/health.rs
@@ -41,8 +41,6 @@
     /// Consecutive failures. After the first, failures while the upstream is avoided are not
     /// counted.
     failures: u32,
-    /// Whether a failure has shown that the process has ended.
-    has_ended: bool,
     /// Consecutive refusals. After the first, refusals while the upstream is avoided are not
     /// counted.
     refusals: u32,
@@ -64,7 +62,6 @@
         HealthRecord {
             incarnation,
             failures: 0,
-            has_ended: false,
             refusals: 0,
             created: now,
             last_event: now,
@@ -119,19 +116,6 @@
         pause
     }
 
-    /// Records a failure which shows that the process of `incarnation` of an upstream has ended.
-    /// Returns the time for which it is avoided.
-    pub fn record_end(
-        &mut self,
-        name: &UpstreamName,
-        incarnation: u64,
-        now: Timestamp,
-    ) -> Duration {
-        let pause = self.record_failure(name, incarnation, now);
-        self.record_mut(name, incarnation, now).has_ended = true;
-        pause
-    }
-
     /// Records that `incarnation` of an upstream refused a call, which did not run. Returns the
     /// time for which it is avoided: `pause` after the first refusal, and longer each time that it
     /// again refuses a call afterwards.
@@ -245,13 +229,6 @@
         failing.then(|| now.since(record.created))
     }
 
-    /// Whether `incarnation` of an upstream is avoided now because its process has ended.
-    pub fn has_ended(&self, name: &str, incarnation: u64, now: Timestamp) -> bool {
-        self.records.get(name).is_some_and(|record| {
-            record.incarnation == incarnation && record.has_ended && now < record.until
-        })
-    }
-
     /// The upstreams that are avoided now because they failed or repeatedly refused calls to this
     /// node, with their incarnation. What another node has announced is not included: two nodes
     /// would go on confirming each other's announcements.
