Log why a request finds no engines

A line, at most once a second, counts the upstreams of the service by the reason for which they get no requests.

--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -89,6 +89,7 @@
             reported_slow: RefCell::default(),
             reported_layers: RefCell::default(),
             probes: RefCell::default(),
+            unusable_logged: Cell::new(None),
             planner_active: Cell::new(false),
         })
     }
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -14,7 +14,7 @@
     Candidate, Configuration, Excluded, ExplainQuery, Explanation, GenerationSize, LoadAge,
     Outcome, PathRules, PredictedTimes, RoutedFailure, ServiceOutcome,
 };
-use catalog::{Access, ModelProfile, Phase, Route, RoutingTable, Upstream};
+use catalog::{Access, ModelProfile, Route, RoutingTable, Upstream};
 use http::{HeaderMap, Method};
 use pipelines::{CostedPath, PathCandidate, PathQuery, costed_paths, reason_against};
 use transport::CallerMemory;
@@ -124,34 +124,6 @@
             oldest_ms: ages.iter().max().copied().map(millis),
         }
     }
-
-    /// The first reason for which an upstream gets no request now; `None` if it may get one.
-    fn reason_against(
-        &self,
-        upstream: &Upstream,
-        query: SelectionQuery<'_>,
-    ) -> Option<&'static str> {
-        let may_be_used =
-            self.is_usable(upstream) || (query.with_leaving && self.is_in_last_use(upstream));
-        if may_be_used {
-            return None;
-        }
-        if upstream.phase == Phase::Leaving {
-            return Some("it is leaving");
-        }
-        if self.is_paused(upstream) {
-            return Some("it has asked for a pause");
-        }
-        let (health, now) = (self.health.borrow(), self.clock.now());
-        let (name, incarnation) = (&upstream.name, upstream.incarnation);
-        if health.failing_for(name, incarnation, now).is_some() {
-            return Some("it has failed");
-        }
-        if health.refusing_until(name, incarnation, now).is_some() {
-            return Some("it has refused requests");
-        }
-        Some("it is avoided after a bad answer")
-    }
 }
 
 impl ActiveRequest {
@@ -337,8 +309,8 @@
         let catalog = self.gateway.catalog.borrow();
         let upstreams = catalog.upstreams().filter(|upstream| upstream.service == self.service);
         let excluded = upstreams.filter_map(|upstream| {
-            let first =
-                self.gateway.reason_against(upstream, query).or_else(|| reason(upstream))?;
+            let unusable = self.gateway.unusable_reason(upstream, query);
+            let first = unusable.map(<&str>::from).or_else(|| reason(upstream))?;
             Some(Excluded { upstream: upstream.name.to_string(), reason: first.into() })
         });
         excluded.collect()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,6 +67,7 @@
 mod stream_probe;
 mod unread;
 mod updates;
+mod usability;
 mod wait_queue;
 mod wakeup;
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -117,6 +117,8 @@
     /// Layers that engines have reported to this node as planner, in the order of the reports.
     pub(crate) reported_layers: RefCell<Vec<(UpstreamName, u64, LayerRange)>>,
     pub(crate) probes: RefCell<ProbeTimes>,
+    /// When the upstreams that get no requests were last counted in the log.
+    pub(crate) unusable_logged: Cell<Option<Timestamp>>,
     /// Whether some node holds the planner's lease, according to the latest read of the key-value
     /// service.
     pub(crate) planner_active: Cell<bool>,
--- a/crates/gateway/src/path_choice.rs
+++ b/crates/gateway/src/path_choice.rs
@@ -57,8 +57,11 @@
         }
         choose_path(&candidates, &path_query, &mut rand::rng()).ok_or_else(|| {
             let held = candidates.iter().map(|candidate| candidate.layers);
-            let covered = pipelines::covers_model(profile, held);
-            if covered { NoSelection::Full } else { NoSelection::NoUpstream }
+            if pipelines::covers_model(profile, held) {
+                return NoSelection::Full;
+            }
+            self.gateway.log_unusable_upstreams(&self.service);
+            NoSelection::NoUpstream
         })
     }
 
