Let a node without links to the upstreams accuse none of them

Cause: a node that has lost its links takes each of its failures for one of an upstream. Its beacons list them, and the other nodes avoid what a beacon lists; its refused connections are reported as crashes; as planner it keeps the lease and sends orders into the cut.

Change: a failed call, or silence of all upstreams, starts a check, which opens a connection to one upstream and then to some of all failure domains. If none accepts, the node is cut off: it reports no failures and no crashes, verifies none of others, gives back the planner's lease, and probes until an upstream accepts a connection again. What it saw meanwhile is then forgotten. While a check runs, reports wait for its result.

The two tests of cut_off.rs fail on the code before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -162,6 +162,7 @@
     pub(crate) fn avoid_after_error(&self, selection: &Selection, error: &CallError) {
         let gateway = &self.gateway;
         let upstream = &selection.upstream;
+        gateway.check_links_after(error);
         if error.verdict() == Verdict::NotRun {
             selection.run.remove();
         }
--- a/crates/gateway/src/beacons.rs
+++ b/crates/gateway/src/beacons.rs
@@ -35,9 +35,11 @@
             .collect();
         loads.sort_by_key(|load| (&*load.upstream != CROSS_DOMAIN, Reverse(load.token_layers)));
         let health = self.health.borrow();
+        // The other nodes would avoid upstreams that only this node does not reach.
+        let most_failing = if self.doubts_links() { 0 } else { MAX_REPORTS };
         let failing = health
             .failing_upstreams(now)
-            .take(MAX_REPORTS)
+            .take(most_failing)
             .map(|(name, incarnation)| (name.clone(), incarnation));
         Beacon {
             node: self.settings.name.clone(),
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -107,6 +107,7 @@
             let verdict = error.verdict();
             AttemptFailure { kind: failure_kind(&error), verdict, cause: error.to_string() }
         })?;
+        self.gateway.record_bytes();
         self.observe_rate(selection, &response);
         let (status, signed) = (response.status, response.signed);
         if response.not_run {
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -13,8 +13,8 @@
 use upstreams::Connector;
 
 use crate::{
-    Gateway, metrics::Metrics, observed_store::ObservedStore, pressure::Pressure, runs::RunTable,
-    updates::Outbox, wakeup::Wakeup,
+    Gateway, links::Links, metrics::Metrics, observed_store::ObservedStore, pressure::Pressure,
+    runs::RunTable, updates::Outbox, wakeup::Wakeup,
 };
 
 /// Builds a [`Gateway`].
@@ -89,6 +89,7 @@
             reported_slow: RefCell::default(),
             reported_layers: RefCell::default(),
             probes: RefCell::default(),
+            links: Links::default(),
             unusable_logged: Cell::new(None),
             planner_active: Cell::new(false),
         })
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -170,6 +170,8 @@
             }
         };
         if let Err(error) = result {
+            self.gateway.check_links_after(&error);
+            self.gateway.wait_for_link_check().await;
             self.record(&error);
             self.gateway.wait_for_decision().await;
         }
@@ -179,8 +181,8 @@
     fn record(&self, error: &CallError) {
         let CrashCheck { gateway, upstream, parts, started, .. } = self;
         gateway.mark_failed(&upstream.name, FailureEvidence::of_error(error), &error.to_string());
-        // An upstream that does not answer may only be out of reach.
-        if !matches!(error, CallError::Refused) {
+        // An upstream that does not answer may only be out of reach, and so may all of them.
+        if !matches!(error, CallError::Refused) || gateway.is_cut_off() {
             return;
         }
         gateway.observe_crash(upstream);
@@ -201,8 +203,13 @@
     /// Records that an engine's process has ended although it was not about to leave.
     pub(crate) fn observe_crash(&self, upstream: &Upstream) {
         let process = (upstream.name.clone(), upstream.incarnation);
+        // The refusals of a node that is cut off are those of its links.
+        self.unless_cut_off(move |gateway| gateway.report_crash(process));
+    }
+
+    fn report_crash(&self, process: EngineProcess) {
         // An engine whose entry is gone or says that it is leaving stops in an orderly way.
-        let known = self.catalog.borrow().upstream(&upstream.name).cloned();
+        let known = self.catalog.borrow().upstream(&process.0).cloned();
         if known.is_some_and(|known| known.phase == Phase::Serving) {
             self.report_suspects(process);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod flow;
 mod leaving;
 mod lifecycle;
+mod links;
 mod members;
 mod metrics;
 mod node;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     pub(crate) excess_entries: IntCounter,
     /// Events forwarded to callers.
     pub(crate) events: IntCounter,
+    /// Times that this node has lost its links to all upstreams.
+    pub(crate) link_losses: IntCounter,
     /// Times that an upstream was marked as failing.
     pub(crate) suspicions: IntCounter,
     /// Requests refused because engines crash while they run them, by what is refused.
@@ -100,6 +102,11 @@
             .expect("counter is valid"),
             events: IntCounter::new("gypsumrack_events_total", "Events forwarded")
                 .expect("counter is valid"),
+            link_losses: IntCounter::new(
+                "gypsumrack_link_losses_total",
+                "Times that the links to all upstreams were lost",
+            )
+            .expect("counter is valid"),
             suspicions: IntCounter::new(
                 "gypsumrack_suspicions_total",
                 "Times that an upstream was found to fail",
@@ -220,6 +227,7 @@
             Box::new(self.resends.clone()),
             Box::new(self.excess_entries.clone()),
             Box::new(self.events.clone()),
+            Box::new(self.link_losses.clone()),
             Box::new(self.suspicions.clone()),
             Box::new(self.poison.clone()),
             Box::new(self.refused_parts.clone()),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,9 +21,9 @@
 use crashes::CrashTable;
 
 use crate::{
-    members::MemberTable, metrics::Metrics, observer::GatewayObserver, pressure::Pressure,
-    runs::RunTable, stream_probe::ProbeTimes, updates::Outbox, wait_queue::WaitQueue,
-    wakeup::Wakeup,
+    links::Links, members::MemberTable, metrics::Metrics, observer::GatewayObserver,
+    pressure::Pressure, runs::RunTable, stream_probe::ProbeTimes, updates::Outbox,
+    wait_queue::WaitQueue, wakeup::Wakeup,
 };
 
 /// How an upstream failed. Neither proves that its process has ended: the fault may lie on this
@@ -117,6 +117,8 @@
     /// Layers that engines have reported to this node as planner, in the order of the reports.
     pub(crate) reported_layers: RefCell<Vec<(UpstreamName, u64, LayerRange)>>,
     pub(crate) probes: RefCell<ProbeTimes>,
+    /// What this node knows about its links to the upstreams.
+    pub(crate) links: Links,
     /// When the upstreams that get no requests were last counted in the log.
     pub(crate) unusable_logged: Cell<Option<Timestamp>>,
     /// Whether some node holds the planner's lease, according to the latest read of the key-value
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -63,7 +63,7 @@
 async fn plan_under_lease(gateway: Rc<Gateway>) {
     while !gateway.stop.is_raised() {
         gateway.clock.sleep(PLAN_INTERVAL).await;
-        if !gateway.catalog.borrow().has_list() || gateway.planner_active.get() {
+        if !gateway.may_plan() || gateway.planner_active.get() {
             continue;
         }
         let pause = rand::rng().random_range(0..ACQUIRE_SPREAD_MS);
@@ -96,7 +96,7 @@
     let mut renewed_at = tried_at;
     let mut pending = PendingOrders::default();
     let mut settle_timer = SettleTimer::default();
-    while !gateway.stop.is_raised() {
+    while !gateway.stop.is_raised() && !gateway.is_cut_off() {
         let now = gateway.clock.now();
         if now.since(tried_at) >= RENEW_INTERVAL {
             tried_at = now;
@@ -119,6 +119,13 @@
     }
 }
 
+impl Gateway {
+    /// Whether this node knows the engines and can send them orders.
+    fn may_plan(&self) -> bool {
+        self.catalog.borrow().has_list() && !self.is_cut_off()
+    }
+}
+
 /// Tracks whether the number of engines has been stable for long enough.
 #[derive(Default)]
 struct SettleTimer {
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -256,7 +256,10 @@
         loop {
             let sleep = clock.sleep(until_check);
             match select(pending_call, sleep).await {
-                Either::Left((Ok(response), _)) => return Ok((selection, response)),
+                Either::Left((Ok(response), _)) => {
+                    self.gateway.record_bytes();
+                    return Ok((selection, response));
+                }
                 Either::Left((Err(error), _)) => {
                     return Err((selection, StreamFailure::Call(error)));
                 }
@@ -321,6 +324,7 @@
             };
             match received {
                 Some(Some(bytes)) => {
+                    self.gateway.record_bytes();
                     if let Some(events) = stream.splitter.push(&bytes)? {
                         stream.unforwarded = Some(events);
                         return Ok(());
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -73,6 +73,7 @@
         is_overdue: bool,
     ) -> Option<StreamFailure> {
         let name = &selection.upstream.name;
+        self.gateway.check_links_in_silence();
         let allowed_entries = self.allowed_entries(attempts, Some(&selection.upstream));
         let query = SelectionQuery {
             avoid: &attempts.avoided,
@@ -262,12 +263,14 @@
             match timeout(&*self.clock, PROBE_LIMIT, client.probe()).await {
                 Ok(Ok(())) => return Some(ProbeOutcome::Open),
                 Ok(Err(CallError::Refused)) => {
+                    self.check_links_after(&CallError::Refused);
                     self.observe_crash(&upstream);
                     return Some(ProbeOutcome::Refused);
                 }
                 Ok(Err(_)) | Err(_) => {}
             }
         }
+        self.check_links_after(&CallError::ConnectTimeout);
         Some(ProbeOutcome::Silent)
     }
 
@@ -283,6 +286,7 @@
             // An engine that refuses the request and asks for a pause has not failed.
             Err(_) if self.is_paused(&upstream) => None,
             Err(error) => {
+                self.check_links_after(&error);
                 let evidence = FailureEvidence::of_error(&error);
                 self.mark_failed(name, evidence, &format!("no report: {error}"));
                 None
@@ -299,12 +303,16 @@
         cause: &str,
     ) {
         self.mark_failed(name, evidence, cause);
-        self.announce_failure(name);
+        let name = name.clone();
+        self.unless_cut_off(move |gateway| gateway.announce_failure(&name));
     }
 
     /// Verifies a failure that another node has announced, since the fault may lie on that node's
     /// connection to the upstream.
     pub(crate) async fn check_failure(self: Rc<Self>, name: UpstreamName, incarnation: u64) {
+        if self.doubts_links() {
+            return;
+        }
         let is_new = {
             let now = self.clock.now();
             let catalog = self.catalog.borrow();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod config_changes;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_off;
 mod datagrams;
 mod entries;
 mod explain;
--- a/crates/pipelines/src/health.rs
+++ b/crates/pipelines/src/health.rs
@@ -197,6 +197,11 @@
         self.records.remove(name);
     }
 
+    /// Forgets all failures and refusals, for which this node's own links were the cause.
+    pub fn forget_failures(&mut self) {
+        self.records.clear();
+    }
+
     /// Whether `incarnation` of an upstream must be avoided now, because it failed, refused a call
     /// or was passed to [`avoid`](Self::avoid).
     pub fn is_avoided(&self, name: &str, incarnation: u64, now: Timestamp) -> bool {
