Pass requests of a node without links to the upstreams on to another one

Cause: such a node has nowhere to send a request. Nothing passed it to a node that reaches the upstreams.

Change: while a node is cut off, another node takes the place of an entry upstream in an attempt, one hop at most, over a connection of its own (h2 with bincode, TCP on the port of the datagrams). The request carries its identifier, the time left, what its organisation may do, the last event that the caller has, the entry upstreams that it has used, and leave for one more, so that both nodes share one count. Events are forwarded as they come; either end cancels the other; a broken stream is resumed. A node that is cut off or stopping says so, and the next one is tried; if none is left, the request is rejected at once as not run. A request that may have run and may run once is not passed on. A stopping node waits for what it runs for others.

Weighed: not being ready. Callers that are connected stay, refused ones count as failed, and when most of a failure domain is cut off the balancer uses its nodes all the same.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -4,11 +4,12 @@
 
 use admission::{QueueLimits, Standing, Waiting};
 use clock::Timestamp;
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 use types::ServiceName;
 
 use crate::{
     Gateway,
+    attempt::Attempts,
     lifecycle::ActiveRequest,
     selection::{NoSelection, Selection, SelectionQuery},
     wait_queue::{QueueEntry, WaitQueue},
@@ -45,6 +46,31 @@
         admitted.unwrap_or(Err(NoSelection::Stopping))
     }
 
+    /// Chooses the upstreams for an attempt as [`admit`](Self::admit) does or, while this node is cut off
+    /// from them, another node.
+    pub(crate) async fn admit_or_relay(
+        &self,
+        attempts: &Attempts,
+        query: SelectionQuery<'_>,
+    ) -> Result<Selection, NoSelection> {
+        // Without other nodes, nothing speaks against trying.
+        if self.is_relayed || self.gateway.node_count() == 1 {
+            return self.admit(query).await;
+        }
+        if attempts.has_no_entry_left(self) {
+            return Err(NoSelection::NoUpstream);
+        }
+        // A check may be about an upstream that only this request has tried.
+        if attempts.count > 0 {
+            self.gateway.wait_for_link_check().await;
+        }
+        let cut_off = pin!(self.gateway.wait_until_cut_off());
+        match select(cut_off, pin!(self.admit(query))).await {
+            Either::Left(_) => self.choose_node(attempts),
+            Either::Right((admitted, _)) => admitted,
+        }
+    }
+
     async fn admit_in_time(&self, query: SelectionQuery<'_>) -> Result<Selection, NoSelection> {
         self.wait_for_crash_check().await;
         if self.refusal().is_some() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,9 +1,9 @@
 //! The result of an attempt, and whether the request may be retried.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use catalog::Upstream;
 use http::StatusCode;
+use peers::relay::EntryProcess;
 use transport::CallError;
 use types::{UpstreamName, Verdict};
 use upstreams::UpstreamResponse;
@@ -11,6 +11,7 @@
 use crate::{
     lifecycle::{ActiveRequest, is_retry_safe},
     node::FailureEvidence,
+    relay::Relay,
     selection::{Selection, SelectionQuery},
 };
 
@@ -44,12 +45,20 @@
     /// Entry upstreams on which a resumable stream may still run, without duplicates: those of
     /// failed attempts that may have run, without those that other processes had replaced at the last
     /// failure. Empty for other requests.
-    pub(crate) live_entries: Vec<Arc<Upstream>>,
+    pub(crate) live_entries: Vec<EntryProcess>,
+    /// Number of attempts of other nodes that may have run on an entry upstream which is not known.
+    pub(crate) unknown_entries: u32,
     /// Entry upstreams of attempts at a stream that were refused.
     pub(crate) refusing_entries: Vec<UpstreamName>,
 }
 
 impl Attempts {
+    /// The attempts of a request that another node has passed on and that may have run on `entries`.
+    pub(crate) fn continued(entries: Vec<EntryProcess>) -> Attempts {
+        let possibly_run = entries.len() as u32;
+        Attempts { possibly_run, live_entries: entries, ..Attempts::default() }
+    }
+
     /// The verdict on all attempts together.
     pub(crate) fn verdict(&self) -> Verdict {
         if self.possibly_run > 0 { Verdict::MayHaveRun } else { Verdict::NotRun }
@@ -74,11 +83,11 @@
         self.log.add_cause(format!("{}: {cause}", selection.upstream.name));
         if verdict != Verdict::NotRun {
             attempts.possibly_run += 1;
-            self.log.record_entry(&selection.upstream);
+            self.log.record_entry(selection);
         }
         attempts.avoided.push(selection.upstream.name.clone());
         let has_attempts_left =
-            attempts.possibly_run < self.route.max_entries.max(1) && attempts.count < MAX_ATTEMPTS;
+            attempts.possibly_run < self.max_entries.max(1) && attempts.count < MAX_ATTEMPTS;
         has_attempts_left && self.take_retry(verdict)
     }
 
@@ -95,7 +104,7 @@
         let name = &selection.upstream.name;
         self.log.add_cause(format!("{name}: {cause}"));
         attempts.possibly_run += 1;
-        self.log.record_entry(&selection.upstream);
+        self.log.record_entry(selection);
         if entry_failed {
             attempts.avoided.push(name.clone());
         }
@@ -130,6 +139,10 @@
         if !self.is_retry_allowed(verdict) {
             return false;
         }
+        // A node that is cut off has sent nothing to an upstream.
+        if verdict == Verdict::NotRun && gateway.is_cut_off() {
+            return true;
+        }
         let granted = gateway.take_retry(&self.service);
         let label = if verdict == Verdict::NotRun { "not-run" } else { "rerun" };
         let label = if granted { label } else { "over-budget" };
@@ -140,6 +153,12 @@
         granted
     }
 
+    /// Records that another node could not run the request, which is no attempt.
+    pub(crate) fn record_unable_node(&self, attempts: &mut Attempts, relay: &Relay) {
+        attempts.count = attempts.count.saturating_sub(1);
+        self.gateway.avoid_relay(relay);
+    }
+
     /// Records that an upstream answered the request, with a body that is not empty if it is a
     /// stream.
     pub(crate) fn record_success(&self, selection: &Selection) {
@@ -161,6 +180,9 @@
     /// indicates that.
     pub(crate) fn avoid_after_error(&self, selection: &Selection, error: &CallError) {
         let gateway = &self.gateway;
+        if let Some(relay) = &selection.relay {
+            return self.avoid_node_after_error(relay, error);
+        }
         let upstream = &selection.upstream;
         gateway.check_links_after(error);
         if error.verdict() == Verdict::NotRun {
@@ -201,6 +223,9 @@
     /// that has asked for a pause is not charged for it.
     pub(crate) fn avoid_after_refusal(&self, selection: &Selection, response: &UpstreamResponse) {
         let gateway = &self.gateway;
+        if selection.relay.is_some() {
+            return;
+        }
         let name = match response.refusing_engine.and_then(|addr| gateway.upstream_at(addr)) {
             Some(name) => name,
             None => selection.upstream.name.clone(),
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -1,6 +1,6 @@
 //! Requests whose response is read completely before any of it goes to the caller.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use bytes::Bytes;
 use callers::{RoutedFailure, RoutedResponse};
@@ -46,7 +46,14 @@
 impl ActiveRequest {
     /// Sends the request, with retries, until an upstream answers it or it is given up.
     pub(crate) async fn run_buffered(self) -> Result<RoutedResponse, RoutedFailure> {
-        let mut attempts = Attempts::default();
+        self.run_buffered_after(Attempts::default()).await
+    }
+
+    /// Like [`run_buffered`](Self::run_buffered), after the attempts of another node.
+    pub(crate) async fn run_buffered_after(
+        self,
+        mut attempts: Attempts,
+    ) -> Result<RoutedResponse, RoutedFailure> {
         loop {
             if self.time_left().is_zero() {
                 return Err(self.give_up(
@@ -55,7 +62,7 @@
                     "the deadline has passed",
                 ));
             }
-            let selection = match self.admit(attempts.selection_query()).await {
+            let selection = match self.admit_or_relay(&attempts, attempts.selection_query()).await {
                 Ok(selection) => selection,
                 Err(reason) => return Err(self.no_selection_failure(&attempts, reason)),
             };
@@ -67,6 +74,15 @@
                 None => return Err(self.give_up_running(&mut attempts)),
                 Some(Ok(buffered)) => buffered,
                 Some(Err(AttemptFailure { kind, verdict, cause })) => {
+                    if let Some(relay) = &selection.relay {
+                        if relay.is_unable() {
+                            self.record_unable_node(&mut attempts, relay);
+                            continue;
+                        }
+                        if let Some(failure) = relay.take_failure() {
+                            return Err(self.end_relayed(failure));
+                        }
+                    }
                     if !self.record_failure(&mut attempts, &selection, &cause, verdict) {
                         return Err(self.give_up(&attempts, kind, &cause));
                     }
@@ -76,7 +92,7 @@
                     continue;
                 }
             };
-            self.log.record_entry(&selection.upstream);
+            self.log.record_entry(&selection);
             let BufferedResponse { status, headers, body } = buffered;
             if status < FIRST_SERVER_ERROR {
                 self.record_success(&selection);
@@ -152,7 +168,10 @@
         let call = self.call(selection, self.resume_after);
         let pending_call = selection.client.call(call, self.time_left());
         let attempt_timeout = self.route.latency_target.max(MIN_ATTEMPT_TIMEOUT);
-        let sleep = self.gateway.clock.sleep(attempt_timeout);
+        let sleep = pin!(async {
+            let cut_off = pin!(self.lose_call(selection));
+            select(self.gateway.clock.sleep(attempt_timeout), cut_off).await;
+        });
         match select(pending_call, sleep).await {
             Either::Left((result, _)) => result,
             Either::Right(((), _)) if self.may_try_another(attempts, selection) => {
@@ -162,11 +181,24 @@
         }
     }
 
-    /// Whether the request may be sent to another replica while this one does not answer.
+    /// Completes when a call of this node is likely to be lost, since the node is cut off so that open
+    /// connections are silent.
+    async fn lose_call(&self, selection: &Selection) {
+        if selection.relay.is_none() {
+            self.gateway.wait_until_cut_off().await;
+        }
+        if selection.relay.is_some() || !self.gateway.is_cut_off_silently() {
+            std::future::pending().await
+        }
+    }
+
+    /// Whether the request may be sent to another replica, or passed on to a node, while the current
+    /// one does not answer.
     fn may_try_another(&self, attempts: &Attempts, selection: &Selection) -> bool {
-        attempts.count < self.route.max_entries
+        attempts.count < self.max_entries
             && self.has_retry_left(Verdict::MayHaveRun)
-            && self.has_other_replica(&attempts.avoided, &selection.upstream.name)
+            && (self.may_relay(attempts)
+                || self.has_other_replica(&attempts.avoided, &selection.upstream.name))
     }
 
     /// Reads the body of a response before the deadline. While there is no memory for it, nothing is
@@ -210,7 +242,7 @@
                 self.count_refused();
                 self.give_up(attempts, kind, message)
             }
-            NoSelection::NoUpstream => self.give_up(attempts, kind, message),
+            NoSelection::NoUpstream | NoSelection::CutOff => self.give_up(attempts, kind, message),
             NoSelection::Stopping => {
                 self.give_up_for(attempts, kind, message, SHUTDOWN_RETRY_AFTER)
             }
@@ -233,6 +265,18 @@
         self.give_up_for(attempts, kind, message, delay)
     }
 
+    /// The failure of a request that another node has given up.
+    pub(crate) fn end_relayed(&self, routed: RoutedFailure) -> RoutedFailure {
+        let verdict = routed.failure.verdict;
+        self.log.set_reason(&routed.failure.message);
+        if let Some(delay) = routed.retry_after {
+            self.log.set_retry_after(delay);
+        }
+        let outcome = if verdict == Verdict::NotRun { "refused" } else { "failed" };
+        self.log.end(outcome, verdict, 0);
+        routed
+    }
+
     /// The failure of a request whose attempt still runs when a stopping node has to answer it.
     pub(crate) fn give_up_running(&self, attempts: &mut Attempts) -> RoutedFailure {
         attempts.possibly_run += 1;
--- a/crates/gateway/src/builder.rs
+++ b/crates/gateway/src/builder.rs
@@ -90,6 +90,7 @@
             reported_layers: RefCell::default(),
             probes: RefCell::default(),
             links: Links::default(),
+            unable_nodes: RefCell::default(),
             unusable_logged: Cell::new(None),
             planner_active: Cell::new(false),
         })
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -93,6 +93,8 @@
             gateway: self.clone(),
             id,
             priority: priority(query, access, route),
+            max_entries: route.max_entries,
+            is_relayed: false,
             route: route.clone(),
             table: table.clone(),
             service: service.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,8 @@
 mod pressure;
 mod rate_limits;
 mod refusals;
+mod relay;
+mod relay_run;
 mod replica_choice;
 mod replica_limits;
 mod retry_budget;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -56,6 +56,11 @@
     pub(crate) service: ServiceName,
     pub(crate) organisation: Option<Organisation>,
     pub(crate) priority: u32,
+    /// Entry upstreams that may run the request: those of its route or, for one that another node has
+    /// passed on, those that it has left.
+    pub(crate) max_entries: u32,
+    /// Whether another node has passed the request on to this one. It is not passed on again.
+    pub(crate) is_relayed: bool,
     /// Random number from 0 to 1 that decides up to which fill of its engines it is admitted.
     pub(crate) draw: f64,
     pub(crate) method: Method,
@@ -249,6 +254,8 @@
             id: request.id,
             priority: access.and_then(|access| access.priority).unwrap_or(route.priority),
             draw: rand::rng().random(),
+            max_entries: route.max_entries,
+            is_relayed: false,
             route,
             service,
             organisation,
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -61,6 +61,8 @@
     last_check: Cell<Option<Timestamp>>,
     /// When bytes of an upstream last arrived.
     last_bytes: Cell<Option<Timestamp>>,
+    /// Raised when the links are lost.
+    lost: RefCell<StopSignal>,
 }
 
 impl Gateway {
@@ -69,6 +71,11 @@
         self.links.loss.get().is_some()
     }
 
+    /// Whether it has lost them so that open connections are likely to be silent.
+    pub(crate) fn is_cut_off_silently(&self) -> bool {
+        self.links.loss.get() == Some(LinkLoss::Silent)
+    }
+
     /// Whether what this node sees of upstreams may be due to its own links: they are lost, or are
     /// being checked.
     pub(crate) fn doubts_links(&self) -> bool {
@@ -90,6 +97,12 @@
         .detach();
     }
 
+    /// Waits until this node is cut off.
+    pub(crate) async fn wait_until_cut_off(&self) {
+        let lost = self.links.lost.borrow().clone();
+        lost.raised().await;
+    }
+
     /// Waits for the result of a check that is running.
     pub(crate) async fn wait_for_link_check(&self) {
         let check = self.links.check.borrow().clone();
@@ -150,6 +163,7 @@
         }
         let loss = if is_silent { LinkLoss::Silent } else { LinkLoss::Refused };
         self.links.loss.set(Some(loss));
+        self.links.lost.borrow().raise();
         self.metrics.link_losses.inc();
         let loss: &str = loss.into();
         tracing::warn!(loss, tried = tried.len(), "links to all upstreams are lost");
@@ -202,6 +216,7 @@
         }
         self.health.borrow_mut().forget_failures();
         self.links.loss.set(None);
+        self.links.lost.replace(StopSignal::new());
         let lost_ms = self.clock.now().since(lost_at).as_millis() as u64;
         tracing::warn!(lost_ms, "an upstream can be reached again");
         self.wake_waiting();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -57,6 +57,11 @@
         self.registered.keys()
     }
 
+    /// The nodes with an entry, and their names.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&NodeName, &Member)> {
+        self.registered.iter().map(|(name, registered)| (name, &registered.member))
+    }
+
     /// The nodes with an entry.
     pub(crate) fn values(&self) -> impl Iterator<Item = &Member> {
         self.registered.values().map(|registered| &registered.member)
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,8 +22,8 @@
 
 use crate::{
     links::Links, members::MemberTable, metrics::Metrics, observer::GatewayObserver,
-    pressure::Pressure, runs::RunTable, stream_probe::ProbeTimes, updates::Outbox,
-    wait_queue::WaitQueue, wakeup::Wakeup,
+    pressure::Pressure, relay::UnableNodes, runs::RunTable, stream_probe::ProbeTimes,
+    updates::Outbox, wait_queue::WaitQueue, wakeup::Wakeup,
 };
 
 /// How an upstream failed. Neither proves that its process has ended: the fault may lie on this
@@ -119,6 +119,8 @@
     pub(crate) probes: RefCell<ProbeTimes>,
     /// What this node knows about its links to the upstreams.
     pub(crate) links: Links,
+    /// Nodes that could not run a request of this one lately.
+    pub(crate) unable_nodes: UnableNodes,
     /// When the upstreams that get no requests were last counted in the log.
     pub(crate) unusable_logged: Cell<Option<Timestamp>>,
     /// Whether some node holds the planner's lease, according to the latest read of the key-value
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -1,10 +1,15 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
-use catalog::{Route, Upstream};
+use catalog::Route;
 use clock::Timestamp;
+use peers::relay::EntryProcess;
 use types::{Organisation, RequestId, UpstreamName, Verdict};
 
-use crate::Gateway;
+use crate::{Gateway, entries::entry_process, selection::Selection};
+
+/// The entry upstreams of the attempts that are not known to have left a request not run, without
+/// duplicates.
+pub(crate) type UsedEntries = Rc<RefCell<Vec<EntryProcess>>>;
 
 /// Collects what happens to a request, and writes one log line when the request ends or its caller
 /// disconnects.
@@ -14,6 +19,7 @@
     route: Arc<Route>,
     organisation: Option<Organisation>,
     started: Timestamp,
+    entries: UsedEntries,
     state: RefCell<State>,
 }
 
@@ -22,9 +28,6 @@
     is_counted: bool,
     attempts: u32,
     last_upstream: Option<UpstreamName>,
-    /// The entry upstreams of the attempts that are not known to have left the request not run,
-    /// each with its incarnation, without duplicates.
-    entries: Vec<(UpstreamName, u64)>,
     causes: Vec<String>,
     reason: Option<String>,
     first_byte: Option<Timestamp>,
@@ -51,6 +54,7 @@
             route: route.clone(),
             organisation: organisation.cloned(),
             started,
+            entries: UsedEntries::default(),
             state: RefCell::default(),
         }
     }
@@ -74,15 +78,27 @@
         state.last_upstream = Some(upstream.clone());
     }
 
-    /// Records that an entry upstream may have run the request.
-    pub(crate) fn record_entry(&self, upstream: &Upstream) {
-        let entry = (upstream.name.clone(), upstream.incarnation);
-        let mut state = self.state.borrow_mut();
-        if !state.entries.contains(&entry) {
-            state.entries.push(entry);
+    /// Records that the entry upstream of an attempt may have run the request, or those that another
+    /// node has used for it.
+    pub(crate) fn record_entry(&self, selection: &Selection) {
+        match &selection.relay {
+            Some(relay) => relay.entries().into_iter().for_each(|entry| self.add_entry(entry)),
+            None => self.add_entry(entry_process(&selection.upstream)),
         }
     }
 
+    fn add_entry(&self, entry: EntryProcess) {
+        let mut entries = self.entries.borrow_mut();
+        if !entries.contains(&entry) {
+            entries.push(entry);
+        }
+    }
+
+    /// The entry upstreams that may have run the request, also those of later attempts.
+    pub(crate) fn used_entries(&self) -> UsedEntries {
+        self.entries.clone()
+    }
+
     /// Adds the cause of a failed attempt.
     pub(crate) fn add_cause(&self, cause: String) {
         let mut state = self.state.borrow_mut();
@@ -154,7 +170,7 @@
             let seconds = first.since(self.started).as_secs_f64();
             metrics.first_byte.with_label_values(&[&*self.route.name]).observe(seconds);
         }
-        let entries = state.entries.len() as u32;
+        let entries = self.entries.borrow().len() as u32;
         if entries > self.route.max_entries {
             metrics.excess_entries.inc();
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,8 +1,8 @@
 use std::{io, pin::pin, rc::Rc, time::Duration};
 
-use compio::runtime::spawn;
+use compio::{net::TcpListener, runtime::spawn};
 use futures_util::future::{join, select};
-use peers::DatagramSocket;
+use peers::{DatagramSocket, relay::RelayServer};
 use transport::{Handler, Server, SignalListener, StopSignal};
 
 use crate::{
@@ -55,6 +55,8 @@
         .await?
         .limits(health_limits(&settings.limits));
     let socket = DatagramSocket::bind(settings.peers).await?;
+    let relayed = TcpListener::bind(settings.peers).await?;
+    let relayed = RelayServer::new(clock.clone(), relayed, gateway.clone());
     tracing::info!(node = %settings.name, domain = %settings.domain, callers = %settings.callers,
         store = %settings.store, "node starts");
     spawn(store::watch_store(gateway.clone())).detach();
@@ -62,10 +64,11 @@
     spawn(peering::exchange_datagrams(gateway.clone(), socket)).detach();
     spawn(planner::run_planner(gateway.clone())).detach();
     spawn(refusals::store_refusals(gateway.clone())).detach();
-    spawn(stop_on_signal(gateway.clone(), stop, signals.terminate)).detach();
+    let drain_limit = gateway.drain_limit();
+    spawn(stop_on_signal(gateway.clone(), stop.clone(), signals.terminate)).detach();
     spawn(log_reloads(signals.hang_up)).detach();
     let serving = async {
-        callers.run(front).await;
+        join(callers.run(front), relayed.run(stop, drain_limit)).await;
         drained.raise();
     };
     join(serving, health.run(health_checks)).await;
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -66,6 +66,11 @@
         self.gateway.runs.runs.borrow_mut().remove(&self.id);
     }
 
+    /// Time since a part of the answer last arrived; since the start if none did.
+    pub(crate) fn silence(&self) -> Duration {
+        self.gateway.clock.now().since(self.state.progress.get())
+    }
+
     /// Records that a part of the answer has arrived.
     pub(crate) fn record_progress(&self) {
         self.state.has_begun.set(true);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -8,8 +8,8 @@
 use types::{FailureKind, Stage, UpstreamName};
 
 use crate::{
-    Gateway, demand::DemandGuard, event_gaps::GapWatch, lifecycle::ActiveRequest, runs::RunGuard,
-    unread::UnreadGuard,
+    Gateway, demand::DemandGuard, event_gaps::GapWatch, lifecycle::ActiveRequest, relay::Relay,
+    runs::RunGuard, unread::UnreadGuard,
 };
 
 /// The constraints on the selection of the upstreams for an attempt.
@@ -43,6 +43,8 @@
     pub(crate) run: RunGuard,
     /// Counts the prompt as unread until the first event.
     pub(crate) unread: UnreadGuard,
+    /// The other node that makes the attempt, if it is not this one.
+    pub(crate) relay: Option<Relay>,
     /// Watches the gaps between events; `None` unless times are predicted for the path.
     pub(crate) gap_watch: Option<GapWatch>,
     /// Counts the request in the load table for as long as the selection exists.
@@ -80,6 +82,8 @@
     Paused(Timestamp),
     /// The request cannot be answered before this node exits.
     Stopping,
+    /// This node has lost its links to the upstreams, and no other node can run the request.
+    CutOff,
 }
 
 impl NoSelection {
@@ -94,6 +98,9 @@
                 (FailureKind::Unavailable, "no upstream can serve the request")
             }
             NoSelection::Stopping => (FailureKind::Draining, "the node is shutting down"),
+            NoSelection::CutOff => {
+                (FailureKind::Unavailable, "no node that can run the request reaches the upstreams")
+            }
             NoSelection::Paused(_) => (
                 FailureKind::Overloaded,
                 "the upstreams that can serve the request ask for a pause",
@@ -110,10 +117,32 @@
         stages: Vec<Stage>,
         loads: Vec<UpstreamLoad>,
     ) -> Selection {
-        let gateway = self.gateway.clone();
+        let gateway = &self.gateway;
         gateway.load.borrow_mut().add(&loads);
         gateway.rate_limits.borrow_mut().count_request(&upstream.name);
         let client = gateway.client(&upstream);
+        self.start_attempt(upstream, client, stages, loads)
+    }
+
+    /// Starts an attempt of another node, which reserves the capacity.
+    pub(crate) fn reserve_node(
+        &self,
+        node: Arc<Upstream>,
+        client: Rc<dyn upstreams::UpstreamClient>,
+        relay: Relay,
+    ) -> Selection {
+        let selection = self.start_attempt(node, client, Vec::new(), Vec::new());
+        Selection { relay: Some(relay), ..selection }
+    }
+
+    fn start_attempt(
+        &self,
+        upstream: Arc<Upstream>,
+        client: Rc<dyn upstreams::UpstreamClient>,
+        stages: Vec<Stage>,
+        loads: Vec<UpstreamLoad>,
+    ) -> Selection {
+        let gateway = self.gateway.clone();
         let selected = gateway.clock.now();
         let run = self.start_run(&upstream, &stages);
         let unread = self.start_reading(&stages);
@@ -127,6 +156,7 @@
             has_refused: false,
             run,
             unread,
+            relay: None,
             gap_watch: None,
             _reservation,
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -28,7 +28,14 @@
 impl ActiveRequest {
     /// Sends the request until a stream begins, and returns a response whose body forwards it.
     pub(crate) async fn run_stream(self) -> Result<RoutedResponse, RoutedFailure> {
-        let mut attempts = Attempts::default();
+        self.run_stream_after(Attempts::default()).await
+    }
+
+    /// Like [`run_stream`](Self::run_stream), after the attempts of another node.
+    pub(crate) async fn run_stream_after(
+        self,
+        mut attempts: Attempts,
+    ) -> Result<RoutedResponse, RoutedFailure> {
         let stream = self.open(&mut attempts, self.resume_after, None).await?;
         let (status, headers) = (stream.status, stream.headers.clone());
         self.log.record_first_byte();
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -153,6 +153,15 @@
                 }
             };
             self.observe_rate(&selection, &response);
+            if let Some(relay) = &selection.relay {
+                if relay.is_unable() {
+                    self.record_unable_node(attempts, relay);
+                    continue;
+                }
+                if let Some(failure) = relay.take_failure() {
+                    return Err(self.end_relayed(failure));
+                }
+            }
             if response.not_run {
                 self.avoid_after_refusal(&selection, &response);
                 let cause = format!("refused with status {}", response.status);
@@ -173,7 +182,7 @@
                 )?;
                 continue;
             }
-            self.log.record_entry(&selection.upstream);
+            self.log.record_entry(&selection);
             let mut stream = OpenStream {
                 selection,
                 status: response.status,
--- a/crates/gateway/src/stream_probe.rs
+++ b/crates/gateway/src/stream_probe.rs
@@ -73,7 +73,16 @@
         is_overdue: bool,
     ) -> Option<StreamFailure> {
         let name = &selection.upstream.name;
+        if selection.relay.is_some() {
+            let may_leave = self.is_relay_silent(selection) && self.may_resume(attempts);
+            return may_leave.then_some(StreamFailure::LeftPath);
+        }
         self.gateway.check_links_in_silence();
+        let is_lost =
+            self.gateway.is_cut_off_silently() || (self.gateway.is_cut_off() && is_overdue);
+        if is_lost && self.may_relay(attempts) && self.may_resume(attempts) {
+            return Some(StreamFailure::LeftPath);
+        }
         let allowed_entries = self.allowed_entries(attempts, Some(&selection.upstream));
         let query = SelectionQuery {
             avoid: &attempts.avoided,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -21,6 +21,7 @@
 mod network;
 mod outgoing;
 mod query;
+pub mod relay;
 mod server;
 
 pub use datagram::{
--- a/crates/settings/src/edge.rs
+++ b/crates/settings/src/edge.rs
@@ -18,7 +18,7 @@
     pub callers: SocketAddr,
     /// Address to listen on for the load balancer's readiness checks and for metrics.
     pub health: SocketAddr,
-    /// Address to listen on for datagrams from other nodes.
+    /// Address to listen on for other nodes: for datagrams, and for requests that they pass on.
     pub peers: SocketAddr,
     /// Address of the key-value service.
     pub store: SocketAddr,
