Share the connection guard, and split the tests of crash evidence off

The two servers of the peers crate had the same guard. The tests of lifecycle.rs that ask which failures count as crashes move, unchanged, to a file of their own.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway with test doubles in place of its peers.
 
 mod config_changes;
+mod crash_evidence;
 mod crashing_parts;
 mod crashing_requests;
 mod cut_off;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,14 +3,16 @@
 //!
 //! Purpose: keep links to a few chosen nodes, over which new facts and snapshots are sent in
 //! both directions, and heartbeats by the node that opened the link, which the other one answers;
-//! send single queries to any node; send datagrams, which may be lost, to any node. A link is a
-//! long-lived HTTP/2 stream on a connection of its own.
+//! send single queries to any node; send datagrams, which may be lost, to any node; pass requests of
+//! callers on to any node, see [`relay`]. A link is a long-lived HTTP/2 stream on a connection of its
+//! own.
 //!
 //! Invariants: the size of frames, the number of elements in a message and the number of
 //! connections are bounded; each wait has a deadline; a message of an unknown kind is refused and
 //! the connection is kept, so that nodes of two releases can communicate. This crate must not know
 //! how a node uses a message; it calls the node through the [`PeerHandler`] trait.
 
+mod connection_guard;
 mod datagram;
 mod demand_report;
 mod frame;
--- a/crates/peers/src/relay/server.rs
+++ b/crates/peers/src/relay/server.rs
@@ -24,7 +24,7 @@
     message::{encode, read_frame},
     write,
 };
-use crate::frame::broken;
+use crate::{connection_guard::ConnectionGuard, frame::broken};
 
 /// Largest number of relayed requests at a time. Further connections are closed at once, which their
 /// nodes take for a failure to connect. It bounds the memory of their requests.
@@ -94,7 +94,7 @@
     }
 
     fn start(&self, stream: TcpStream) {
-        let Some(guard) = ConnectionGuard::new(&self.count) else { return };
+        let Some(guard) = ConnectionGuard::new(&self.count, MAX_CONNECTIONS) else { return };
         let (clock, handler) = (self.clock.clone(), self.handler.clone());
         let task = async move {
             let _guard = guard;
@@ -194,25 +194,3 @@
         Poll::Ready(_) => Some(CallError::Broken("the other node has given it up".into())),
     }
 }
-
-/// Counts a connection until it is dropped.
-struct ConnectionGuard {
-    count: Rc<Cell<usize>>,
-}
-
-impl ConnectionGuard {
-    /// Returns `None` if [`MAX_CONNECTIONS`] are open already.
-    fn new(count: &Rc<Cell<usize>>) -> Option<ConnectionGuard> {
-        if count.get() >= MAX_CONNECTIONS {
-            return None;
-        }
-        count.set(count.get() + 1);
-        Some(ConnectionGuard { count: count.clone() })
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.count.set(self.count.get() - 1);
-    }
-}
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use clock::timeout;
 use compio::net::{TcpListener, TcpStream};
@@ -13,6 +13,7 @@
 
 use crate::{
     Direction, Message, Peers, SUSPECT_AFTER,
+    connection_guard::ConnectionGuard,
     frame::{FrameReader, FrameWriter, WINDOW_BYTES, broken},
     link::{Link, answer_query},
     query::Data,
@@ -44,7 +45,10 @@
             match select(accept, pin!(stop.raised())).await {
                 Either::Right(_) => return,
                 Either::Left((Ok((stream, _)), _)) => {
-                    let Some(guard) = IncomingGuard::new(&self.incoming_count) else { continue };
+                    let Some(guard) = ConnectionGuard::new(&self.incoming_count, MAX_INCOMING)
+                    else {
+                        continue;
+                    };
                     let (peers, stop) = (self.clone(), stop.clone());
                     compio::runtime::spawn(async move {
                         let _guard = guard;
@@ -177,25 +181,3 @@
         }
     }
 }
-
-/// Counts an incoming connection until it is dropped.
-struct IncomingGuard {
-    count: Rc<Cell<usize>>,
-}
-
-impl IncomingGuard {
-    /// Returns `None` if [`MAX_INCOMING`] connections are open already.
-    fn new(count: &Rc<Cell<usize>>) -> Option<IncomingGuard> {
-        if count.get() >= MAX_INCOMING {
-            return None;
-        }
-        count.set(count.get() + 1);
-        Some(IncomingGuard { count: count.clone() })
-    }
-}
-
-impl Drop for IncomingGuard {
-    fn drop(&mut self) {
-        self.count.set(self.count.get() - 1);
-    }
-}
