--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -156,7 +156,7 @@
     /// Records that another node could not run the request, which is no attempt.
     pub(crate) fn record_unable_node(&self, attempts: &mut Attempts, relay: &Relay) {
         attempts.count = attempts.count.saturating_sub(1);
-        self.gateway.avoid_relay(relay);
+        self.gateway.avoid_node(&relay.node);
     }
 
     /// Records that an upstream answered the request, with a body that is not empty if it is a
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,9 @@
     pub(crate) excess_entries: IntCounter,
     /// Events forwarded to callers.
     pub(crate) events: IntCounter,
+    /// Requests passed on to other nodes, and those of other nodes that this one has run or could not
+    /// run.
+    pub(crate) relayed: IntCounterVec,
     /// Times that this node has lost its links to all upstreams.
     pub(crate) link_losses: IntCounter,
     /// Times that an upstream was marked as failing.
@@ -102,6 +105,11 @@
             .expect("counter is valid"),
             events: IntCounter::new("gypsumrack_events_total", "Events forwarded")
                 .expect("counter is valid"),
+            relayed: counter_vec(
+                "gypsumrack_relayed_requests_total",
+                "Requests that nodes without links to the upstreams pass on",
+                &["step"],
+            ),
             link_losses: IntCounter::new(
                 "gypsumrack_link_losses_total",
                 "Times that the links to all upstreams were lost",
@@ -227,6 +235,7 @@
             Box::new(self.resends.clone()),
             Box::new(self.excess_entries.clone()),
             Box::new(self.events.clone()),
+            Box::new(self.relayed.clone()),
             Box::new(self.link_losses.clone()),
             Box::new(self.suspicions.clone()),
             Box::new(self.poison.clone()),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,7 +45,7 @@
 
 /// An attempt that another node makes.
 pub(crate) struct Relay {
-    node: NodeName,
+    pub(crate) node: NodeName,
     /// The entry upstreams that it says it has used.
     entries: Rc<RefCell<Vec<EntryProcess>>>,
     /// Why it has given up the request.
@@ -75,8 +75,8 @@
 }
 
 impl Gateway {
-    /// Another node that may run requests, of this node's failure domain if there is one.
-    fn choose_relay(&self, avoid: &[UpstreamName]) -> Option<(NodeName, Member)> {
+    /// Another node that may run a request, of this node's failure domain if there is one.
+    fn find_node(&self, avoid: &[UpstreamName]) -> Option<(NodeName, Member)> {
         let now = self.clock.now();
         let mut unable = self.unable_nodes.borrow_mut();
         unable.retain(|_, until| now < *until);
@@ -96,16 +96,16 @@
     }
 
     /// Sends no requests to a node for a while.
-    pub(crate) fn avoid_relay(&self, relay: &Relay) {
+    pub(crate) fn avoid_node(&self, node: &NodeName) {
         let until = self.clock.now() + UNABLE_PAUSE;
-        self.unable_nodes.borrow_mut().insert(relay.node.clone(), until);
+        self.unable_nodes.borrow_mut().insert(node.clone(), until);
     }
 }
 
 impl ActiveRequest {
     /// Chooses another node for the next attempt.
     pub(crate) fn choose_node(&self, attempts: &Attempts) -> Result<Selection, NoSelection> {
-        let chosen = self.gateway.choose_relay(&attempts.avoided);
+        let chosen = self.gateway.find_node(&attempts.avoided);
         let (node, member) = chosen.ok_or(NoSelection::CutOff)?;
         let upstream = Arc::new(Upstream {
             name: (&*node).into(),
@@ -132,6 +132,7 @@
             failure: relay.failure.clone(),
             is_unable: relay.is_unable.clone(),
         });
+        self.gateway.metrics.relayed.with_label_values(&["passed-on"]).inc();
         Ok(self.reserve_node(upstream, client, relay))
     }
 
@@ -139,7 +140,7 @@
     pub(crate) fn may_relay(&self, attempts: &Attempts) -> bool {
         !self.is_relayed
             && self.gateway.is_cut_off()
-            && self.gateway.choose_relay(&attempts.avoided).is_some()
+            && self.gateway.find_node(&attempts.avoided).is_some()
     }
 
     fn relay_request(&self, attempts: &Attempts) -> RelayRequest {
@@ -167,7 +168,7 @@
 
     /// Records that an attempt of another node has failed without a decision of that node.
     pub(crate) fn avoid_node_after_error(&self, relay: &Relay, error: &CallError) {
-        self.gateway.avoid_relay(relay);
+        self.gateway.avoid_node(&relay.node);
         tracing::info!(request = %self.id, node = %relay.node, %error,
             "node does not run a request that was passed on to it");
     }
--- a/crates/gateway/src/relay_run.rs
+++ b/crates/gateway/src/relay_run.rs
@@ -31,9 +31,12 @@
 impl Gateway {
     async fn run_relayed(self: Rc<Self>, request: RelayRequest) -> RelayResponse {
         let attempts = Attempts::continued(request.used_entries.clone());
+        let metrics = self.metrics.relayed.clone();
         let Some(active) = self.prepare_relayed(request) else {
+            metrics.with_label_values(&["unable"]).inc();
             return RelayResponse { reply: RelayReply::Unable, body: Body::empty() };
         };
+        metrics.with_label_values(&["run"]).inc();
         let entries = active.log.used_entries();
         active.log.start();
         let outcome = if active.route.retry.is_stream() {
