Do not take the crash of many upstreams for the loss of all links

A check now tries six upstreams and then eighteen, over all domains, and prefers those that are not known to fail.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -22,8 +22,12 @@
 
 use crate::Gateway;
 
-/// Upstreams of each failure domain to which a check opens a connection.
+/// Least number of upstreams of each failure domain to which a check opens a connection.
 const CHECKED_PER_DOMAIN: usize = 2;
+/// Least number of them in all domains together, if there are so many.
+const CHECKED_UPSTREAMS: usize = 6;
+/// The same for the second round, which confirms the loss: many upstreams may have crashed.
+const CONFIRMING_UPSTREAMS: usize = 18;
 /// Least number of upstreams that a check must have tried: a single one may have failed.
 const MIN_CHECKED: usize = 2;
 /// Time within which an upstream has to accept a connection. It is several round trips between failure
@@ -146,22 +150,19 @@
         spawn(gateway.check_links()).detach();
     }
 
-    /// Tries one upstream and, if it cannot be reached, some of all failure domains.
+    /// Tries one upstream and, if it cannot be reached, two rounds of some of all failure domains.
     async fn check_links(self: Rc<Self>) {
         let _check = CheckGuard { gateway: &self };
-        let mut tried = self.sample_upstreams();
+        let mut tried = self.sample_upstreams(CHECKED_UPSTREAMS);
         tried.shuffle(&mut rand::rng());
         if tried.len() < MIN_CHECKED || self.try_connect(&tried[0]).await.is_ok() {
             return;
         }
-        let mut attempts: FuturesUnordered<_> =
-            tried.iter().map(|upstream| self.try_connect(upstream)).collect();
-        let mut is_silent = false;
-        while let Some(outcome) = attempts.next().await {
-            let Err(loss) = outcome else { return };
-            is_silent |= loss == LinkLoss::Silent;
+        if self.try_any(&tried).await.is_ok() {
+            return;
         }
-        let loss = if is_silent { LinkLoss::Silent } else { LinkLoss::Refused };
+        let tried = self.sample_upstreams(CONFIRMING_UPSTREAMS);
+        let Err(loss) = self.try_any(&tried).await else { return };
         self.links.loss.set(Some(loss));
         self.links.lost.borrow().raise();
         self.metrics.link_losses.inc();
@@ -170,20 +171,44 @@
         spawn(self.clone().probe_until_restored()).detach();
     }
 
-    /// Some upstreams of each failure domain that serve and have not asked for a pause.
-    fn sample_upstreams(&self) -> Vec<Arc<Upstream>> {
+    /// Tries several upstreams at a time, until one accepts a connection.
+    async fn try_any(&self, upstreams: &[Arc<Upstream>]) -> Result<(), LinkLoss> {
+        let mut attempts: FuturesUnordered<_> =
+            upstreams.iter().map(|upstream| self.try_connect(upstream)).collect();
+        let mut loss = LinkLoss::Refused;
+        while let Some(outcome) = attempts.next().await {
+            match outcome {
+                Ok(()) => return Ok(()),
+                Err(LinkLoss::Silent) => loss = LinkLoss::Silent,
+                Err(LinkLoss::Refused) => {}
+            }
+        }
+        Err(loss)
+    }
+
+    /// Some upstreams of each failure domain, `least` in all, that have not asked for a pause. Those that are not known to
+    /// fail come first: when many have crashed, a few of the others tell more.
+    fn sample_upstreams(&self, least: usize) -> Vec<Arc<Upstream>> {
         let catalog = self.catalog.borrow();
-        let candidates: Vec<&Arc<Upstream>> =
+        let (health, now) = (self.health.borrow(), self.clock.now());
+        let is_failing = |upstream: &Upstream| {
+            health.failing_for(&upstream.name, upstream.incarnation, now).is_some()
+        };
+        let mut candidates: Vec<&Arc<Upstream>> =
             catalog.upstreams().filter(|upstream| !self.is_paused(upstream)).collect();
+        if candidates.iter().filter(|upstream| !is_failing(upstream)).count() >= MIN_CHECKED {
+            candidates.retain(|upstream| !is_failing(upstream));
+        }
         let mut domains: Vec<&Domain> =
             candidates.iter().map(|upstream| &upstream.domain).collect();
         domains.sort_unstable();
         domains.dedup();
+        let per_domain = CHECKED_PER_DOMAIN.max(least.div_ceil(domains.len().max(1)));
         let sample_of = |domain: &&Domain| {
             let members = candidates.iter().filter(|upstream| upstream.domain == **domain);
             members
                 .map(|upstream| Arc::clone(upstream))
-                .choose_multiple(&mut rand::rng(), CHECKED_PER_DOMAIN)
+                .choose_multiple(&mut rand::rng(), per_domain)
         };
         domains.iter().flat_map(sample_of).collect()
     }
@@ -207,7 +232,7 @@
         let lost_at = self.clock.now();
         loop {
             self.clock.sleep(PROBE_INTERVAL).await;
-            let sample = self.sample_upstreams();
+            let sample = self.sample_upstreams(CHECKED_UPSTREAMS);
             let probed = sample.choose_multiple(&mut rand::rng(), PROBED_UPSTREAMS);
             let outcomes = join_all(probed.map(|upstream| self.try_connect(upstream))).await;
             if outcomes.iter().any(Result::is_ok) {
--- a/crates/gateway/tests/gateway/cut_off.rs
+++ b/crates/gateway/tests/gateway/cut_off.rs
@@ -9,7 +9,7 @@
 use transport::StopSignal;
 use types::Verdict;
 
-use crate::support::{Fixture, Step, body, event, fixture_with_peer};
+use crate::support::{Fixture, MemoryStore, Step, body, event, fixture_with_peer};
 
 /// Time in which several beacons are sent.
 const BEACON_TIME: Duration = Duration::from_millis(900);
@@ -209,10 +209,10 @@
     cut_off(&first);
     second.push_steps([Step::EventsThenSilence(vec![0])]);
     let response = first.send("/drafts/x").await.expect("the stream begins");
-    assert_eq!(requests_in_flight(&second), 1);
+    assert_eq!(metric(&second, "gypsumrack_in_flight"), 1);
     drop(response);
     compio::time::sleep(Duration::from_millis(100)).await;
-    assert_eq!(requests_in_flight(&second), 0);
+    assert_eq!(metric(&second, "gypsumrack_in_flight"), 0);
 }
 
 /// Guards against a request that waits for a node which hangs after it has taken it over.
@@ -231,9 +231,32 @@
     assert_eq!(body(response).await, Some(event(0) + &event(1)));
 }
 
-fn requests_in_flight(node: &Fixture) -> u32 {
+fn metric(node: &Fixture, name: &str) -> u32 {
     let metrics = node.gateway.metrics();
     let text = std::str::from_utf8(&metrics).expect("metrics are text");
-    let value = text.lines().find_map(|line| line.strip_prefix("gypsumrack_in_flight "));
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
     value.expect("the metric exists").parse().expect("the metric is a number")
 }
+
+/// Guards against crashes of many upstreams of the only failure domain that are taken for the loss of
+/// all links.
+#[compio::test]
+async fn a_node_is_not_cut_off_when_many_upstreams_of_one_domain_have_crashed() {
+    const REPLICAS: usize = 40;
+    let store = Rc::new(MemoryStore::default());
+    store.write("table", Some("1"));
+    for number in 0..REPLICAS {
+        let value = format!("registry 10.0.2.{number}:80 a up -");
+        store.write(&format!("upstreams/r{number}"), Some(&value));
+    }
+    let node = Fixture::ready_with_store(store).await;
+    let crashed = (0..REPLICAS * 3 / 4).map(|number| format!("r{number}"));
+    node.upstreams.stopped.replace(crashed.collect());
+    for _ in 0..12 {
+        node.push_steps([Step::Answer(200, "found")]);
+        // It may meet crashed upstreams only.
+        let _: Result<_, _> = node.send("/any/x").await;
+        compio::time::sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(metric(&node, "gypsumrack_link_losses_total"), 0);
+}
