--- a/crates/gateway/tests/gateway/explain.rs
+++ b/crates/gateway/tests/gateway/explain.rs
@@ -240,8 +240,10 @@
     assert_eq!(reason("e1"), None);
     let pause = PauseRequest { length: Duration::from_secs(2), engine: None };
     fixture.upstreams.pausing.borrow_mut().extend([("r1".to_owned(), pause)]);
-    fixture.push_steps(vec![Step::Answer(200, "done"); 12]);
-    for _ in 0..6 {
+    // Idle replicas are chosen at random, and the first call to this one shows the pause.
+    const CALLS: usize = 40;
+    fixture.push_steps(vec![Step::Answer(200, "done"); 2 * CALLS]);
+    for _ in 0..CALLS {
         fixture.send("/any/x").await.expect("the other replica answers");
     }
     let paused = fixture.reason_against("/any/x", "r1");
